--- /dev/null
+++ b/src/admission.cpp
@@ -0,0 +1,200 @@
+/**
+ * @file admission.cpp
+ * @brief System that admits ordered runs or turns them down, and cancels attempts.
+ */
+#include "agent_func.h"
+#include "error_type.h"
+#include "run_func.h"
+#include "suspect_func.h"
+
+#include <algorithm>
+
+namespace Burdockfield {
+
+namespace {
+
+constexpr size_t finishTagLimit = 4096; ///< Workspaces remembered by one tier.
+constexpr size_t tombstoneLimit = 10000; ///< Cancelled attempts remembered.
+
+/// @return why no run of this kind may be taken, whatever the load.
+std::error_code checkOrder(const AgentState &state, const RunOrder &order)
+{
+    if (order.agentIncarnation_ != state.incarnation_) {
+        return AdmissionErrc::StaleIncarnation;
+    }
+    if (state.tombstones_.contains(order.name_)) {
+        return AdmissionErrc::Withdrawn;
+    }
+    if (state.stopping_) {
+        return AdmissionErrc::Stopping;
+    }
+    if (state.leaving_ || state.drained_) {
+        return AdmissionErrc::Leaving;
+    }
+    if (!state.up_) {
+        return AdmissionErrc::UpstreamDown;
+    }
+    const auto &routes = state.upstream_.routes_;
+    if (std::find(routes.begin(), routes.end(), order.route_) == routes.end()) {
+        return AdmissionErrc::UnknownRoute;
+    }
+    if (refusedAfterCrashes(state.suspects_, order.digest_) > 0) {
+        return AdmissionErrc::CrashSuspect;
+    }
+    return order.remainingWait_.count() > 0 ? std::error_code{} : AdmissionErrc::Expired;
+}
+
+/// @return the waiting run that has never started, of the lowest tier below @p rank; the newest of that tier.
+std::optional<RunId> findDisplaceable(const AgentState &state, TierRank rank)
+{
+    std::optional<RunId> found;
+    for (const RunId id : state.waiting_) {
+        const Run &run = *findRow(state.runs_, id);
+        if (run.started_ || run.order_.tier_ >= rank) {
+            continue;
+        }
+        const Run *best = found ? findRow(state.runs_, *found) : nullptr;
+        const bool lower = best == nullptr || run.order_.tier_ < best->order_.tier_;
+        const bool newer = best != nullptr && run.order_.tier_ == best->order_.tier_ && run.sequence_ > best->sequence_;
+        if (lower || newer) {
+            found = id;
+        }
+    }
+    return found;
+}
+
+/// Makes room for a run of @p rank. @return whether there is room.
+bool makeRoomFor(AgentState &state, TierRank rank, TimePoint now, AgentOutbox &outbox)
+{
+    if (!state.policy_.bounded_) {
+        return true;
+    }
+    const uint32_t capacity = state.upstream_.slots_ + state.upstream_.queueDepth_;
+    const TierCounts occupied = countOccupied(state);
+    const bool tiered = state.policy_.queue_ == QueueRule::TierFair;
+    if (countAtOrAbove(occupied, tiered ? rank : 0) >= capacity) {
+        return false;
+    }
+    if (countAtOrAbove(occupied, 0) < capacity) {
+        return true;
+    }
+    if (const auto displaced = findDisplaceable(state, rank); displaced) {
+        logPlacement(state, findRow(state.runs_, *displaced)->order_, PlacementAction::Displace, {}, outbox);
+        endRun(state, *displaced, makeFailure(AdmissionErrc::Displaced, Truth::NotRun), now, outbox);
+    }
+    return true;
+}
+
+/// Gives a run its place in the order of its tier.
+void tagRun(AgentState &state, Run &run)
+{
+    AgentTier &tier = state.tiers_[run.order_.tier_];
+    if (tier.finishTags_.size() > finishTagLimit) {
+        std::erase_if(tier.finishTags_, [&tier](const auto &item) { return item.second <= tier.virtualTime_; });
+    }
+    double &finish = tier.finishTags_[run.order_.workspace_];
+    run.startTag_ = std::max(tier.virtualTime_, finish);
+    finish = run.startTag_ + (run.order_.promptTokens_ + run.order_.answerTokens_) / std::max(run.order_.weight_, 1e-6);
+    run.sequence_ = state.nextSequence_++;
+}
+
+void insertRun(AgentState &state, RunOrder order, TimePoint now, AgentOutbox &outbox)
+{
+    Run run;
+    run.order_ = std::move(order);
+    run.orderedAt_ = now;
+    run.readAt_ = now;
+    run.deadline_ = now + run.order_.remainingWait_;
+    tagRun(state, run);
+    const bool keyed = !run.order_.key_.empty();
+    const RunName name = run.order_.name_;
+    const TimePoint deadline = run.deadline_;
+    const RunId id = insertRow(state.runs_, std::move(run));
+    state.runByName_[name] = id;
+    state.waiting_.push_back(id);
+    pushDeadline(state.runDeadlines_, deadline, id);
+    if (keyed) {
+        writeClaim(state, id, outbox);
+    }
+}
+
+/// @return the answer to an order that has been heard before.
+std::error_code replyToKnown(const Run &run)
+{
+    const bool neverRuns = run.stage_ == RunStage::Ended && run.end_.truth_ == Truth::NotRun
+        && run.end_.error_ != AdmissionErrc::ClaimedElsewhere;
+    return neverRuns ? run.end_.error_ : std::error_code{};
+}
+
+std::error_code admitOrder(AgentState &state, RunOrder order, TimePoint now, AgentOutbox &outbox)
+{
+    if (const auto known = state.runByName_.find(order.name_); known != state.runByName_.end()) {
+        return replyToKnown(*findRow(state.runs_, known->second));
+    }
+    std::error_code error = checkOrder(state, order);
+    if (!error && !makeRoomFor(state, order.tier_, now, outbox)) {
+        error = AdmissionErrc::QueueFull;
+    }
+    if (error) {
+        logPlacement(state, order, PlacementAction::Refuse, error, outbox);
+        count(state.metrics_, "orders_refused_total", error.message());
+        return error;
+    }
+    insertRun(state, std::move(order), now, outbox);
+    return {};
+}
+
+Truth cancelRun(AgentState &state, RunId id, TimePoint now, AgentOutbox &outbox)
+{
+    const Run &run = *findRow(state.runs_, id);
+    if (run.stage_ == RunStage::Ended) {
+        return run.end_.truth_;
+    }
+    if (run.readers_.size() > 1) {
+        return Truth::Unknown;
+    }
+    if (run.stage_ == RunStage::Waiting && !run.started_) {
+        endRun(state, id, makeFailure(AdmissionErrc::Withdrawn, Truth::NotRun), now, outbox);
+        return Truth::NotRun;
+    }
+    if (mayInterrupt(run) && run.order_.key_.empty()) {
+        if (run.stage_ == RunStage::Running) {
+            abortRun(state, id, outbox);
+        }
+        endRun(state, id, makeFailure(AdmissionErrc::Withdrawn, Truth::Unknown), now, outbox);
+    }
+    return Truth::Unknown;
+}
+
+CancelReply cancelAttempt(AgentState &state, const CancelOrdered &event, TimePoint now, AgentOutbox &outbox)
+{
+    const auto known = state.runByName_.find(event.name_);
+    if (known != state.runByName_.end()) {
+        return {true, cancelRun(state, known->second, now, outbox)};
+    }
+    if (event.agentIncarnation_ != state.incarnation_) {
+        return {false, Truth::Unknown};
+    }
+    if (state.tombstones_.size() >= tombstoneLimit) {
+        state.tombstones_.erase(state.tombstones_.begin());
+    }
+    state.tombstones_.insert(event.name_);
+    return {false, Truth::NotRun};
+}
+
+} // namespace
+
+void runAdmission(AgentState &state, TimePoint now, AgentInbox &inbox, AgentOutbox &outbox)
+{
+    for (RunOrdered &event : inbox.orders_) {
+        RunReply reply;
+        reply.error_ = admitOrder(state, std::move(event.order_), now, outbox);
+        reply.report_ = makeReport(state);
+        outbox.runReplies_.push_back({event.exchange_, std::move(reply)});
+    }
+    for (const CancelOrdered &event : inbox.cancels_) {
+        outbox.cancelReplies_.push_back({event.exchange_, cancelAttempt(state, event, now, outbox)});
+    }
+}
+
+} // namespace Burdockfield
--- /dev/null
+++ b/src/claim.cpp
@@ -0,0 +1,155 @@
+/**
+ * @file claim.cpp
+ * @brief System that writes, settles and retries claims of idempotency keys.
+ *
+ * A run with a key starts only when its claim, a conditional insert in the table service, is known to be its own. A
+ * claim may be taken over from an earlier attempt of the same request and from a run whose agent has said that it will
+ * never run; the write is then conditional on the version that was read, so one of several successors wins.
+ */
+#include "agent_func.h"
+#include "claim_wire.h"
+#include "error_type.h"
+#include "run_func.h"
+
+namespace Burdockfield {
+
+namespace {
+
+constexpr const char *claimTable = "claims";
+constexpr Milliseconds claimRetryInterval{100}; ///< Time between tries while the table service does not answer.
+
+StoreKey claimKey(const Run &run)
+{
+    return {claimTable, run.order_.workspace_ + "/" + run.order_.key_};
+}
+
+Claim ownClaim(const AgentState &state, const Run &run)
+{
+    return {run.order_.name_, state.place_.address_, state.incarnation_, run.order_.digest_};
+}
+
+void readBackClaim(AgentState &state, Run &run, AgentOutbox &outbox)
+{
+    run.claim_ = ClaimStage::Settling;
+    run.claimCall_ = state.nextCall_++;
+    outbox.storeReads_.push_back({run.claimCall_, claimKey(run)});
+}
+
+/// @return whether the run may take the claim over from its holder.
+bool mayTakeOver(const Run &run, const Claim &holder)
+{
+    const RunName &own = run.order_.name_;
+    const bool earlierAttempt = holder.run_.request_ == own.request_ && holder.run_.attempt_ < own.attempt_;
+    return earlierAttempt || holder.run_ == run.order_.releasedRun_;
+}
+
+AnswerEnd claimedElsewhere(const Claim &holder)
+{
+    AnswerEnd end = makeFailure(AdmissionErrc::ClaimedElsewhere, Truth::NotRun);
+    end.ownerAddress_ = holder.agentAddress_;
+    end.ownerRun_ = holder.run_;
+    return end;
+}
+
+/// The row of the key is there: finds out whose it is.
+void judgeHolder(AgentState &state, RunId id, const StoreRow &row, TimePoint now, AgentOutbox &outbox)
+{
+    Run &run = *findRow(state.runs_, id);
+    Claim holder;
+    if (const std::error_code error = parseClaim(row.value_, holder); error) {
+        endRun(state, id, makeFailure(AdmissionErrc::StoreUnavailable, Truth::NotRun), now, outbox);
+        return;
+    }
+    const bool own = holder.run_ == run.order_.name_ && holder.agentIncarnation_ == state.incarnation_;
+    if (own) {
+        run.claim_ = ClaimStage::Held;
+        run.claimVersion_ = row.version_;
+    } else if (holder.digest_ != run.order_.digest_) {
+        run.claim_ = ClaimStage::NotNeeded;
+        endRun(state, id, makeFailure(AdmissionErrc::KeyReused, Truth::NotRun), now, outbox);
+    } else if (mayTakeOver(run, holder)) {
+        run.claimVersion_ = row.version_;
+        writeClaim(state, id, outbox);
+    } else {
+        run.claim_ = ClaimStage::NotNeeded;
+        endRun(state, id, claimedElsewhere(holder), now, outbox);
+    }
+}
+
+void retryClaimLater(AgentState &state, RunId id, TimePoint now)
+{
+    Run &run = *findRow(state.runs_, id);
+    run.claim_ = ClaimStage::Retrying;
+    run.claimRetryAt_ = now + claimRetryInterval;
+    pushDeadline(state.runDeadlines_, run.claimRetryAt_, id);
+}
+
+void handleClaimReply(AgentState &state, RunId id, const StoreResult &result, TimePoint now, AgentOutbox &outbox)
+{
+    Run &run = *findRow(state.runs_, id);
+    const bool conflict = result.error_ == StoreErrc::Conflict;
+    if (result.error_ && !conflict) {
+        count(state.metrics_, "claim_retries_total", result.error_.message());
+        retryClaimLater(state, id, now);
+    } else if (run.claim_ == ClaimStage::Writing && !conflict) {
+        run.claim_ = ClaimStage::Held;
+        run.claimVersion_ = result.rows_.empty() ? run.claimVersion_ + 1 : result.rows_[0].version_;
+    } else if (!result.rows_.empty() && result.rows_[0].version_ > 0) {
+        judgeHolder(state, id, result.rows_[0], now, outbox);
+    } else {
+        run.claimVersion_ = 0;
+        writeClaim(state, id, outbox);
+    }
+}
+
+bool awaitsClaim(const Run &run, uint64_t call)
+{
+    const bool asked = run.claim_ == ClaimStage::Writing || run.claim_ == ClaimStage::Settling;
+    return asked && run.stage_ == RunStage::Waiting && run.claimCall_ == call;
+}
+
+} // namespace
+
+void writeClaim(AgentState &state, RunId id, AgentOutbox &outbox)
+{
+    Run &run = *findRow(state.runs_, id);
+    StoreTransaction transaction;
+    transaction.checks_.push_back({claimKey(run), run.claimVersion_});
+    transaction.puts_.push_back({claimKey(run), serializeClaim(ownClaim(state, run)), false});
+    run.claim_ = ClaimStage::Writing;
+    run.claimCall_ = state.nextCall_++;
+    outbox.storeWrites_.push_back({run.claimCall_, std::move(transaction)});
+}
+
+void releaseClaim(AgentState &state, const Run &run, AgentOutbox &outbox)
+{
+    if (run.claim_ != ClaimStage::Held) {
+        return;
+    }
+    StoreTransaction transaction;
+    transaction.checks_.push_back({claimKey(run), run.claimVersion_});
+    transaction.puts_.push_back({claimKey(run), {}, true});
+    outbox.storeWrites_.push_back({state.nextCall_++, std::move(transaction)});
+}
+
+void runClaims(AgentState &state, TimePoint now, const AgentInbox &inbox, AgentOutbox &outbox)
+{
+    for (const StoreReplied &event : inbox.storeReplies_) {
+        const std::vector<RunId> waiting = state.waiting_;
+        for (const RunId id : waiting) {
+            if (const Run *run = findRow(state.runs_, id); run != nullptr && awaitsClaim(*run, event.call_)) {
+                handleClaimReply(state, id, event.result_, now, outbox);
+                break;
+            }
+        }
+    }
+    const std::vector<RunId> waiting = state.waiting_;
+    for (const RunId id : waiting) {
+        Run &run = *findRow(state.runs_, id);
+        if (run.claim_ == ClaimStage::Retrying && run.claimRetryAt_ <= now) {
+            readBackClaim(state, run, outbox);
+        }
+    }
+}
+
+} // namespace Burdockfield
--- /dev/null
+++ b/src/configuration_sync.cpp
@@ -0,0 +1,390 @@
+/**
+ * @file configuration_sync.cpp
+ * @brief System that follows the configuration in the table service and answers plans and confirmations.
+ *
+ * Table `configuration` holds `head` (the newest confirmed change), `change/N` (each confirmed change) and `snapshot`
+ * (the whole configuration). A confirmation is one transaction, conditional on `change/N` being absent, so one of two
+ * racing operators wins. Followers apply changes by the code that made the plan and compare digests.
+ */
+#include "configuration_func.h"
+#include "configuration_sync_func.h"
+#include "configuration_wire.h"
+#include "digest_func.h"
+#include "entry_func.h"
+#include "error_type.h"
+#include "membership_func.h"
+
+#include <algorithm>
+
+namespace Burdockfield {
+
+namespace {
+
+constexpr const char *configurationTable = "configuration";
+constexpr const char *headKey = "head";
+constexpr const char *snapshotKey = "snapshot";
+constexpr Milliseconds headInterval{4000}; ///< Time between two reads of the head.
+constexpr Milliseconds headHurry{50}; ///< The same while a higher revision is known of.
+constexpr Milliseconds peerInterval{1000}; ///< Time between two questions to peers.
+constexpr Milliseconds confirmRetryInterval{200}; ///< Time between tries to settle a confirmation.
+constexpr Milliseconds confirmTimeout{15000}; ///< Time after which a confirmation gives up.
+constexpr uint64_t changeReadLimit = 32; ///< Revisions behind which the snapshot is read instead.
+constexpr size_t recentChangeLimit = 64; ///< Changes kept for peers.
+
+std::string changeKey(uint64_t revision)
+{
+    return "change/" + std::to_string(revision);
+}
+
+void syncWorkspaces(EntryState &state)
+{
+    state.workspaceByToken_.clear();
+    for (const auto &[name, settings] : state.configuration_.workspaces_) {
+        if (!state.workspaceByName_.contains(name)) {
+            state.workspaceByName_[name] = insertRow(state.workspaces_, Workspace{});
+        }
+        const WorkspaceId id = state.workspaceByName_[name];
+        Workspace &workspace = *findRow(state.workspaces_, id);
+        workspace.name_ = name;
+        workspace.tokenDigest_ = settings.tokenDigest_;
+        workspace.weight_ = settings.weight_;
+        workspace.maxInProgress_ = settings.maxInProgress_;
+        workspace.defaultTier_ = settings.defaultTier_;
+        workspace.highestRank_ = tierRank(state.configuration_, settings.highestTier_).value_or(0);
+        state.workspaceByToken_[settings.tokenDigest_] = id;
+    }
+}
+
+void syncRoutes(EntryState &state)
+{
+    for (const auto &[name, settings] : state.configuration_.routes_) {
+        if (!state.routeByName_.contains(name)) {
+            state.routeByName_[name] = insertRow(state.routes_, Route{});
+        }
+        Route &route = *findRow(state.routes_, state.routeByName_[name]);
+        route.name_ = name;
+        route.kind_ = settings.kind_;
+        route.rule_ = settings.rule_;
+    }
+    std::erase_if(state.routeByName_,
+                  [&state](const auto &item) { return !state.configuration_.routes_.contains(item.first); });
+}
+
+/// Gives every entry table what the configuration says.
+void putInForce(EntryState &state, TimePoint now)
+{
+    syncWorkspaces(state);
+    syncRoutes(state);
+    rebuildSubsets(state, now);
+    state.sync_.heardRevision_ = std::max(state.sync_.heardRevision_, state.configuration_.revision_);
+    setGauge(state.metrics_, "configuration_revision", static_cast<double>(state.configuration_.revision_));
+}
+
+/// Applies the next change. @return whether it was applied.
+bool applyConfirmed(EntryState &state, const ConfirmedChange &change, TimePoint now)
+{
+    if (const std::error_code error = replayChange(state.configuration_, change); error) {
+        if (error == PlanErrc::Diverged) {
+            count(state.metrics_, "configuration_diverged_total", "replay");
+        }
+        return false;
+    }
+    state.sync_.recent_.push_back(change);
+    if (state.sync_.recent_.size() > recentChangeLimit) {
+        state.sync_.recent_.pop_front();
+    }
+    putInForce(state, now);
+    return true;
+}
+
+void readRow(EntryState &state, uint64_t &call, const std::string &key, EntryOutbox &outbox)
+{
+    call = state.nextCall_++;
+    outbox.storeReads_.push_back({call, {configurationTable, key}});
+}
+
+/// Reads what follows the configuration in force.
+void readNext(EntryState &state, EntryOutbox &outbox)
+{
+    ConfigurationSync &sync = state.sync_;
+    const uint64_t own = state.configuration_.revision_;
+    if (sync.changeCall_ != 0 || sync.heardRevision_ <= own) {
+        return;
+    }
+    sync.readingSnapshot_ = own == 0 || sync.heardRevision_ - own > changeReadLimit;
+    const std::string key = sync.readingSnapshot_ ? snapshotKey : changeKey(own + 1);
+    readRow(state, sync.changeCall_, key, outbox);
+}
+
+void handleHead(EntryState &state, const StoreResult &result, TimePoint now, EntryOutbox &outbox)
+{
+    state.sync_.headCall_ = 0;
+    state.sync_.headDue_ = now + headInterval;
+    if (result.error_ || result.rows_.empty() || result.rows_[0].version_ == 0) {
+        return;
+    }
+    ConfirmedChange head;
+    if (const std::error_code error = parseConfirmedChange(result.rows_[0].value_, head); error) {
+        count(state.metrics_, "configuration_malformed_total", "head");
+        return;
+    }
+    state.sync_.heardRevision_ = std::max(state.sync_.heardRevision_, head.revision_);
+    readNext(state, outbox);
+}
+
+void takeSnapshot(EntryState &state, const std::string &text, TimePoint now)
+{
+    Configuration snapshot;
+    if (const std::error_code error = parseConfiguration(text, snapshot); error) {
+        count(state.metrics_, "configuration_malformed_total", "snapshot");
+        return;
+    }
+    if (snapshot.revision_ > state.configuration_.revision_) {
+        state.configuration_ = std::move(snapshot);
+        state.sync_.recent_.clear();
+        putInForce(state, now);
+    }
+}
+
+void handleChangeRow(EntryState &state, const StoreResult &result, TimePoint now, EntryOutbox &outbox)
+{
+    state.sync_.changeCall_ = 0;
+    if (result.error_ || result.rows_.empty() || result.rows_[0].version_ == 0) {
+        return;
+    }
+    const std::string &text = result.rows_[0].value_;
+    if (state.sync_.readingSnapshot_) {
+        takeSnapshot(state, text, now);
+    } else if (ConfirmedChange change; !parseConfirmedChange(text, change)) {
+        applyConfirmed(state, change, now);
+    }
+    readNext(state, outbox);
+}
+
+void answerConfirmation(const EntryState &state, const PendingConfirmation &pending, std::error_code error,
+                        EntryOutbox &outbox)
+{
+    outbox.operatorReplies_.push_back(
+        {pending.exchange_, error, StatusKind::Status, "{}", state.configuration_.revision_});
+}
+
+ConfirmedChange confirmedChange(const PendingConfirmation &pending)
+{
+    return {pending.altered_.revision_, pending.plan_.id_, pending.plan_.changes_,
+            configurationDigest(pending.altered_)};
+}
+
+void writeConfirmation(EntryState &state, PendingConfirmation &pending, EntryOutbox &outbox)
+{
+    const std::string change = serializeConfirmedChange(confirmedChange(pending));
+    const StoreKey key{configurationTable, changeKey(pending.altered_.revision_)};
+    StoreTransaction transaction;
+    transaction.checks_.push_back({key, 0});
+    transaction.puts_.push_back({key, change, false});
+    transaction.puts_.push_back({{configurationTable, headKey}, change, false});
+    transaction.puts_.push_back(
+        {{configurationTable, snapshotKey}, serializeConfiguration(pending.altered_), false});
+    pending.call_ = state.nextCall_++;
+    pending.settling_ = false;
+    pending.retryAt_ = noDeadline;
+    outbox.storeWrites_.push_back({pending.call_, std::move(transaction)});
+}
+
+void readBackConfirmation(EntryState &state, PendingConfirmation &pending, EntryOutbox &outbox)
+{
+    pending.settling_ = true;
+    pending.retryAt_ = noDeadline;
+    readRow(state, pending.call_, changeKey(pending.altered_.revision_), outbox);
+}
+
+/// The row of the plan's revision is there. @return whether it is this plan's.
+bool ownsRevision(const PendingConfirmation &pending, const StoreRow &row)
+{
+    ConfirmedChange change;
+    return !parseConfirmedChange(row.value_, change) && change.planId_ == pending.plan_.id_;
+}
+
+/// What a store answer means for a confirmation.
+enum class ConfirmStep : uint8_t {
+    Won, ///< The plan is confirmed.
+    LostRace, ///< Another plan took the revision.
+    WriteAgain, ///< Nothing is there yet; the write may be repeated.
+    RetryLater, ///< The service did not answer.
+};
+
+ConfirmStep judgeConfirmation(const PendingConfirmation &pending, const StoreResult &result)
+{
+    const bool conflict = result.error_ == StoreErrc::Conflict;
+    if (result.error_ && !conflict) {
+        return ConfirmStep::RetryLater;
+    }
+    if (!conflict && !pending.settling_) {
+        return ConfirmStep::Won;
+    }
+    if (result.rows_.empty() || result.rows_[0].version_ == 0) {
+        return ConfirmStep::WriteAgain;
+    }
+    return ownsRevision(pending, result.rows_[0]) ? ConfirmStep::Won : ConfirmStep::LostRace;
+}
+
+void handleConfirmReply(EntryState &state, PendingConfirmation &pending, const StoreResult &result, TimePoint now,
+                        EntryOutbox &outbox)
+{
+    pending.call_ = 0;
+    pending.mayHaveWritten_ = pending.mayHaveWritten_ || (result.error_ == StoreErrc::Ambiguous && !pending.settling_);
+    switch (judgeConfirmation(pending, result)) {
+    case ConfirmStep::Won:
+        applyConfirmed(state, confirmedChange(pending), now);
+        answerConfirmation(state, pending, {}, outbox);
+        pending.deadline_ = TimePoint::min();
+        break;
+    case ConfirmStep::LostRace:
+        state.sync_.headDue_ = now;
+        answerConfirmation(state, pending, PlanErrc::StaleBase, outbox);
+        pending.deadline_ = TimePoint::min();
+        break;
+    case ConfirmStep::WriteAgain:
+        writeConfirmation(state, pending, outbox);
+        break;
+    case ConfirmStep::RetryLater:
+        pending.retryAt_ = now + confirmRetryInterval;
+        break;
+    }
+}
+
+void handleStoreReply(EntryState &state, const StoreReplied &event, TimePoint now, EntryOutbox &outbox)
+{
+    if (event.call_ == state.sync_.headCall_) {
+        handleHead(state, event.result_, now, outbox);
+    } else if (event.call_ == state.sync_.changeCall_) {
+        handleChangeRow(state, event.result_, now, outbox);
+    } else {
+        for (PendingConfirmation &pending : state.confirmations_) {
+            if (pending.call_ == event.call_) {
+                handleConfirmReply(state, pending, event.result_, now, outbox);
+            }
+        }
+    }
+}
+
+void testPlan(EntryState &state, const PlanRequested &event, EntryOutbox &outbox)
+{
+    const std::string id = state.place_.name_ + "-plan-" + hexText(state.random_());
+    const PlanResult result = makePlan(state.configuration_, id, event.changes_);
+    const std::string text = result.error_ ? "{}" : serializePlan(result.plan_);
+    outbox.operatorReplies_.push_back(
+        {event.exchange_, result.error_, StatusKind::Status, text, state.configuration_.revision_});
+}
+
+/// @return whether the plan has been confirmed before, as far as this node remembers.
+bool confirmedBefore(const EntryState &state, const Plan &plan)
+{
+    const auto same = [&plan](const ConfirmedChange &change) { return change.planId_ == plan.id_; };
+    return std::any_of(state.sync_.recent_.begin(), state.sync_.recent_.end(), same);
+}
+
+void startConfirmation(EntryState &state, const ConfirmRequested &event, TimePoint now, EntryOutbox &outbox)
+{
+    PendingConfirmation pending;
+    pending.exchange_ = event.exchange_;
+    pending.plan_ = event.plan_;
+    pending.deadline_ = now + confirmTimeout;
+    pending.altered_ = state.configuration_;
+    if (confirmedBefore(state, event.plan_)) {
+        answerConfirmation(state, pending, {}, outbox);
+        return;
+    }
+    std::error_code error;
+    if (event.plan_.baseRevision_ != state.configuration_.revision_) {
+        state.sync_.headDue_ = now;
+        error = PlanErrc::StaleBase;
+    } else {
+        error = applyChanges(pending.altered_, event.plan_.changes_);
+    }
+    if (error) {
+        answerConfirmation(state, pending, error, outbox);
+        return;
+    }
+    writeConfirmation(state, pending, outbox);
+    state.confirmations_.push_back(std::move(pending));
+}
+
+void advanceConfirmations(EntryState &state, TimePoint now, EntryOutbox &outbox)
+{
+    for (PendingConfirmation &pending : state.confirmations_) {
+        if (pending.deadline_ > TimePoint::min() && pending.deadline_ <= now) {
+            const PlanErrc error = pending.mayHaveWritten_ ? PlanErrc::OutcomeUnknown : PlanErrc::StoreUnavailable;
+            answerConfirmation(state, pending, error, outbox);
+            pending.deadline_ = TimePoint::min();
+        } else if (pending.retryAt_ <= now) {
+            readBackConfirmation(state, pending, outbox);
+        }
+    }
+    std::erase_if(state.confirmations_,
+                  [](const PendingConfirmation &pending) { return pending.deadline_ == TimePoint::min(); });
+}
+
+void handlePeerChanges(EntryState &state, const PeerChangesReceived &event, TimePoint now)
+{
+    state.sync_.peerPending_ = false;
+    for (const ConfirmedChange &change : event.changes_) {
+        if (change.revision_ > state.configuration_.revision_ && !applyConfirmed(state, change, now)) {
+            return;
+        }
+    }
+}
+
+/// Asks a random peer when a higher revision is known of and the table service has not given it.
+void askPeer(EntryState &state, TimePoint now, EntryOutbox &outbox)
+{
+    ConfigurationSync &sync = state.sync_;
+    const bool behind = sync.heardRevision_ > state.configuration_.revision_;
+    if (!behind || sync.peerPending_ || sync.peerDue_ > now || state.peers_.empty()) {
+        return;
+    }
+    sync.peerPending_ = true;
+    sync.peerDue_ = now + peerInterval;
+    std::uniform_int_distribution<size_t> pick(0, state.peers_.size() - 1);
+    outbox.peerFetches_.push_back({state.peers_[pick(state.random_)], state.configuration_.revision_});
+}
+
+} // namespace
+
+void runConfiguration(EntryState &state, TimePoint now, const EntryInbox &inbox, EntryOutbox &outbox)
+{
+    for (const PeerChangesReceived &event : inbox.peerChanges_) {
+        handlePeerChanges(state, event, now);
+    }
+    for (const StoreReplied &event : inbox.storeReplies_) {
+        handleStoreReply(state, event, now, outbox);
+    }
+    for (const PlanRequested &event : inbox.plans_) {
+        testPlan(state, event, outbox);
+    }
+    for (const ConfirmRequested &event : inbox.confirmations_) {
+        startConfirmation(state, event, now, outbox);
+    }
+    advanceConfirmations(state, now, outbox);
+    ConfigurationSync &sync = state.sync_;
+    if (sync.heardRevision_ > state.configuration_.revision_) {
+        sync.headDue_ = std::min(sync.headDue_, now + headHurry);
+    }
+    askPeer(state, now, outbox);
+    if (sync.headCall_ == 0 && sync.headDue_ <= now) {
+        readRow(state, sync.headCall_, headKey, outbox);
+    }
+}
+
+std::vector<ConfirmedChange> changesAfter(const EntryState &state, uint64_t revision)
+{
+    std::vector<ConfirmedChange> changes;
+    for (const ConfirmedChange &change : state.sync_.recent_) {
+        if (change.revision_ > revision) {
+            changes.push_back(change);
+        }
+    }
+    const bool gapless = !changes.empty() && changes.front().revision_ == revision + 1;
+    return gapless ? changes : std::vector<ConfirmedChange>{};
+}
+
+} // namespace Burdockfield
--- /dev/null
+++ b/src/engine_output.cpp
@@ -0,0 +1,126 @@
+/**
+ * @file engine_output.cpp
+ * @brief System that takes in pieces and ends of answers from the upstream, and learns its speed.
+ */
+#include "agent_func.h"
+#include "error_type.h"
+#include "run_func.h"
+#include "suspect_func.h"
+
+#include <algorithm>
+
+namespace Burdockfield {
+
+namespace {
+
+constexpr double speedGain = 0.2; ///< Weight of the newest run in the learnt speeds.
+constexpr Milliseconds crashWindow{1000}; ///< Losses this close together are one crash.
+constexpr uint32_t tokensToLearnFrom = 4; ///< Shortest answer whose pace is learnt.
+
+void learn(double &rate, double tokens, Duration duration)
+{
+    const double seconds = std::chrono::duration_cast<FractionalSeconds>(duration).count();
+    if (seconds <= 0 || tokens <= 0) {
+        return;
+    }
+    rate += rate == 0 ? tokens / seconds : speedGain * (tokens / seconds - rate);
+}
+
+Run *findDispatched(AgentState &state, RunId id, uint32_t dispatch)
+{
+    Run *run = findRow(state.runs_, id);
+    const bool present = run != nullptr && run->stage_ == RunStage::Running && run->dispatch_ == dispatch;
+    if (!present) {
+        count(state.metrics_, "late_engine_events_total", "engine");
+    }
+    return present ? run : nullptr;
+}
+
+void takeDeltas(AgentState &state, EngineDeltas &event, TimePoint now)
+{
+    Run *run = findDispatched(state, event.run_, event.dispatch_);
+    if (run == nullptr) {
+        return;
+    }
+    if (run->dispatchTokens_ == 0 && run->order_.kind_ == RouteKind::Model) {
+        run->firstDeltaAt_ = now;
+        learn(state.prefillRate_, run->order_.promptTokens_, now - run->dispatchedAt_);
+    }
+    for (Delta &delta : event.deltas_) {
+        run->answeredTokens_ += delta.tokens_;
+        run->dispatchTokens_ += delta.tokens_;
+        run->answer_.push_back(std::move(delta));
+    }
+}
+
+void learnFromWhole(AgentState &state, const Run &run, TimePoint now)
+{
+    if (run.order_.kind_ == RouteKind::Service) {
+        learn(state.decodeRate_, 1, now - run.dispatchedAt_);
+    } else if (run.dispatchTokens_ >= tokensToLearnFrom) {
+        learn(state.decodeRate_, run.dispatchTokens_ - 1, now - run.firstDeltaAt_);
+    }
+}
+
+/// The upstream never got the run.
+void handleNotSent(AgentState &state, RunId id, TimePoint now, AgentOutbox &outbox)
+{
+    Run &run = *findRow(state.runs_, id);
+    state.up_ = false;
+    const bool fresh = run.dispatch_ == 1;
+    const std::error_code error
+        = fresh ? std::error_code(AdmissionErrc::UpstreamDown) : std::error_code(RefusalErrc::UpstreamLost);
+    endRun(state, id, makeFailure(error, fresh ? Truth::NotRun : Truth::Unknown), now, outbox);
+}
+
+/// The upstream was lost while it had the run.
+void handleLost(AgentState &state, RunId id, bool alone, TimePoint now, AgentOutbox &outbox)
+{
+    const Run &run = *findRow(state.runs_, id);
+    recordCrash(state.suspects_, run.order_.digest_, alone, now);
+    count(state.metrics_, "runs_lost_total", alone ? "alone" : "together");
+    endRun(state, id, makeFailure(RefusalErrc::UpstreamLost, Truth::Unknown), now, outbox);
+}
+
+void takeEnd(AgentState &state, EngineEnded &event, bool alone, TimePoint now, AgentOutbox &outbox)
+{
+    const Run *run = findDispatched(state, event.run_, event.dispatch_);
+    if (run == nullptr) {
+        return;
+    }
+    if (event.error_ == TransportErrc::NotSent) {
+        handleNotSent(state, event.run_, now, outbox);
+    } else if (event.error_) {
+        handleLost(state, event.run_, alone, now, outbox);
+    } else {
+        learnFromWhole(state, *run, now);
+        endRun(state, event.run_, std::move(event.end_), now, outbox);
+    }
+}
+
+bool isLoss(const EngineEnded &event)
+{
+    return event.error_ && event.error_ != TransportErrc::NotSent;
+}
+
+} // namespace
+
+void runEngineOutput(AgentState &state, TimePoint now, AgentInbox &inbox, AgentOutbox &outbox)
+{
+    for (EngineDeltas &event : inbox.deltas_) {
+        takeDeltas(state, event, now);
+    }
+    const bool crash = std::any_of(inbox.ends_.begin(), inbox.ends_.end(), isLoss);
+    const bool sameCrash = now - state.crashedAt_ < crashWindow;
+    const bool alone = state.running_.size() == 1 && !sameCrash;
+    for (EngineEnded &event : inbox.ends_) {
+        takeEnd(state, event, alone, now, outbox);
+    }
+    if (crash) {
+        state.crashedAt_ = now;
+        state.up_ = false;
+        state.loadDue_ = now;
+    }
+}
+
+} // namespace Burdockfield
--- /dev/null
+++ b/src/entry_tick.cpp
@@ -0,0 +1,136 @@
+/**
+ * @file entry_tick.cpp
+ * @brief The tick of an entry.
+ */
+#include "entry_func.h"
+
+#include <algorithm>
+
+namespace Burdockfield {
+
+namespace {
+
+void put(EntryInbox &inbox, CallerRequest event)
+{
+    inbox.arrivals_.push_back(std::move(event));
+}
+
+void put(EntryInbox &inbox, CallerGone event)
+{
+    inbox.departures_.push_back(event);
+}
+
+void put(EntryInbox &inbox, RunReplied event)
+{
+    inbox.runReplies_.push_back(std::move(event));
+}
+
+void put(EntryInbox &inbox, AnswerReceived event)
+{
+    inbox.frames_.push_back(std::move(event));
+}
+
+void put(EntryInbox &inbox, AnswerClosed event)
+{
+    inbox.closures_.push_back(event);
+}
+
+void put(EntryInbox &inbox, CancelReplied event)
+{
+    inbox.cancelReplies_.push_back(event);
+}
+
+void put(EntryInbox &inbox, ReportReceived event)
+{
+    inbox.reports_.push_back(std::move(event));
+}
+
+void put(EntryInbox &inbox, VmsListed event)
+{
+    inbox.vmLists_.push_back(std::move(event));
+}
+
+void put(EntryInbox &inbox, StoreReplied event)
+{
+    inbox.storeReplies_.push_back(std::move(event));
+}
+
+void put(EntryInbox &inbox, PeerChangesReceived event)
+{
+    inbox.peerChanges_.push_back(std::move(event));
+}
+
+void put(EntryInbox &inbox, PlanRequested event)
+{
+    inbox.plans_.push_back(std::move(event));
+}
+
+void put(EntryInbox &inbox, ConfirmRequested event)
+{
+    inbox.confirmations_.push_back(std::move(event));
+}
+
+void put(EntryInbox &inbox, StatusRequested event)
+{
+    inbox.statusRequests_.push_back(event);
+}
+
+void put(EntryInbox &inbox, StopRequested /*event*/)
+{
+    inbox.stop_ = true;
+}
+
+} // namespace
+
+void collect(EntryInbox &inbox, EntryEvent event)
+{
+    std::visit([&inbox](auto &&kind) { put(inbox, std::forward<decltype(kind)>(kind)); }, std::move(event));
+}
+
+EntryOutbox tickEntry(EntryState &state, TimePoint now, EntryInbox inbox)
+{
+    EntryOutbox outbox;
+    runMembership(state, now, inbox, outbox);
+    runReports(state, now, inbox, outbox);
+    runConfiguration(state, now, inbox, outbox);
+    runIntake(state, now, inbox, outbox);
+    runOrders(state, now, inbox, outbox);
+    runRelay(state, now, inbox, outbox);
+    runDepartures(state, now, inbox, outbox);
+    runDeadlines(state, now, outbox);
+    runDispatch(state, now, outbox);
+    runStatus(state, now, inbox, outbox);
+    return outbox;
+}
+
+TimePoint nextEntryDeadline(const EntryState &state)
+{
+    TimePoint next = std::min(nextDeadline(state.requestDeadlines_), nextDeadline(state.reportDeadlines_));
+    if (!state.vmListPending_) {
+        next = std::min(next, state.vmListDue_);
+    }
+    if (state.sync_.headCall_ == 0) {
+        next = std::min(next, state.sync_.headDue_);
+    }
+    for (const PendingConfirmation &pending : state.confirmations_) {
+        next = std::min({next, pending.retryAt_, pending.deadline_});
+    }
+    return state.stopping_ ? std::min(next, state.stopDeadline_) : next;
+}
+
+EntryState makeEntryState(NodePlace place, EntryPolicy policy, uint64_t seed)
+{
+    EntryState state;
+    state.place_ = std::move(place);
+    state.policy_ = policy;
+    state.random_.seed(seed);
+    state.incarnation_ = state.random_();
+    return state;
+}
+
+bool isReady(const EntryState &state)
+{
+    return state.configuration_.revision_ > 0 && !state.stopping_;
+}
+
+} // namespace Burdockfield
--- /dev/null
+++ b/src/http.cpp
@@ -0,0 +1,62 @@
+/**
+ * @file http.cpp
+ * @brief Reading of HTTP headers and targets.
+ */
+#include "http_func.h"
+
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+
+namespace Burdockfield {
+
+std::string_view findHeader(const HttpHeaders &headers, std::string_view name)
+{
+    for (const auto &[field, value] : headers) {
+        if (boost::beast::iequals({field.data(), field.size()}, {name.data(), name.size()})) {
+            return value;
+        }
+    }
+    return {};
+}
+
+HttpTarget splitTarget(std::string_view target)
+{
+    HttpTarget parts;
+    const size_t mark = target.find('?');
+    parts.path_ = target.substr(0, mark);
+    if (mark == std::string_view::npos) {
+        return parts;
+    }
+    std::string_view query = target.substr(mark + 1);
+    while (!query.empty()) {
+        const std::string_view pair = query.substr(0, query.find('&'));
+        const size_t equals = pair.find('=');
+        const bool valued = equals != std::string_view::npos;
+        parts.query_[std::string(pair.substr(0, equals))] = valued ? pair.substr(equals + 1) : std::string_view();
+        query.remove_prefix(std::min(query.size(), pair.size() + 1));
+    }
+    return parts;
+}
+
+uint64_t numberOr(std::string_view text, uint64_t fallback)
+{
+    uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return error == std::errc{} && end == text.data() + text.size() ? number : fallback;
+}
+
+std::vector<std::string> takeParts(TextSplitter &splitter, std::string_view piece, std::string_view separator)
+{
+    splitter.rest_ += piece;
+    std::vector<std::string> parts;
+    size_t begin = 0;
+    for (size_t end = splitter.rest_.find(separator); end != std::string::npos;
+         end = splitter.rest_.find(separator, begin)) {
+        parts.push_back(splitter.rest_.substr(begin, end - begin));
+        begin = end + separator.size();
+    }
+    splitter.rest_.erase(0, begin);
+    return parts;
+}
+
+} // namespace Burdockfield
--- /dev/null
+++ b/src/intake.cpp
@@ -0,0 +1,206 @@
+/**
+ * @file intake.cpp
+ * @brief System that puts new requests into the queues or refuses them.
+ */
+#include "digest_func.h"
+#include "entry_func.h"
+#include "error_type.h"
+#include "fair_queue_func.h"
+#include "request_func.h"
+#include "suspect_func.h"
+
+#include <algorithm>
+
+namespace Burdockfield {
+
+namespace {
+
+constexpr size_t bytesPerToken = 4; ///< Estimate for prompts.
+constexpr uint32_t defaultAnswerTokens = 256; ///< Estimate when nothing is known.
+
+/// What intake found out about a request before it is admitted.
+struct Admission
+{
+    std::error_code error_; ///< Why it is refused.
+    WorkspaceId workspace_; ///< Customer.
+    RouteId route_; ///< Model or service.
+    TierRank rank_ = 0; ///< Tier.
+    TierSettings tier_; ///< Settings of the tier.
+};
+
+void refuseArrival(EntryState &state, const CallerRequest &caller, std::error_code error, EntryOutbox &outbox,
+                   uint32_t timesRun = 0)
+{
+    CallerOutput output;
+    output.exchange_ = caller.exchange_;
+    output.path_ = caller.path_;
+    output.kind_ = caller.kind_;
+    output.route_ = caller.route_;
+    Refusal refusal{error, Truth::NotRun, Milliseconds(0), timesRun};
+    const bool passing = error == RefusalErrc::NotReady || error == RefusalErrc::Stopping
+        || error == RefusalErrc::WorkspaceLimit || error == RefusalErrc::Overloaded;
+    refusal.retryAfter_ = passing ? overloadRetryAfter : Milliseconds(0);
+    output.body_ = refusal;
+    outbox.callerOutputs_.push_back(std::move(output));
+    count(state.metrics_, "refused_total", error.message());
+}
+
+std::error_code findWorkspace(const EntryState &state, const CallerRequest &caller, Admission &admission)
+{
+    const auto found = state.workspaceByToken_.find(caller.tokenDigest_);
+    if (found == state.workspaceByToken_.end()) {
+        return RefusalErrc::UnknownToken;
+    }
+    admission.workspace_ = found->second;
+    const Workspace &workspace = *findRow(state.workspaces_, found->second);
+    return workspace.inProgress_ >= workspace.maxInProgress_ ? RefusalErrc::WorkspaceLimit : std::error_code{};
+}
+
+std::error_code findRoute(const EntryState &state, const CallerRequest &caller, Admission &admission)
+{
+    const auto found = state.routeByName_.find(caller.route_);
+    if (found == state.routeByName_.end() || findRow(state.routes_, found->second)->kind_ != caller.kind_) {
+        return RefusalErrc::UnknownRoute;
+    }
+    admission.route_ = found->second;
+    return {};
+}
+
+std::error_code findTier(const EntryState &state, const CallerRequest &caller, Admission &admission)
+{
+    const Workspace &workspace = *findRow(state.workspaces_, admission.workspace_);
+    const std::string &name = caller.tier_.empty() ? workspace.defaultTier_ : caller.tier_;
+    const auto found = state.configuration_.tiers_.find(name);
+    if (found == state.configuration_.tiers_.end() || found->second.rank_ > workspace.highestRank_) {
+        return RefusalErrc::TierNotAllowed;
+    }
+    admission.tier_ = found->second;
+    admission.rank_ = found->second.rank_;
+    return {};
+}
+
+Admission checkArrival(const EntryState &state, const CallerRequest &caller)
+{
+    Admission admission;
+    if (state.stopping_) {
+        admission.error_ = RefusalErrc::Stopping;
+    } else if (!isReady(state)) {
+        admission.error_ = RefusalErrc::NotReady;
+    } else if (admission.error_ = findWorkspace(state, caller, admission); !admission.error_) {
+        if (admission.error_ = findRoute(state, caller, admission); !admission.error_) {
+            admission.error_ = findTier(state, caller, admission);
+        }
+    }
+    return admission;
+}
+
+uint32_t estimateAnswerTokens(const Route &route, const CallerRequest &caller)
+{
+    const auto learnt = static_cast<uint32_t>(route.meanAnswerTokens_);
+    if (caller.maxTokens_ == 0) {
+        return learnt > 0 ? learnt : defaultAnswerTokens;
+    }
+    return learnt > 0 ? std::min(learnt, caller.maxTokens_) : caller.maxTokens_;
+}
+
+Request makeRequest(EntryState &state, CallerRequest caller, const Admission &admission, TimePoint now)
+{
+    const Workspace &workspace = *findRow(state.workspaces_, admission.workspace_);
+    const Route &route = *findRow(state.routes_, admission.route_);
+    Request request;
+    request.name_ = state.place_.name_ + "-" + hexText(state.incarnation_) + "-" + std::to_string(state.nextSequence_++);
+    request.workspace_ = admission.workspace_;
+    request.route_ = admission.route_;
+    request.tier_ = admission.rank_;
+    request.rule_ = caller.repeatable_ ? DispatchRule::Repeatable : route.rule_;
+    request.digest_ = sha256Hex(workspace.name_ + "\n" + route.name_ + "\n" + caller.path_ + "\n" + caller.payload_);
+    request.prefixes_ = hashPrefixes(caller.prompt_);
+    request.promptTokens_ = static_cast<uint32_t>(caller.prompt_.size() / bytesPerToken) + 1;
+    request.answerTokens_ = estimateAnswerTokens(route, caller);
+    request.cost_ = static_cast<double>(request.promptTokens_ + request.answerTokens_) / workspace.weight_;
+    request.arrivedAt_ = now;
+    const bool named = caller.wait_.count() > 0;
+    request.deadline_ = now + (named ? std::min(caller.wait_, admission.tier_.maxWait_) : admission.tier_.defaultWait_);
+    request.caller_ = std::move(caller);
+    return request;
+}
+
+/// @return the count of requests that wait for the route.
+uint32_t countWaiting(const Route &route)
+{
+    return countAtOrAbove(route.waiting_, 0);
+}
+
+/// @return the lowest rank that has waiting requests.
+TierRank lowestWaitingRank(const Route &route)
+{
+    TierRank rank = 0;
+    while (rank + 1U < tierRankCount && route.waiting_[rank] == 0) {
+        ++rank;
+    }
+    return rank;
+}
+
+/**
+ * Makes room in a full queue by shedding waiting work of the lowest tier, from the workspace furthest ahead.
+ * @return whether the newcomer may be queued.
+ */
+bool makeRoom(EntryState &state, Route &route, TierRank rank, WorkspaceId workspace, EntryOutbox &outbox)
+{
+    if (state.policy_.queue_ == QueueRule::FirstCome) {
+        return false;
+    }
+    const TierRank lowest = lowestWaitingRank(route);
+    if (lowest > rank) {
+        return false;
+    }
+    const auto waits = [&state](RequestId id) {
+        const Request *row = findRow(state.requests_, id);
+        return row != nullptr && row->stage_ == RequestStage::Waiting;
+    };
+    const auto tail = findTail(route.queue_.tiers_[lowest], waits);
+    if (!tail || (lowest == rank && tail->workspace_ == workspace)) {
+        return false;
+    }
+    refuseRequest(state, tail->request_, RefusalErrc::Overloaded, Truth::NotRun, outbox);
+    return true;
+}
+
+void admit(EntryState &state, CallerRequest caller, TimePoint now, EntryOutbox &outbox)
+{
+    const Admission admission = checkArrival(state, caller);
+    if (admission.error_) {
+        refuseArrival(state, caller, admission.error_, outbox);
+        return;
+    }
+    Route &route = *findRow(state.routes_, admission.route_);
+    const bool full = countWaiting(route) >= state.policy_.queueLimit_;
+    if (full && !makeRoom(state, route, admission.rank_, admission.workspace_, outbox)) {
+        refuseArrival(state, caller, RefusalErrc::Overloaded, outbox);
+        return;
+    }
+    Request request = makeRequest(state, std::move(caller), admission, now);
+    if (const uint32_t crashes = refusedAfterCrashes(state.suspects_, request.digest_); crashes > 0) {
+        refuseArrival(state, request.caller_, RefusalErrc::CrashSuspect, outbox, crashes);
+        return;
+    }
+    ++findRow(state.workspaces_, admission.workspace_)->inProgress_;
+    state.retryBudget_ = std::min(retryBudgetLimit, state.retryBudget_ + retryShare);
+    const RequestId id = insertRow(state.requests_, std::move(request));
+    const Request &row = *findRow(state.requests_, id);
+    state.requestByExchange_[row.caller_.exchange_] = id;
+    pushDeadline(state.requestDeadlines_, row.deadline_, id);
+    enqueueRequest(state, id);
+    count(state.metrics_, "accepted_total", std::to_string(row.tier_));
+}
+
+} // namespace
+
+void runIntake(EntryState &state, TimePoint now, EntryInbox &inbox, EntryOutbox &outbox)
+{
+    for (CallerRequest &caller : inbox.arrivals_) {
+        admit(state, std::move(caller), now, outbox);
+    }
+}
+
+} // namespace Burdockfield
--- /dev/null
+++ b/src/membership.cpp
@@ -0,0 +1,157 @@
+/**
+ * @file membership.cpp
+ * @brief System that follows the platform's VM list and keeps this entry's subset of upstreams.
+ *
+ * For each route and region the subset is the upstreams with the highest rendezvous hash of entry and upstream name,
+ * so that what an entry holds does not grow with the fleet and a change of one VM moves few places.
+ * Source: Thaler, Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+ */
+#include "digest_func.h"
+#include "entry_func.h"
+#include "membership_func.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Burdockfield {
+
+namespace {
+
+constexpr Milliseconds vmListInterval{2000}; ///< Time between two reads of the VM list.
+constexpr double vmListJitter = 0.25; ///< Share of the interval by which reads are spread.
+
+/// Upstream with its place in the order of one entry.
+struct RankedUpstream
+{
+    uint64_t hash_ = 0; ///< Rendezvous hash; larger goes first.
+    UpstreamId id_; ///< Upstream.
+};
+
+UpstreamId findOrInsertUpstream(EntryState &state, const Vm &vm)
+{
+    if (const auto found = state.upstreamByName_.find(vm.name_); found != state.upstreamByName_.end()) {
+        return found->second;
+    }
+    Upstream upstream;
+    upstream.name_ = vm.name_;
+    const UpstreamId id = insertRow(state.upstreams_, std::move(upstream));
+    state.upstreamByName_[vm.name_] = id;
+    return id;
+}
+
+void takeVm(EntryState &state, const Vm &vm)
+{
+    Upstream &upstream = *findRow(state.upstreams_, findOrInsertUpstream(state, vm));
+    if (upstream.address_ != vm.address_) {
+        upstream.reported_ = false;
+    }
+    upstream.address_ = vm.address_;
+    upstream.region_ = vm.region_;
+    upstream.zone_ = vm.zone_;
+    upstream.routes_ = vm.routes_;
+    upstream.leaving_ = vm.leaving_;
+}
+
+void dropUnlisted(EntryState &state, const std::set<std::string> &listed)
+{
+    for (auto item = state.upstreamByName_.begin(); item != state.upstreamByName_.end();) {
+        if (listed.contains(item->first)) {
+            ++item;
+            continue;
+        }
+        eraseRow(state.upstreams_, item->second);
+        item = state.upstreamByName_.erase(item);
+    }
+}
+
+void takeVmList(EntryState &state, const std::vector<Vm> &vms)
+{
+    std::set<std::string> listed;
+    state.peers_.clear();
+    for (const Vm &vm : vms) {
+        if (vm.role_ == "upstream") {
+            listed.insert(vm.name_);
+            takeVm(state, vm);
+        } else if (vm.address_ != state.place_.address_ && !vm.leaving_) {
+            state.peers_.push_back(vm.address_);
+        }
+    }
+    dropUnlisted(state, listed);
+}
+
+/// Routes that an upstream counts for: those it reports, else those its VM was made for.
+const std::vector<std::string> &routesOf(const Upstream &upstream)
+{
+    return upstream.reported_ ? upstream.report_.routes_ : upstream.routes_;
+}
+
+std::map<std::string, std::vector<RankedUpstream>> rankByRegion(const EntryState &state, const std::string &route)
+{
+    std::map<std::string, std::vector<RankedUpstream>> regions;
+    forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
+        const auto &routes = routesOf(upstream);
+        if (!upstream.leaving_ && std::find(routes.begin(), routes.end(), route) != routes.end()) {
+            regions[upstream.region_].push_back({fastHash(upstream.name_, fastHash(state.place_.name_)), id});
+        }
+    });
+    for (auto &[region, ranked] : regions) {
+        const auto before = [](const auto &left, const auto &right) { return left.hash_ > right.hash_; };
+        std::sort(ranked.begin(), ranked.end(), before);
+    }
+    return regions;
+}
+
+void subscribeRoute(EntryState &state, Route &route, TimePoint now)
+{
+    route.candidates_.clear();
+    for (const auto &[region, ranked] : rankByRegion(state, route.name_)) {
+        const bool own = region == state.place_.region_;
+        const size_t limit = own ? state.policy_.subsetSize_ : std::max(1U, state.policy_.subsetSize_ / 2);
+        for (size_t index = 0; index < std::min(limit, ranked.size()); ++index) {
+            const UpstreamId id = ranked[index].id_;
+            route.candidates_.push_back(id);
+            Upstream &upstream = *findRow(state.upstreams_, id);
+            if (!upstream.subscribed_) {
+                upstream.subscribed_ = true;
+                upstream.reportDue_ = now;
+                pushDeadline(state.reportDeadlines_, now, id);
+            }
+        }
+    }
+}
+
+Duration jittered(EntryState &state, Milliseconds interval)
+{
+    std::uniform_real_distribution<double> spread(1 - vmListJitter, 1 + vmListJitter);
+    return std::chrono::duration_cast<Duration>(interval * spread(state.random_));
+}
+
+} // namespace
+
+void rebuildSubsets(EntryState &state, TimePoint now)
+{
+    const Configuration &configuration = state.configuration_;
+    forEachRow(state.upstreams_, [&](UpstreamId /*id*/, Upstream &upstream) {
+        upstream.drained_ = configuration.drainedUpstreams_.contains(upstream.name_)
+            || configuration.drainedRegions_.contains(upstream.region_);
+    });
+    forEachRow(state.routes_, [&](RouteId /*id*/, Route &route) { subscribeRoute(state, route, now); });
+}
+
+void runMembership(EntryState &state, TimePoint now, const EntryInbox &inbox, EntryOutbox &outbox)
+{
+    for (const VmsListed &event : inbox.vmLists_) {
+        state.vmListPending_ = false;
+        state.vmListDue_ = now + jittered(state, vmListInterval);
+        if (!event.error_) {
+            takeVmList(state, event.vms_);
+            rebuildSubsets(state, now);
+        }
+    }
+    if (!state.vmListPending_ && state.vmListDue_ <= now) {
+        state.vmListPending_ = true;
+        outbox.vmFetches_.push_back({});
+    }
+}
+
+} // namespace Burdockfield
--- /dev/null
+++ b/src/relay.cpp
@@ -0,0 +1,227 @@
+/**
+ * @file relay.cpp
+ * @brief Systems that relay answers to callers and drop requests whose callers left.
+ */
+#include "digest_func.h"
+#include "entry_func.h"
+#include "error_type.h"
+#include "request_func.h"
+
+namespace Burdockfield {
+
+namespace {
+
+/// @return how many pieces of the run that is read have come in.
+uint64_t receivedOfRun(const Request &request)
+{
+    return request.answer_.size() - request.attemptOffset_;
+}
+
+/// @return the checksum of the pieces of the run that is read.
+uint64_t checksumOfRun(const Request &request)
+{
+    std::string text;
+    for (size_t index = request.attemptOffset_; index < request.answer_.size(); ++index) {
+        text += request.answer_[index].text_;
+    }
+    return fastHash(text);
+}
+
+/// Appends the pieces of a frame that are new. @return false when pieces before them are missing.
+bool appendDeltas(EntryState &state, Request &request, AnswerFrame &frame, TimePoint now, EntryOutbox &outbox)
+{
+    const uint64_t expected = receivedOfRun(request);
+    if (frame.offset_ > expected) {
+        count(state.metrics_, "answer_gaps_total", "gap");
+        return false;
+    }
+    const uint64_t known = std::min<uint64_t>(expected - frame.offset_, frame.deltas_.size());
+    if (request.answer_.empty() && !frame.deltas_.empty()) {
+        request.firstDeltaAt_ = now;
+        observe(state.metrics_, "first_token_seconds", std::to_string(request.tier_), now - request.arrivedAt_);
+    }
+    std::vector<Delta> fresh(std::make_move_iterator(frame.deltas_.begin() + static_cast<ptrdiff_t>(known)),
+                             std::make_move_iterator(frame.deltas_.end()));
+    for (const Delta &delta : fresh) {
+        request.answeredTokens_ += delta.tokens_;
+        request.answer_.push_back(delta);
+    }
+    sendDeltas(request, std::move(fresh), outbox, state);
+    return true;
+}
+
+/// Another run holds the claim of the request's key: reads that run's answer.
+void attachToOwner(EntryState &state, RequestId id, const AnswerEnd &end, TimePoint now, EntryOutbox &outbox)
+{
+    Request &request = *findRow(state.requests_, id);
+    request.attached_ = true;
+    request.agentAddress_ = end.ownerAddress_;
+    request.readName_ = end.ownerRun_;
+    request.heardAt_ = now;
+    count(state.metrics_, "attached_total", std::to_string(request.tier_));
+    openAnswer(state, id, now, outbox);
+}
+
+/// The agent says that the run it was asked about will never start.
+void handleNeverRun(EntryState &state, RequestId id, const AnswerEnd &end, TimePoint now, EntryOutbox &outbox)
+{
+    Request &request = *findRow(state.requests_, id);
+    if (end.error_ == AdmissionErrc::ClaimedElsewhere && request.stage_ == RequestStage::Reading) {
+        attachToOwner(state, id, end, now, outbox);
+    } else if (request.stage_ == RequestStage::Cancelling || end.error_ == AdmissionErrc::Expired) {
+        const bool store = end.error_ == AdmissionErrc::StoreUnavailable;
+        const RefusalErrc reason = store ? RefusalErrc::StoreUnavailable : RefusalErrc::WaitExpired;
+        refuseRequest(state, id, reason, Truth::NotRun, outbox);
+    } else if (end.error_ == AdmissionErrc::StoreUnavailable) {
+        refuseRequest(state, id, RefusalErrc::StoreUnavailable, Truth::NotRun, outbox);
+    } else if (end.error_ == AdmissionErrc::KeyReused) {
+        refuseRequest(state, id, RefusalErrc::KeyReused, Truth::NotRun, outbox);
+    } else {
+        request.releasedRun_ = request.readName_;
+        requeueRequest(state, id, outbox);
+    }
+}
+
+void handleFailedRun(EntryState &state, RequestId id, const AnswerEnd &end, TimePoint now, EntryOutbox &outbox)
+{
+    if (end.truth_ == Truth::NotRun) {
+        handleNeverRun(state, id, end, now, outbox);
+    } else if (end.error_ == RefusalErrc::UpstreamLost) {
+        resolveLostAttempt(state, id, now, true, outbox);
+    } else {
+        refuseRequest(state, id, end.error_, end.truth_, outbox, end.timesRun_);
+    }
+}
+
+void handleEnd(EntryState &state, RequestId id, const AnswerFrame &frame, TimePoint now, EntryOutbox &outbox)
+{
+    Request &request = *findRow(state.requests_, id);
+    if (!request.attached_) {
+        applyReport(state, request.upstream_, frame.report_, now);
+    }
+    if (frame.end_.error_) {
+        handleFailedRun(state, id, frame.end_, now, outbox);
+        return;
+    }
+    const bool whole
+        = frame.end_.deltaCount_ == receivedOfRun(request) && frame.end_.checksum_ == checksumOfRun(request);
+    if (!whole) {
+        count(state.metrics_, "damaged_answers_total", "checksum");
+        refuseRequest(state, id, RefusalErrc::AnswerDamaged, Truth::Ran, outbox);
+        return;
+    }
+    completeRequest(state, id, frame.end_, now, outbox);
+}
+
+void handleFrame(EntryState &state, AnswerReceived &event, TimePoint now, EntryOutbox &outbox)
+{
+    Request *request = findRow(state.requests_, event.request_);
+    const bool reading = request != nullptr && request->streamNumber_ == event.streamNumber_
+        && (request->stage_ == RequestStage::Reading || request->stage_ == RequestStage::Cancelling);
+    if (!reading) {
+        count(state.metrics_, "late_replies_total", "frame");
+        return;
+    }
+    if (event.frame_.name_ != request->readName_) {
+        count(state.metrics_, "crossed_answers_total", "frame");
+        return;
+    }
+    request->heardAt_ = now;
+    if (!appendDeltas(state, *request, event.frame_, now, outbox)) {
+        openAnswer(state, event.request_, now, outbox);
+        return;
+    }
+    if (event.frame_.ended_) {
+        handleEnd(state, event.request_, event.frame_, now, outbox);
+    }
+}
+
+void handleClosure(EntryState &state, const AnswerClosed &event, TimePoint now, EntryOutbox &outbox)
+{
+    Request *request = findRow(state.requests_, event.request_);
+    const bool reading = request != nullptr && request->streamNumber_ == event.streamNumber_
+        && request->stage_ == RequestStage::Reading;
+    if (!reading) {
+        return;
+    }
+    count(state.metrics_, "answer_reads_broken_total", event.error_.message());
+    if (event.unknownRun_) {
+        resolveLostAttempt(state, event.request_, now, true, outbox);
+    } else if (now - request->heardAt_ > agentLossBound) {
+        resolveLostAttempt(state, event.request_, now, false, outbox);
+    } else {
+        request->retryAt_ = now + orderRetryInterval;
+        pushDeadline(state.requestDeadlines_, request->retryAt_, event.request_);
+    }
+}
+
+/// Ends the agreed wait of a request.
+void expire(EntryState &state, RequestId id, TimePoint now, EntryOutbox &outbox)
+{
+    Request &request = *findRow(state.requests_, id);
+    if (request.stage_ == RequestStage::Waiting) {
+        refuseRequest(state, id, RefusalErrc::WaitExpired, Truth::NotRun, outbox);
+    } else if (request.stage_ == RequestStage::Cancelling || request.attached_) {
+        refuseRequest(state, id, RefusalErrc::WaitExpired, Truth::Unknown, outbox);
+    } else {
+        leaveOrdering(state, request);
+        request.stage_ = RequestStage::Cancelling;
+        request.deadline_ = now + cancelGrace;
+        pushDeadline(state.requestDeadlines_, request.deadline_, id);
+        cancelAttempt(request, id, outbox);
+    }
+}
+
+void retry(EntryState &state, RequestId id, TimePoint now, EntryOutbox &outbox)
+{
+    const Request &request = *findRow(state.requests_, id);
+    if (request.stage_ == RequestStage::Ordering) {
+        sendOrder(state, id, now, outbox);
+    } else if (request.stage_ == RequestStage::Reading) {
+        openAnswer(state, id, now, outbox);
+    }
+}
+
+} // namespace
+
+void runRelay(EntryState &state, TimePoint now, EntryInbox &inbox, EntryOutbox &outbox)
+{
+    for (AnswerReceived &event : inbox.frames_) {
+        handleFrame(state, event, now, outbox);
+    }
+    for (const AnswerClosed &event : inbox.closures_) {
+        handleClosure(state, event, now, outbox);
+    }
+}
+
+void runDepartures(EntryState &state, TimePoint /*now*/, const EntryInbox &inbox, EntryOutbox &outbox)
+{
+    for (const CallerGone &event : inbox.departures_) {
+        const auto found = state.requestByExchange_.find(event.exchange_);
+        if (found == state.requestByExchange_.end()) {
+            continue;
+        }
+        const RequestId id = found->second;
+        if (Request &request = *findRow(state.requests_, id); request.stage_ != RequestStage::Waiting) {
+            cancelAttempt(request, id, outbox);
+        }
+        dropRequest(state, id, outbox);
+    }
+}
+
+void runDeadlines(EntryState &state, TimePoint now, EntryOutbox &outbox)
+{
+    for (const RequestId id : takeDue(state.requestDeadlines_, now)) {
+        const Request *request = findRow(state.requests_, id);
+        if (request == nullptr) {
+            continue;
+        }
+        if (request->deadline_ <= now) {
+            expire(state, id, now, outbox);
+        } else if (request->retryAt_ <= now) {
+            retry(state, id, now, outbox);
+        }
+    }
+}
+
+} // namespace Burdockfield
--- /dev/null
+++ b/src/starts.cpp
@@ -0,0 +1,150 @@
+/**
+ * @file starts.cpp
+ * @brief System that hands waiting runs to the upstream, pausing lower tiers for higher ones.
+ */
+#include "agent_func.h"
+#include "run_func.h"
+#include "suspect_func.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Burdockfield {
+
+namespace {
+
+bool mayStart(const Run &run)
+{
+    return run.claim_ == ClaimStage::NotNeeded || run.claim_ == ClaimStage::Held;
+}
+
+/// @return whether @p left goes before @p right.
+bool goesBefore(const AgentState &state, const Run &left, const Run &right)
+{
+    if (state.policy_.queue_ == QueueRule::FirstCome) {
+        return left.sequence_ < right.sequence_;
+    }
+    if (left.order_.tier_ != right.order_.tier_) {
+        return left.order_.tier_ > right.order_.tier_;
+    }
+    return std::tie(left.startTag_, left.sequence_) < std::tie(right.startTag_, right.sequence_);
+}
+
+std::optional<RunId> findNext(const AgentState &state)
+{
+    std::optional<RunId> next;
+    for (const RunId id : state.waiting_) {
+        const Run &run = *findRow(state.runs_, id);
+        if (mayStart(run) && (!next || goesBefore(state, run, *findRow(state.runs_, *next)))) {
+            next = id;
+        }
+    }
+    return next;
+}
+
+bool runsAlone(const AgentState &state, const Run &run)
+{
+    return run.order_.isolated_ || mustRunAlone(state.suspects_, run.order_.digest_);
+}
+
+/// @return whether a suspect has the upstream to itself.
+bool isIsolating(const AgentState &state)
+{
+    return state.running_.size() == 1 && runsAlone(state, *findRow(state.runs_, state.running_.front()));
+}
+
+void start(AgentState &state, RunId id, TimePoint now, AgentOutbox &outbox)
+{
+    Run &run = *findRow(state.runs_, id);
+    std::erase(state.waiting_, id);
+    state.running_.push_back(id);
+    AgentTier &tier = state.tiers_[run.order_.tier_];
+    tier.virtualTime_ = std::max(tier.virtualTime_, run.startTag_);
+    logPlacement(state, run.order_, run.started_ ? PlacementAction::Resume : PlacementAction::Start, {}, outbox);
+    run.stage_ = RunStage::Running;
+    run.started_ = true;
+    ++run.dispatch_;
+    run.dispatchedAt_ = now;
+    run.dispatchTokens_ = 0;
+    StartEngine command{id, run.dispatch_, run.order_};
+    command.order_.resumeTokens_ = run.order_.resumeTokens_ + run.answeredTokens_;
+    outbox.engineStarts_.push_back(std::move(command));
+}
+
+/// @return the running run of the lowest tier below @p rank that may be paused; the one with the least done.
+std::optional<RunId> findPausable(const AgentState &state, TierRank rank)
+{
+    std::optional<RunId> found;
+    for (const RunId id : state.running_) {
+        const Run &run = *findRow(state.runs_, id);
+        if (!mayInterrupt(run) || run.order_.tier_ >= rank) {
+            continue;
+        }
+        const Run *best = found ? findRow(state.runs_, *found) : nullptr;
+        const auto order = [](const Run &row) { return std::tuple(row.order_.tier_, row.answeredTokens_); };
+        if (best == nullptr || order(run) < order(*best)) {
+            found = id;
+        }
+    }
+    return found;
+}
+
+void pause(AgentState &state, RunId id, AgentOutbox &outbox)
+{
+    Run &run = *findRow(state.runs_, id);
+    abortRun(state, id, outbox);
+    run.stage_ = RunStage::Waiting;
+    state.waiting_.push_back(id);
+    logPlacement(state, run.order_, PlacementAction::Pause, {}, outbox);
+    count(state.metrics_, "runs_paused_total", std::to_string(run.order_.tier_));
+}
+
+/// Makes a slot free for a run of a higher tier. @return whether it did.
+bool preempt(AgentState &state, const Run &next, AgentOutbox &outbox)
+{
+    if (!state.policy_.preemption_) {
+        return false;
+    }
+    const auto victim = findPausable(state, next.order_.tier_);
+    if (victim) {
+        pause(state, *victim, outbox);
+    }
+    return victim.has_value();
+}
+
+bool hasSlot(const AgentState &state, const Run &next)
+{
+    if (!state.policy_.bounded_) {
+        return true;
+    }
+    const size_t slots = runsAlone(state, next) ? 1 : state.upstream_.slots_;
+    return state.running_.size() < slots;
+}
+
+/// Starts the next run if it can be. @return whether it did.
+bool startNext(AgentState &state, TimePoint now, AgentOutbox &outbox)
+{
+    const auto next = findNext(state);
+    if (!next || isIsolating(state)) {
+        return false;
+    }
+    const Run &run = *findRow(state.runs_, *next);
+    const bool isolated = runsAlone(state, run);
+    if (!hasSlot(state, run) && (isolated || !preempt(state, run, outbox))) {
+        return false;
+    }
+    start(state, *next, now, outbox);
+    return true;
+}
+
+} // namespace
+
+void runStarts(AgentState &state, TimePoint now, AgentOutbox &outbox)
+{
+    bool started = state.up_;
+    while (started) {
+        started = startNext(state, now, outbox);
+    }
+}
+
+} // namespace Burdockfield
