--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -24,6 +24,9 @@
 
 namespace Burdockfield {
 
+/// Lost runs that may be repeated at once when there has been no trouble.
+constexpr double retryBudgetLimit = 50;
+
 /// Where a node stands.
 struct NodePlace
 {
@@ -89,7 +92,7 @@
     std::map<ExchangeId, RequestId> requestByExchange_; ///< Requests by exchange.
     DeadlineQueue<Request> requestDeadlines_; ///< Ends of waits, and retries.
     SuspectTable suspects_; ///< Crash suspects.
-    double retryBudget_ = 0; ///< Lost runs that may still be repeated.
+    double retryBudget_ = retryBudgetLimit; ///< Lost runs that may still be repeated.
 
     bool stopping_ = false; ///< Whether a planned stop is under way.
     TimePoint stopDeadline_ = noDeadline; ///< When it ends at the latest.
--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -23,7 +23,7 @@
 
 constexpr Milliseconds orderTimeout{ 1500 }; ///< Longest wait for the answer to an order.
 constexpr Milliseconds cancelTimeout{ 1000 }; ///< Longest wait for the answer to a cancellation.
-constexpr Milliseconds answerSilence{ 2500 }; ///< Longest silence of an agent's answer stream.
+constexpr Milliseconds answerSilence{ 1500 }; ///< Longest silence of an agent's answer stream.
 constexpr Milliseconds reportGrace{ 2000 }; ///< Time beyond the agreed hold that a report may take.
 constexpr Milliseconds peerTimeout{ 2000 }; ///< Longest question to another entry.
 constexpr uint64_t firstControlExchange = uint64_t{ 1 } << 62U; ///< Exchanges from here on are the control server's.
--- a/src/readers.cpp
+++ b/src/readers.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Milliseconds heartbeatInterval{ 1000 }; ///< Longest silence towards a reader.
+constexpr Milliseconds heartbeatInterval{ 500 }; ///< Longest silence towards a reader.
 
 void addReader(AgentState &state, const AnswerRequested &event, TimePoint now, AgentOutbox &outbox)
 {
--- a/src/request_func.h
+++ b/src/request_func.h
@@ -9,7 +9,7 @@
 namespace Burdockfield {
 
 /// Time after which a silent agent is taken for lost, for requests that may be repeated.
-constexpr Milliseconds agentLossBound{ 2500 };
+constexpr Milliseconds agentLossBound{ 4000 };
 
 /// Time between tries to reach an agent.
 constexpr Milliseconds orderRetryInterval{ 150 };
@@ -23,9 +23,6 @@
 /// Share of fresh requests that may be spent on repeating lost runs.
 constexpr double retryShare = 0.1;
 
-/// Lost runs that may be repeated at once when there has been no trouble.
-constexpr double retryBudgetLimit = 50;
-
 /// @return rank of the queue that the request waits in under the entry's policy.
 size_t queueRank(const EntryState &state, const Request &request);
 
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -130,6 +130,23 @@
     fleet.upstreams_.push_back(standin);
 }
 
+/// @return where entries reach an agent: its link, or the agent itself.
+const std::string &reachedAt(const Fleet &fleet, const std::string &agent)
+{
+    return fleet.processes_.at(fleet.spec_.linked_ ? agent + "-link" : agent).address_;
+}
+
+void addLink(Fleet &fleet, const std::string &agent, const std::string &listen, const std::string &control)
+{
+    FleetProcess process;
+    process.name_ = agent + "-link";
+    process.address_ = listen;
+    process.control_ = control;
+    process.command_ = {binary("burdockfield-standin"), "link", "--listen", listen, "--target",
+                        fleet.processes_.at(agent).address_, "--control", control};
+    fleet.processes_[process.name_] = std::move(process);
+}
+
 void makeFolder(Fleet &fleet)
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "burdockfield-fleet-XXXXXX").string();
@@ -139,12 +156,15 @@
 void addProcesses(Fleet &fleet)
 {
     const size_t upstreams = fleet.spec_.upstreams_.size();
-    const auto addresses = takeAddresses(1 + 2 * fleet.spec_.entries_ + 2 * upstreams);
+    const auto addresses = takeAddresses(1 + 2 * fleet.spec_.entries_ + 4 * upstreams);
     size_t next = 0;
     addStandin(fleet, platformName, addresses[next++], { "platform" });
     for (const UpstreamSpec &spec : fleet.spec_.upstreams_) {
         addUpstream(fleet, spec, addresses[next], addresses[next + 1]);
-        next += 2;
+        if (fleet.spec_.linked_) {
+            addLink(fleet, spec.name_, addresses[next + 2], addresses[next + 3]);
+        }
+        next += 4;
     }
     for (uint32_t index = 0; index < fleet.spec_.entries_; ++index) {
         addEntry(fleet, index, addresses[next], addresses[next + 1]);
@@ -300,7 +320,7 @@
         return std::find(leaving.begin(), leaving.end(), name) != leaving.end();
     };
     for (const UpstreamSpec &spec : fleet.spec_.upstreams_) {
-        vms.push_back({ spec.name_, "upstream", fleet.processes_.at(spec.name_).address_, spec.region_, spec.region_,
+        vms.push_back({ spec.name_, "upstream", reachedAt(fleet, spec.name_), spec.region_, spec.region_,
             { spec.route_ }, isLeaving(spec.name_) });
     }
     for (const std::string &name : fleet.entries_) {
@@ -355,6 +375,11 @@
     callNode(fleet.processes_.at(name).address_, "POST", "/control", json);
 }
 
+void controlLink(const Fleet &fleet, const std::string &agent, const std::string &order)
+{
+    callNode(fleet.processes_.at(agent + "-link").control_, "POST", order);
+}
+
 int confirmChanges(const Fleet &fleet, const std::string &entry, const std::vector<Change> &changes)
 {
     const std::string &control = fleet.processes_.at(entry).control_;
--- a/tests/fleet_func.h
+++ b/tests/fleet_func.h
@@ -34,6 +34,7 @@
 {
     uint32_t entries_ = 1; ///< Entries; each in the region of the upstream with the same index.
     std::vector<UpstreamSpec> upstreams_; ///< Upstreams, each with its agent.
+    bool linked_ = false; ///< Whether entries reach each agent through a link.
     std::string preset_ = "scheduled"; ///< Policy of entries and agents.
     std::string entryPolicy_; ///< Further lines of the entries' policy, each indented by two spaces.
     std::string entryLimits_; ///< Further lines of the entries' settings.
@@ -103,6 +104,9 @@
 /// Tells a stand-in how to behave.
 void controlStandin(const Fleet &fleet, const std::string &name, const std::string &json);
 
+/// Tells the link before an agent what to do: "/silence", "/cut" or "/mend".
+void controlLink(const Fleet &fleet, const std::string &agent, const std::string &order);
+
 /// Tells the platform which VMs there are.
 void publishVms(const Fleet &fleet, const std::vector<std::string> &leaving = {});
 
--- /dev/null
+++ b/tests/standins/link.cpp
@@ -0,0 +1,148 @@
+/**
+ * @file link.cpp
+ * @brief Stand-in for the network between two processes.
+ */
+#include "link_func.h"
+
+#include "address_func.h"
+#include "standin_func.h"
+
+#include <array>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/write.hpp>
+#include <list>
+
+namespace Burdockfield::Standin {
+
+namespace {
+
+using Tcp = Asio::ip::tcp;
+
+constexpr size_t relayBytes = 16384; ///< Bytes relayed at once.
+
+/// Pair of connections that are relayed to each other.
+struct LinkPair
+{
+    Tcp::socket near_; ///< From the caller.
+    Tcp::socket far_; ///< To the target.
+    bool silent_ = false; ///< Whether nothing more is relayed.
+};
+
+using LinkPairPointer = std::shared_ptr<LinkPair>;
+
+/// All state of a link.
+struct Link
+{
+    Asio::io_context io_{1}; ///< Where it runs.
+    Tcp::acceptor acceptor_{io_}; ///< Takes connections.
+    Tcp::endpoint target_; ///< Where they lead.
+    std::list<std::weak_ptr<LinkPair>> pairs_; ///< Open connections.
+    bool cut_ = false; ///< Whether everything is closed.
+};
+
+void closePair(LinkPair &pair)
+{
+    boost::system::error_code ignored;
+    pair.near_.close(ignored);
+    pair.far_.close(ignored);
+}
+
+void relay(const LinkPairPointer &pair, Tcp::socket &from, Tcp::socket &to, Asio::yield_context yield)
+{
+    std::array<char, relayBytes> bytes{};
+    boost::system::error_code error;
+    while (!error) {
+        const size_t count = from.async_read_some(Asio::buffer(bytes), yield[error]);
+        if (!error && !pair->silent_) {
+            Asio::async_write(to, Asio::buffer(bytes, count), yield[error]);
+        }
+    }
+    if (!pair->silent_) {
+        closePair(*pair);
+    }
+}
+
+void openPair(Link &link, Tcp::socket socket)
+{
+    auto pair = std::make_shared<LinkPair>(LinkPair{std::move(socket), Tcp::socket(link.io_)});
+    link.pairs_.push_back(pair);
+    const auto body = [&link, pair](Asio::yield_context yield) {
+        boost::system::error_code error;
+        pair->far_.async_connect(link.target_, yield[error]);
+        if (error) {
+            closePair(*pair);
+            return;
+        }
+        pair->near_.set_option(Tcp::no_delay(true), error);
+        pair->far_.set_option(Tcp::no_delay(true), error);
+        const auto back = [pair](Asio::yield_context inner) { relay(pair, pair->far_, pair->near_, inner); };
+        Asio::spawn(link.io_, back, Asio::detached);
+        relay(pair, pair->near_, pair->far_, yield);
+    };
+    Asio::spawn(link.io_, body, Asio::detached);
+}
+
+void acceptNext(Link &link)
+{
+    link.acceptor_.async_accept([&link](const boost::system::error_code &error, Tcp::socket socket) {
+        if (!link.acceptor_.is_open()) {
+            return;
+        }
+        if (!error && !link.cut_) {
+            openPair(link, std::move(socket));
+        }
+        acceptNext(link);
+    });
+}
+
+void takeControl(Link &link, const std::string &target)
+{
+    link.cut_ = target == "/cut";
+    for (const auto &weak : link.pairs_) {
+        const LinkPairPointer pair = weak.lock();
+        if (pair == nullptr) {
+            continue;
+        }
+        if (target == "/silence") {
+            pair->silent_ = true;
+        } else if (target == "/cut") {
+            closePair(*pair);
+        }
+    }
+    link.pairs_.remove_if([](const auto &weak) { return weak.expired(); });
+}
+
+} // namespace
+
+int runLink(const LinkPlace &place)
+{
+    Link link;
+    const auto listenAt = parseEndpoint(place.listen_);
+    const auto target = parseEndpoint(place.target_);
+    if (!listenAt || !target) {
+        return 2;
+    }
+    link.target_ = *target;
+    link.acceptor_ = Tcp::acceptor(link.io_, *listenAt);
+    acceptNext(link);
+    HttpServer *control = nullptr;
+    ServerHandlers handlers;
+    handlers.onRequest_ = [&link, &control](ExchangeId exchange, const HttpRequest &request) {
+        takeControl(link, request.target_);
+        respond(*control, exchange, jsonReply(200, "{}"));
+    };
+    handlers.onGone_ = [](ExchangeId /*exchange*/) {};
+    handlers.onBadRequest_ = [](std::error_code /*error*/) { return jsonReply(400, "{}"); };
+    HttpServer server(link.io_, ServerLimits{}, std::move(handlers));
+    control = &server;
+    if (listen(server, place.control_)) {
+        return 2;
+    }
+    Asio::signal_set signals(link.io_, SIGTERM, SIGINT);
+    signals.async_wait([&link](const boost::system::error_code & /*error*/, int /*signal*/) { link.io_.stop(); });
+    link.io_.run();
+    return 0;
+}
+
+} // namespace Burdockfield::Standin
--- a/tests/standins/standin_main.cpp
+++ b/tests/standins/standin_main.cpp
@@ -3,6 +3,7 @@
  * @brief Program burdockfield-standin: a model engine, a plain service or the platform, for tests.
  */
 #include "engine_base.h"
+#include "link_func.h"
 #include "platform_base.h"
 #include "service_base.h"
 
@@ -46,6 +47,11 @@
     addPlace(*serviceCommand, place);
     addPlace(*platformCommand, place);
     addEngine(*engineCommand, engine.settings_);
+    LinkPlace link;
+    CLI::App *linkCommand = app.add_subcommand("link", "Network between two processes");
+    linkCommand->add_option("--listen", link.listen_, "IP:PORT")->required();
+    linkCommand->add_option("--target", link.target_, "IP:PORT that connections are relayed to")->required();
+    linkCommand->add_option("--control", link.control_, "IP:PORT of the control")->required();
     serviceCommand->add_option("--duration-ms", durationMs, "Time that a call takes");
     CLI11_PARSE(app, argc, argv);
     service.duration_ = Milliseconds(durationMs);
@@ -55,5 +61,8 @@
     if (serviceCommand->parsed()) {
         return runStandin(place, std::move(service), tickService, nextServiceDeadline);
     }
+    if (linkCommand->parsed()) {
+        return runLink(link);
+    }
     return runStandin(place, std::move(platform), tickPlatform, nextPlatformDeadline);
 }
