Let an entry take the whole configuration from a peer

Cause: an entry that starts while the store is down knows no revision, hence no route, hence no upstream whose report could tell it of a revision, so it never asked a peer. An entry at revision 0, or one whose peer no longer keeps the changes in between, asks a peer for the whole configuration.

--- a/src/configuration_sync.cpp
+++ b/src/configuration_sync.cpp
@@ -132,6 +132,16 @@
     readNext(state, outbox);
 }
 
+/// Puts a whole configuration in force if it is newer.
+void adoptConfiguration(EntryState &state, Configuration configuration, TimePoint now)
+{
+    if (configuration.revision_ > state.configuration_.revision_) {
+        state.configuration_ = std::move(configuration);
+        state.sync_.recent_.clear();
+        putInForce(state, now);
+    }
+}
+
 void takeSnapshot(EntryState &state, const std::string &text, TimePoint now)
 {
     Configuration snapshot;
@@ -139,11 +149,7 @@
         count(state.metrics_, "configuration_malformed_total", "snapshot");
         return;
     }
-    if (snapshot.revision_ > state.configuration_.revision_) {
-        state.configuration_ = std::move(snapshot);
-        state.sync_.recent_.clear();
-        putInForce(state, now);
-    }
+    adoptConfiguration(state, std::move(snapshot), now);
 }
 
 void handleChangeRow(EntryState &state, const StoreResult &result, TimePoint now, EntryOutbox &outbox)
@@ -329,6 +335,7 @@
 void handlePeerChanges(EntryState &state, const PeerChangesReceived &event, TimePoint now)
 {
     state.sync_.peerPending_ = false;
+    state.sync_.peerWhole_ = event.changes_.empty();
     for (const ConfirmedChange &change : event.changes_) {
         if (change.revision_ > state.configuration_.revision_ && !applyConfirmed(state, change, now)) {
             return;
@@ -336,18 +343,27 @@
     }
 }
 
-/// Asks a random peer when a higher revision is known of and the table service has not given it.
+void handlePeerConfiguration(EntryState &state, const PeerConfigurationReceived &event, TimePoint now)
+{
+    state.sync_.peerPending_ = false;
+    state.sync_.peerWhole_ = false;
+    if (!event.error_) {
+        adoptConfiguration(state, event.configuration_, now);
+    }
+}
+
+/// Asks a random peer when a higher revision is known of, or none, and the table service has not given it.
 void askPeer(EntryState &state, TimePoint now, EntryOutbox &outbox)
 {
     ConfigurationSync &sync = state.sync_;
-    const bool behind = sync.heardRevision_ > state.configuration_.revision_;
-    if (!behind || sync.peerPending_ || sync.peerDue_ > now || state.peers_.empty()) {
+    if (!wantsPeer(state) || sync.peerDue_ > now) {
         return;
     }
     sync.peerPending_ = true;
     sync.peerDue_ = now + peerInterval;
     std::uniform_int_distribution<size_t> pick(0, state.peers_.size() - 1);
-    outbox.peerFetches_.push_back({ state.peers_[pick(state.random_)], state.configuration_.revision_ });
+    const bool whole = sync.peerWhole_ || state.configuration_.revision_ == 0;
+    outbox.peerFetches_.push_back({ state.peers_[pick(state.random_)], state.configuration_.revision_, whole });
 }
 
 } // namespace
@@ -357,6 +373,9 @@
     for (const PeerChangesReceived &event : inbox.peerChanges_) {
         handlePeerChanges(state, event, now);
     }
+    for (const PeerConfigurationReceived &event : inbox.peerConfigurations_) {
+        handlePeerConfiguration(state, event, now);
+    }
     for (const StoreReplied &event : inbox.storeReplies_) {
         handleStoreReply(state, event, now, outbox);
     }
@@ -377,6 +396,13 @@
     }
 }
 
+bool wantsPeer(const EntryState &state)
+{
+    const uint64_t own = state.configuration_.revision_;
+    const bool behind = own == 0 || state.sync_.heardRevision_ > own;
+    return behind && !state.sync_.peerPending_ && !state.peers_.empty();
+}
+
 std::vector<ConfirmedChange> changesAfter(const EntryState &state, uint64_t revision)
 {
     std::vector<ConfirmedChange> changes;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -69,7 +69,7 @@
         event.kind_ = StatusKind::Metrics;
     } else if (target.path_ == "/v1/status") {
         event.kind_ = StatusKind::Status;
-    } else if (target.path_ == "/v1/configuration") {
+    } else if (target.path_ == configurationPath) {
         event.kind_ = StatusKind::Configuration;
     } else if (target.path_ == changesPath) {
         event.kind_ = StatusKind::Changes;
--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -59,6 +59,7 @@
     uint64_t heardRevision_ = 0; ///< Highest revision heard of.
     TimePoint peerDue_{}; ///< When a peer may be asked again.
     bool peerPending_ = false; ///< Whether a peer has been asked.
+    bool peerWhole_ = true; ///< Whether the next question asks for the whole configuration.
     std::deque<ConfirmedChange> recent_; ///< Latest changes, for peers that ask.
 };
 
--- a/src/entry_command_type.h
+++ b/src/entry_command_type.h
@@ -81,11 +81,12 @@
     StoreTransaction transaction_; ///< The transaction.
 };
 
-/// Asks another entry for the changes that it knows.
+/// Asks another entry for the changes that it knows, or for its whole configuration.
 struct FetchPeerChanges
 {
     std::string address_; ///< Entry.
     uint64_t afterRevision_ = 0; ///< Revision of this entry.
+    bool whole_ = false; ///< Whether the whole configuration is asked for.
 };
 
 /// Answers an operator.
--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -229,7 +229,21 @@
     callStore(daemon.client_, daemon.settings_.platform_, makeTransactionCall(command.transaction_), true, done);
 }
 
-void execute(EntryDaemon &daemon, const FetchPeerChanges &command)
+void fetchPeerConfiguration(EntryDaemon &daemon, const std::string &address)
+{
+    HttpRequest request;
+    request.target_ = configurationPath;
+    const auto done = [&daemon](std::error_code error, const HttpReply &reply) {
+        PeerConfigurationReceived event{ error, {} };
+        if (!error && (reply.status_ != 200 || parseConfiguration(reply.body_, event.configuration_))) {
+            event = { TransportErrc::Malformed, {} };
+        }
+        postEvent(daemon.loop_, EntryEvent(std::move(event)));
+    };
+    fetch(daemon.client_, address, std::move(request), peerTimeout, ConnectionUse::Reuse, done);
+}
+
+void fetchPeerChanges(EntryDaemon &daemon, const FetchPeerChanges &command)
 {
     HttpRequest request;
     request.target_ = std::string(changesPath) + "?after=" + std::to_string(command.afterRevision_);
@@ -243,6 +257,15 @@
     fetch(daemon.client_, command.address_, std::move(request), peerTimeout, ConnectionUse::Reuse, done);
 }
 
+void execute(EntryDaemon &daemon, const FetchPeerChanges &command)
+{
+    if (command.whole_) {
+        fetchPeerConfiguration(daemon, command.address_);
+    } else {
+        fetchPeerChanges(daemon, command);
+    }
+}
+
 void execute(EntryDaemon &daemon, const OperatorReply &command)
 {
     respond(serverOf(daemon, command.exchange_), command.exchange_, serializeOperatorReply(command));
--- a/src/entry_event_type.h
+++ b/src/entry_event_type.h
@@ -85,6 +85,13 @@
     std::vector<ConfirmedChange> changes_; ///< Changes after this node's revision, in order.
 };
 
+/// Another entry told its whole configuration.
+struct PeerConfigurationReceived
+{
+    std::error_code error_; ///< Success or a TransportErrc.
+    Configuration configuration_; ///< The configuration, on success.
+};
+
 /// An operator asks to test changes.
 struct PlanRequested
 {
@@ -124,7 +131,7 @@
 /// Any input of an entry.
 using EntryEvent
     = std::variant<CallerRequest, CallerGone, RunReplied, AnswerReceived, AnswerClosed, CancelReplied, ReportReceived,
-        VmsListed, StoreReplied, PeerChangesReceived, PlanRequested, ConfirmRequested, StatusRequested, StopRequested>;
+        VmsListed, StoreReplied, PeerChangesReceived, PeerConfigurationReceived, PlanRequested, ConfirmRequested, StatusRequested, StopRequested>;
 
 /// Inputs of one tick, by kind; within a kind in order of arrival.
 struct EntryInbox
@@ -139,6 +146,7 @@
     std::vector<VmsListed> vmLists_; ///< Lists of VMs.
     std::vector<StoreReplied> storeReplies_; ///< Answers of the table service.
     std::vector<PeerChangesReceived> peerChanges_; ///< Changes heard from other entries.
+    std::vector<PeerConfigurationReceived> peerConfigurations_; ///< Configurations heard from other entries.
     std::vector<PlanRequested> plans_; ///< Plans to test.
     std::vector<ConfirmRequested> confirmations_; ///< Plans to execute.
     std::vector<StatusRequested> statusRequests_; ///< Status requests.
--- a/src/entry_tick.cpp
+++ b/src/entry_tick.cpp
@@ -2,6 +2,7 @@
  * @file entry_tick.cpp
  * @brief The tick of an entry.
  */
+#include "configuration_sync_func.h"
 #include "entry_func.h"
 
 #include <algorithm>
@@ -60,6 +61,11 @@
     inbox.peerChanges_.push_back(std::move(event));
 }
 
+void put(EntryInbox &inbox, PeerConfigurationReceived event)
+{
+    inbox.peerConfigurations_.push_back(std::move(event));
+}
+
 void put(EntryInbox &inbox, PlanRequested event)
 {
     inbox.plans_.push_back(std::move(event));
@@ -112,6 +118,9 @@
     if (state.sync_.headCall_ == 0) {
         next = std::min(next, state.sync_.headDue_);
     }
+    if (wantsPeer(state)) {
+        next = std::min(next, state.sync_.peerDue_);
+    }
     for (const PendingConfirmation &pending : state.confirmations_) {
         next = std::min({ next, pending.retryAt_, pending.deadline_ });
     }
