--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,9 @@
 #!/bin/sh
-# Builds and runs every test.
+# Builds and runs every test; the decisions and codecs a second time under the sanitizers.
 set -eu
 cd "$(dirname "$0")/.."
 scripts/build.sh
 ctest --test-dir build --output-on-failure
+cmake -S . -B build-sanitize -G Ninja -DBURDOCKFIELD_SANITIZE=ON >/dev/null
+cmake --build build-sanitize --target decision-test schedule-test
+ctest --test-dir build-sanitize --output-on-failure -R '^(decision|schedule)$'
--- /dev/null
+++ b/tests/agent_test.cpp
@@ -0,0 +1,177 @@
+/**
+ * @file agent_test.cpp
+ * @brief Decisions of an agent, tick by tick.
+ */
+#include "agent_func.h"
+#include "error_type.h"
+
+#include <doctest/doctest.h>
+
+using namespace Burdockfield;
+
+namespace {
+
+/// Agent whose engine is up.
+struct AgentFixture
+{
+    AgentFixture()
+    {
+        AgentInbox inbox;
+        inbox.loads_.push_back({ {}, 0, {} });
+        tick(std::move(inbox));
+    }
+
+    AgentOutbox tick(AgentInbox inbox = {})
+    {
+        return tickAgent(state_, now_, std::move(inbox));
+    }
+
+    RunOrder makeOrder(TierRank tier, const std::string &workspace = "w")
+    {
+        RunOrder order;
+        order.name_ = { "request-" + std::to_string(next_++), 1 };
+        order.agentIncarnation_ = state_.incarnation_;
+        order.workspace_ = workspace;
+        order.tier_ = tier;
+        order.route_ = "m";
+        order.payload_ = "{}";
+        order.digest_ = order.name_.request_;
+        order.remainingWait_ = std::chrono::seconds(10);
+        order.promptTokens_ = 10;
+        order.answerTokens_ = 10;
+        return order;
+    }
+
+    AgentOutbox order(const RunOrder &order)
+    {
+        AgentInbox inbox;
+        inbox.orders_.push_back({ ExchangeId{ next_++ }, order });
+        return tick(std::move(inbox));
+    }
+
+    TimePoint now_{ std::chrono::hours(1) }; ///< Hand-moved clock.
+    AgentState state_ = makeAgentState({ "a", "a:1", "r", "z" }, AgentPolicy{},
+                                       { "e:1", RouteKind::Model, { "m" }, 2, 1 }, 42); ///< The agent.
+    uint64_t next_ = 1; ///< Number of the next order.
+};
+
+std::error_code replyOf(const AgentOutbox &outbox)
+{
+    return outbox.runReplies_.at(0).reply_.error_;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(AgentFixture, "Admission_WhenSlotsAndQueueAreFullOfTheSameTier_RefusesNotRun")
+{
+    for (int index = 0; index < 3; ++index) {
+        CHECK(!replyOf(order(makeOrder(1))));
+    }
+    CHECK(replyOf(order(makeOrder(1))) == AdmissionErrc::QueueFull);
+    CHECK(replyOf(order(makeOrder(0))) == AdmissionErrc::QueueFull);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "Admission_WhenAHigherTierComes_DisplacesWaitingAndPausesRunningLowerWork")
+{
+    for (int index = 0; index < 3; ++index) {
+        order(makeOrder(1));
+    }
+    const AgentOutbox outbox = order(makeOrder(2));
+    CHECK(!replyOf(outbox));
+    CHECK(outbox.engineAborts_.size() == 1);
+    REQUIRE(outbox.engineStarts_.size() == 1);
+    CHECK(outbox.engineStarts_[0].order_.tier_ == 2);
+    CHECK(state_.metrics_.counters_["runs_ended_total"]["displaced"] == 1);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "Preemption_WhenRunningWorkMayNotBeRepeated_LeavesItAlone")
+{
+    for (int index = 0; index < 2; ++index) {
+        RunOrder once = makeOrder(0);
+        once.rule_ = DispatchRule::AtMostOnce;
+        order(once);
+    }
+    const AgentOutbox outbox = order(makeOrder(3));
+    CHECK(!replyOf(outbox));
+    CHECK(outbox.engineAborts_.empty());
+    CHECK(outbox.engineStarts_.empty());
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "Order_WhenSentTwice_IsRunOnce")
+{
+    const RunOrder once = makeOrder(1);
+    CHECK(order(once).engineStarts_.size() == 1);
+    const AgentOutbox again = order(once);
+    CHECK(!replyOf(again));
+    CHECK(again.engineStarts_.empty());
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "Order_WhenTurnedDownOnce_IsNeverRun")
+{
+    state_.up_ = false;
+    const RunOrder late = makeOrder(1);
+    CHECK(replyOf(order(late)) == AdmissionErrc::UpstreamDown);
+    state_.up_ = true;
+    CHECK(replyOf(order(late)) == AdmissionErrc::Withdrawn);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "Order_WhenMeantForAnEarlierIncarnation_IsRefused")
+{
+    RunOrder stale = makeOrder(1);
+    stale.agentIncarnation_ = 1;
+    CHECK(replyOf(order(stale)) == AdmissionErrc::StaleIncarnation);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "Agent_WhenDrainedByANewerRevision_RefusesWhateverOlderOnesSay")
+{
+    AgentInbox inbox;
+    inbox.reportRequests_.push_back({ ExchangeId{ 100 }, 5, true, 0, Milliseconds(0) });
+    inbox.reportRequests_.push_back({ ExchangeId{ 101 }, 4, false, 0, Milliseconds(0) });
+    tick(std::move(inbox));
+    CHECK(replyOf(order(makeOrder(1))) == AdmissionErrc::Leaving);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "Report_WhenNothingChanges_IsHeldUntilItsTimeIsUp")
+{
+    AgentInbox inbox;
+    inbox.reportRequests_.push_back({ ExchangeId{ 100 }, 0, false, state_.reportVersion_, Milliseconds(5000) });
+    CHECK(tick(std::move(inbox)).reports_.empty());
+    now_ += Milliseconds(4999);
+    CHECK(tick().reports_.empty());
+    now_ += Milliseconds(1);
+    CHECK(tick().reports_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "Suspect_WhenItHasCrashedAlone_IsRefusedFromThenOn")
+{
+    const RunOrder bad = makeOrder(1);
+    const AgentOutbox started = order(bad);
+    AgentInbox inbox;
+    inbox.ends_.push_back({ started.engineStarts_.at(0).run_, 1, TransportErrc::Lost, {} });
+    tick(std::move(inbox));
+    AgentInbox up;
+    up.loads_.push_back({ {}, 0, {} });
+    tick(std::move(up));
+    RunOrder again = makeOrder(1);
+    again.digest_ = bad.digest_;
+    CHECK(replyOf(order(again)) == AdmissionErrc::CrashSuspect);
+    CHECK(!replyOf(order(makeOrder(1))));
+}
+
+TEST_CASE_FIXTURE(AgentFixture, "Claim_WhenTheStoreGivesAnotherHolder_PointsToItAndNeverRuns")
+{
+    RunOrder keyed = makeOrder(1);
+    keyed.key_ = "k";
+    const AgentOutbox outbox = order(keyed);
+    REQUIRE(outbox.storeWrites_.size() == 1);
+    CHECK(outbox.engineStarts_.empty());
+    StoreRow holder;
+    holder.version_ = 1;
+    holder.value_ = R"({"request":"other","attempt":1,"agent":"b:1","incarnation":9,"digest":")" + keyed.digest_ + "\"}";
+    AgentInbox inbox;
+    inbox.storeReplies_.push_back({ outbox.storeWrites_[0].call_, { StoreErrc::Conflict, { holder } } });
+    CHECK(tick(std::move(inbox)).engineStarts_.empty());
+    const Run &run = *findRow(state_.runs_, state_.runByName_[keyed.name_]);
+    CHECK(run.end_.error_ == AdmissionErrc::ClaimedElsewhere);
+    CHECK(run.end_.ownerAddress_ == "b:1");
+}
--- /dev/null
+++ b/tests/entry_test.cpp
@@ -0,0 +1,231 @@
+/**
+ * @file entry_test.cpp
+ * @brief Decisions of an entry, tick by tick.
+ */
+#include "entry_fixture.h"
+
+#include "run_wire.h"
+
+#include <algorithm>
+
+using namespace Burdockfield;
+using namespace Burdockfield::Testing;
+
+namespace {
+
+/// @return the refusal in an output, or nothing.
+const Refusal *refusalIn(const CallerOutput &output)
+{
+    return std::get_if<Refusal>(&output.body_);
+}
+
+std::string orderedAt(const EntryOutbox &outbox)
+{
+    return outbox.orders_.empty() ? std::string() : outbox.orders_.front().address_;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(EntryFixture, "Entry_WhenTokenIsUnknown_RefusesNotRun")
+{
+    const EntryOutbox outbox = submit({ makeRequest("nobody") });
+    REQUIRE(outbox.callerOutputs_.size() == 1);
+    const Refusal *refusal = refusalIn(outbox.callerOutputs_[0]);
+    REQUIRE(refusal != nullptr);
+    CHECK(refusal->error_ == RefusalErrc::UnknownToken);
+    CHECK(refusal->truth_ == Truth::NotRun);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Entry_WhenTierIsAboveTheWorkspacesRight_RefusesNotRun")
+{
+    Configuration configuration = state_.configuration_;
+    WorkspaceSettings settings = configuration.workspaces_["faculty"];
+    settings.highestTier_ = "standard";
+    REQUIRE(!applyChanges(configuration, std::vector<Change>{ SetWorkspace{ "faculty", settings } }));
+    EntryInbox inbox;
+    inbox.peerConfigurations_.push_back({ {}, configuration });
+    tick(std::move(inbox));
+    const EntryOutbox outbox = submit({ makeRequest("faculty", "urgent") });
+    REQUIRE(outbox.callerOutputs_.size() == 1);
+    CHECK(refusalIn(outbox.callerOutputs_[0])->error_ == RefusalErrc::TierNotAllowed);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Routing_WhenEnginesDiffer_ChoosesTheEarliestExpectedFinish")
+{
+    AgentReport slow = makeReport("slow");
+    slow.decodeRate_ = 10;
+    addEngines({ slow, makeReport("fast") });
+    CHECK(orderedAt(submit({ makeRequest() })) == "fast:1");
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Routing_WhenAnEngineHasThePrefix_PrefersItUntilItIsLoaded")
+{
+    AgentReport left = makeReport("left");
+    AgentReport right = makeReport("right");
+    addEngines({ left, right });
+    CallerRequest first = makeRequest();
+    first.prompt_ = std::string(8192, 'p');
+    const std::string home = orderedAt(submit({ first }));
+    CallerRequest second = makeRequest();
+    second.prompt_ = std::string(8192, 'p');
+    CHECK(orderedAt(submit({ second })) == home);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Routing_WhenAnotherRegionIsNoFaster_StaysInItsOwn")
+{
+    VmsListed list;
+    list.vms_.push_back({ "far", "upstream", "far:1", "other", "z", { "itinerary" }, false });
+    list.vms_.push_back({ "near", "upstream", "near:1", "r", "z", { "itinerary" }, false });
+    EntryInbox inbox;
+    inbox.vmLists_.push_back(list);
+    tick(std::move(inbox));
+    EntryInbox news;
+    for (const char *name : { "far", "near" }) {
+        news.reports_.push_back({ state_.upstreamByName_[name], {}, makeReport(name) });
+    }
+    tick(std::move(news));
+    CHECK(orderedAt(submit({ makeRequest() })) == "near:1");
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Queue_WhenNoUpstreamHasRoom_WaitsAndServesTheHighestTierFirst")
+{
+    AgentReport full = makeReport("only", 1);
+    full.occupied_[3] = 1;
+    addEngines({ full });
+    const CallerRequest background = makeRequest("agency-a", "background");
+    const CallerRequest urgent = makeRequest("agency-b", "urgent");
+    CHECK(submit({ background, urgent }).orders_.empty());
+    EntryInbox inbox;
+    inbox.reports_.push_back({ state_.upstreamByName_["only"], {}, makeReport("only", 1) });
+    const EntryOutbox outbox = tick(std::move(inbox));
+    REQUIRE(outbox.orders_.size() == 1);
+    CHECK(outbox.orders_[0].order_.tier_ == 2);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Queue_WhenOneWorkspaceFloods_ServesASmallOneInItsTurn")
+{
+    AgentReport full = makeReport("only", 1);
+    full.occupied_[3] = 1;
+    addEngines({ full });
+    std::vector<CallerRequest> flood;
+    for (int index = 0; index < 50; ++index) {
+        flood.push_back(makeRequest("agency-a"));
+    }
+    submit(flood);
+    submit({ makeRequest("counsellor-a") });
+    EntryInbox inbox;
+    inbox.reports_.push_back({ state_.upstreamByName_["only"], {}, makeReport("only", 2) });
+    const EntryOutbox outbox = tick(std::move(inbox));
+    REQUIRE(outbox.orders_.size() == 2);
+    const bool served = outbox.orders_[0].order_.workspace_ == "counsellor-a"
+        || outbox.orders_[1].order_.workspace_ == "counsellor-a";
+    CHECK(served);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Shedding_WhenTheQueueIsFull_TakesFromTheLowestTierFirst")
+{
+    state_.policy_.queueLimit_ = 4;
+    std::vector<CallerRequest> waiting;
+    for (int index = 0; index < 4; ++index) {
+        waiting.push_back(makeRequest("agency-a", index < 2 ? "background" : "standard"));
+    }
+    CHECK(submit(waiting).callerOutputs_.empty());
+    const EntryOutbox outbox = submit({ makeRequest("faculty", "urgent") });
+    REQUIRE(outbox.callerOutputs_.size() == 1);
+    CHECK(refusalIn(outbox.callerOutputs_[0])->error_ == RefusalErrc::Overloaded);
+    CHECK(outbox.callerOutputs_[0].exchange_ == waiting[1].exchange_);
+    const EntryOutbox low = submit({ makeRequest("faculty", "background"), makeRequest("faculty", "background") });
+    CHECK(low.callerOutputs_.size() == 2);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Request_WhenItsWaitEndsInTheQueue_IsRefusedNotRun")
+{
+    submit({ makeRequest() });
+    now_ += std::chrono::seconds(21);
+    const EntryOutbox outbox = tick();
+    REQUIRE(outbox.callerOutputs_.size() == 1);
+    CHECK(refusalIn(outbox.callerOutputs_[0])->error_ == RefusalErrc::WaitExpired);
+    CHECK(refusalIn(outbox.callerOutputs_[0])->truth_ == Truth::NotRun);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Answer_WhenAFrameIsOfAnotherRun_IsDroppedAndCounted")
+{
+    addEngines({ makeReport("only") });
+    const EntryOutbox ordered = submit({ makeRequest() });
+    REQUIRE(ordered.orders_.size() == 1);
+    const SendOrder &order = ordered.orders_[0];
+    EntryInbox taken;
+    taken.runReplies_.push_back({ order.request_, 1, {}, { {}, makeReport("only") } });
+    REQUIRE(tick(std::move(taken)).answerReads_.size() == 1);
+    AnswerReceived crossed{ order.request_, 1, {} };
+    crossed.frame_.name_ = { "another", 1 };
+    crossed.frame_.deltas_ = { { "secret", 1 } };
+    EntryInbox inbox;
+    inbox.frames_.push_back(crossed);
+    CHECK(tick(std::move(inbox)).callerOutputs_.empty());
+    CHECK(state_.metrics_.counters_["crossed_answers_total"]["frame"] == 1);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Answer_WhenItsChecksumIsWrong_IsRefusedAsDamaged")
+{
+    addEngines({ makeReport("only") });
+    const EntryOutbox ordered = submit({ makeRequest() });
+    const SendOrder &order = ordered.orders_.at(0);
+    EntryInbox taken;
+    taken.runReplies_.push_back({ order.request_, 1, {}, { {}, makeReport("only") } });
+    tick(std::move(taken));
+    AnswerReceived frame{ order.request_, 1, {} };
+    frame.frame_.name_ = order.order_.name_;
+    frame.frame_.deltas_ = { { "text", 1 } };
+    frame.frame_.ended_ = true;
+    frame.frame_.end_.deltaCount_ = 1;
+    frame.frame_.end_.checksum_ = fastHash("other");
+    frame.frame_.report_ = makeReport("only");
+    EntryInbox inbox;
+    inbox.frames_.push_back(frame);
+    const EntryOutbox outbox = tick(std::move(inbox));
+    REQUIRE(outbox.callerOutputs_.size() == 1);
+    CHECK(refusalIn(outbox.callerOutputs_[0])->error_ == RefusalErrc::AnswerDamaged);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Subset_WhenThereAreManyUpstreams_IsBoundedAndMostlyKeptWhenOneLeaves")
+{
+    std::vector<AgentReport> reports;
+    for (int index = 0; index < 100; ++index) {
+        reports.push_back(makeReport("up" + std::to_string(index)));
+    }
+    addEngines(reports);
+    const Route &route = *findRow(state_.routes_, state_.routeByName_["itinerary"]);
+    const std::vector<UpstreamId> before = route.candidates_;
+    CHECK(before.size() == state_.policy_.subsetSize_);
+    Upstream &leaver = *findRow(state_.upstreams_, before.front());
+    leaver.leaving_ = true;
+    rebuildSubsets(state_, now_);
+    size_t kept = 0;
+    for (const UpstreamId id : route.candidates_) {
+        kept += static_cast<size_t>(std::count(before.begin(), before.end(), id));
+    }
+    CHECK(kept == before.size() - 1);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Replay_WhenAChangeLeadsToAnotherDigest_IsRefusedAsDiverged")
+{
+    Configuration altered = state_.configuration_;
+    const std::vector<Change> changes{ SetDrain{ "region", "r", true } };
+    REQUIRE(!applyChanges(altered, changes));
+    ConfirmedChange change{ altered.revision_, "p", changes, "wrong" };
+    Configuration copy = state_.configuration_;
+    CHECK(replayChange(copy, change) == PlanErrc::Diverged);
+    CHECK(copy == state_.configuration_);
+    change.digest_ = configurationDigest(altered);
+    CHECK(!replayChange(copy, change));
+    CHECK(replayChange(copy, change) == PlanErrc::StaleBase);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Plan_WhenItAltersNothing_IsRefused")
+{
+    const PlanResult result = makePlan(state_.configuration_, "p", { SetRoute{ "itinerary", {} } });
+    CHECK(result.error_ == PlanErrc::AltersNothing);
+    const PlanResult unknown = makePlan(state_.configuration_, "p", { RemoveSubject{ "route", "nothing" } });
+    CHECK(unknown.error_ == PlanErrc::UnknownSubject);
+}
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,87 @@
+/**
+ * @file settings_test.cpp
+ * @brief Checking of settings files.
+ */
+#include "error_type.h"
+#include "settings_func.h"
+
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace Burdockfield;
+
+namespace {
+
+/// Good settings of an entry, to which a line is added or in which one is replaced.
+struct SettingsFixture
+{
+    std::string text_ = "role: entry\n"
+                        "name: e\n"
+                        "region: r\n"
+                        "zone: z\n"
+                        "listen: 127.0.0.1:8080\n"
+                        "control: 127.0.0.1:8081\n"
+                        "platform: 127.0.0.1:9000\n"; ///< The file.
+    Settings settings_; ///< What was parsed.
+
+    SettingsError parse()
+    {
+        return parseSettings(text_, "e.yaml", settings_);
+    }
+
+    void replace(const std::string &from, const std::string &to)
+    {
+        text_.replace(text_.find(from), from.size(), to);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(SettingsFixture, "Settings_WhenGood_AreTaken")
+{
+    text_ += "limits: { header: 8KiB, body: 1MiB, read_timeout: 5s }\npolicy: { preset: baseline, subset_size: 3 }\n";
+    CHECK(!parse().error_);
+    CHECK(settings_.limits_.bodyBytes_ == 1048576);
+    CHECK(settings_.limits_.readTimeout_ == Milliseconds(5000));
+    CHECK(settings_.entryPolicy_.routing_ == RoutingRule::RoundRobin);
+    CHECK(settings_.entryPolicy_.subsetSize_ == 3);
+}
+
+TEST_CASE_FIXTURE(SettingsFixture, "Settings_WhenAKeyIsUnknown_NameFileLineKeyAndWhatIsAccepted")
+{
+    text_ += "colour: red\n";
+    const SettingsError error = parse();
+    CHECK(error.error_ == SettingsErrc::UnknownKey);
+    CHECK(error.line_ == 8);
+    CHECK(describe(error).find("e.yaml:8: unknown-key: colour (accepted: role, name") == 0);
+}
+
+TEST_CASE_FIXTURE(SettingsFixture, "Settings_WhenAUnitIsWrong_AreRefused")
+{
+    text_ += "limits:\n  read_timeout: 5 parsecs\n";
+    const SettingsError error = parse();
+    CHECK(error.error_ == SettingsErrc::WrongUnit);
+    CHECK(error.key_ == "limits.read_timeout");
+    CHECK(error.line_ == 9);
+}
+
+TEST_CASE_FIXTURE(SettingsFixture, "Settings_WhenAValueIsMissing_AreRefused")
+{
+    replace("region: r\n", "");
+    CHECK(parse().error_ == SettingsErrc::MissingKey);
+    CHECK(parse().key_ == "region");
+}
+
+TEST_CASE_FIXTURE(SettingsFixture, "Settings_WhenAnAddressCannotBeParsed_AreRefused")
+{
+    replace("127.0.0.1:8081", "localhost:8081");
+    CHECK(parse().error_ == SettingsErrc::BadAddress);
+    CHECK(parse().line_ == 6);
+}
+
+TEST_CASE_FIXTURE(SettingsFixture, "Settings_WhenNotYaml_AreRefused")
+{
+    text_ += "a: [\n";
+    CHECK(parse().error_ == SettingsErrc::MalformedYaml);
+    CHECK(loadSettings("/nonexistent/e.yaml", settings_).error_ == SettingsErrc::CannotRead);
+}
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,217 @@
+/**
+ * @file wire_test.cpp
+ * @brief Codecs: round trips, and mutated messages.
+ */
+#include "caller_wire.h"
+#include "changes_file.h"
+#include "claim_wire.h"
+#include "configuration_func.h"
+#include "configuration_wire.h"
+#include "engine_wire.h"
+#include "error_type.h"
+#include "fleet_func.h"
+#include "platform_wire.h"
+#include "run_wire.h"
+#include "settings_func.h"
+#include "status_wire.h"
+#include "trace_wire.h"
+
+#include <array>
+#include <doctest/doctest.h>
+#include <functional>
+#include <random>
+
+using namespace Burdockfield;
+
+namespace {
+
+constexpr uint64_t mutationSeed = 20261204;
+constexpr int mutationCount = 100000;
+const TimePoint now{ std::chrono::hours(1) };
+
+/// Message with the function that parses it.
+struct Sample
+{
+    std::string text_; ///< Well-formed message.
+    std::function<std::error_code(const std::string &)> parse_; ///< Its parser.
+};
+
+RunOrder makeOrder()
+{
+    RunOrder order;
+    order.name_ = { "e-1", 2 };
+    order.payload_ = "{\"model\":\"m\"}\xff";
+    order.workspace_ = "w";
+    order.route_ = "m";
+    order.key_ = "k";
+    order.remainingWait_ = Milliseconds(1500);
+    order.releasedRun_ = { "e-0", 1 };
+    return order;
+}
+
+AnswerFrame makeFrame()
+{
+    AnswerFrame frame;
+    frame.name_ = { "e-1", 2 };
+    frame.offset_ = 3;
+    frame.deltas_ = { { "some \"text\" \n", 1 }, { "more", 2 } };
+    frame.ended_ = true;
+    frame.end_.error_ = RefusalErrc::UpstreamLost;
+    frame.end_.truth_ = Truth::Unknown;
+    frame.end_.checksum_ = UINT64_MAX;
+    frame.end_.ownerRun_ = { "o", 1 };
+    frame.report_.routes_ = { "m" };
+    frame.report_.suspects_["digest"] = { 2, 1, now + std::chrono::minutes(1) };
+    return frame;
+}
+
+template<typename Message>
+Sample textSample(std::string text, std::error_code (*parse)(std::string_view, Message &))
+{
+    return { std::move(text), [parse](const std::string &mutated) {
+                Message message;
+                return parse(mutated, message);
+            } };
+}
+
+template<typename Message>
+Sample timedSample(std::string text, std::error_code (*parse)(std::string_view, Message &, TimePoint))
+{
+    return { std::move(text), [parse](const std::string &mutated) {
+                Message message;
+                return parse(mutated, message, now);
+            } };
+}
+
+Sample callerSample(const std::string &target, const std::string &body)
+{
+    return { body, [target](const std::string &mutated) {
+                CallerRequest request;
+                return parseCallerRequest({ "POST", target, { { "Prefer", mutated } }, mutated }, request);
+            } };
+}
+
+std::vector<Sample> makeSamples()
+{
+    Configuration configuration;
+    const std::vector<Change> changes = Testing::makeDeploymentChanges();
+    applyChanges(configuration, changes);
+    const Plan plan = makePlan(Configuration{}, "p", changes).plan_;
+    const ConfirmedChange confirmed{ 1, "p", changes, "d" };
+    const StoreTransaction transaction{ { { { "t", "k" }, 1 } }, { { { "t", "k" }, "v", false } } };
+    const std::string chat = R"({"model":"m","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"hi"}]})";
+    std::vector<Sample> samples;
+    samples.push_back(textSample(serializeRunOrder(makeOrder()), parseRunOrder));
+    samples.push_back(timedSample(serializeAnswerFrame(makeFrame(), now), parseAnswerFrame));
+    samples.push_back(timedSample(serializeRunReply({ AdmissionErrc::QueueFull, makeFrame().report_ }, now),
+                                  parseRunReply));
+    samples.push_back(timedSample(serializeReport(makeFrame().report_, now), parseReport));
+    samples.push_back(textSample(serializeCancelReply({ true, Truth::Ran }), parseCancelReply));
+    samples.push_back(textSample(serializeConfiguration(configuration), parseConfiguration));
+    samples.push_back(textSample(serializePlan(plan), parsePlan));
+    samples.push_back(textSample(serializeConfirmedChange(confirmed), parseConfirmedChange));
+    samples.push_back(textSample(serializeConfirmedChanges({ confirmed }), parseConfirmedChanges));
+    samples.push_back(textSample(serializeTransaction(transaction), parseTransaction));
+    samples.push_back(textSample(serializeRows({ { { "t", "k" }, "v", 3 } }), parseRows));
+    samples.push_back(textSample(serializeVms({ { "n", "upstream", "a:1", "r", "z", { "m" }, true } }), parseVms));
+    samples.push_back(textSample(serializeClaim({ { "r", 1 }, "a:1", 5, "d" }), parseClaim));
+    samples.push_back(textSample(serializeTraceRecord(TraceRecord{}), parseTraceRecord));
+    samples.push_back(textSample(R"({"slots":4,"models":["m"]})", parseLoad));
+    samples.push_back(callerSample(std::string(chatPath), chat));
+    samples.push_back(callerSample(std::string(completionPath), R"({"model":"m","prompt":["a","b"]})"));
+    samples.push_back({ "data: {\"choices\":[{\"delta\":{\"content\":\"x\"},\"finish_reason\":null}]}\n\n",
+                        [](const std::string &mutated) {
+                            EngineStream stream;
+                            std::error_code error;
+                            takeEngineBytes(stream, mutated, error);
+                            return error;
+                        } });
+    samples.push_back({ "- change: drain\n  kind: region\n  name: r\n", [](const std::string &mutated) {
+                           std::vector<Change> parsed;
+                           return parseChangesFile(mutated, parsed);
+                       } });
+    samples.push_back({ "role: agent\nname: a\nupstream: { address: 127.0.0.1:1, slots: 4 }\n",
+                        [](const std::string &mutated) {
+                            Settings settings;
+                            return parseSettings(mutated, "f", settings).error_;
+                        } });
+    return samples;
+}
+
+std::string mutate(std::mt19937_64 &random, std::string text)
+{
+    constexpr std::string_view tokens = "{}[]\",:0123456789-.eE\\ntu\x80\xff";
+    const size_t edits = 1 + random() % 4;
+    for (size_t edit = 0; edit < edits && !text.empty(); ++edit) {
+        const size_t place = random() % text.size();
+        switch (random() % 4) {
+        case 0:
+            text[place] = static_cast<char>(random());
+            break;
+        case 1:
+            text[place] = tokens[random() % tokens.size()];
+            break;
+        case 2:
+            text.erase(place, 1 + random() % 8);
+            break;
+        default:
+            text.insert(place, text.substr(random() % text.size(), random() % 24));
+            break;
+        }
+    }
+    return text;
+}
+
+bool isTyped(const std::error_code &error)
+{
+    return !error || error.category() == make_error_code(WireErrc::MalformedJson).category()
+        || error.category() == make_error_code(SettingsErrc::WrongType).category();
+}
+
+} // namespace
+
+TEST_CASE("Codecs_WhenMessagesAreWellFormed_TakeTheirOwnOutput")
+{
+    for (const Sample &sample : makeSamples()) {
+        CAPTURE(sample.text_);
+        const std::error_code error = sample.parse_(sample.text_);
+        const bool good = !error || error == SettingsErrc::MissingKey || error == WireErrc::OutOfRange;
+        CHECK(good);
+    }
+    RunOrder order;
+    REQUIRE(!parseRunOrder(serializeRunOrder(makeOrder()), order));
+    CHECK(order.payload_ == makeOrder().payload_);
+    CHECK(order.releasedRun_ == makeOrder().releasedRun_);
+    AnswerFrame frame;
+    REQUIRE(!parseAnswerFrame(serializeAnswerFrame(makeFrame(), now), frame, now));
+    CHECK(frame.end_.error_ == RefusalErrc::UpstreamLost);
+    CHECK(frame.end_.checksum_ == UINT64_MAX);
+    CHECK(frame.report_.suspects_["digest"].crashes_ == 2);
+}
+
+TEST_CASE("Codecs_WhenMessagesAreMutated_GiveTypedErrorsWithoutACrash")
+{
+    std::mt19937_64 random(mutationSeed);
+    const std::vector<Sample> samples = makeSamples();
+    int refused = 0;
+    for (int count = 0; count < mutationCount; ++count) {
+        const Sample &sample = samples[random() % samples.size()];
+        const std::error_code error = sample.parse_(mutate(random, sample.text_));
+        refused += error ? 1 : 0;
+        if (!isTyped(error)) {
+            FAIL_CHECK("untyped error " << error.message());
+        }
+    }
+    CHECK(refused > mutationCount / 4);
+}
+
+TEST_CASE("Durations_WhenTheirUnitIsUnknown_AreNotTaken")
+{
+    CHECK(parseDuration("250ms") == Milliseconds(250));
+    CHECK(parseDuration("2m") == Milliseconds(120000));
+    CHECK(!parseDuration("5"));
+    CHECK(!parseDuration("s"));
+    CHECK(!parseDuration("99999999999999999999s"));
+    CHECK(parseSize("16KiB") == 16384);
+    CHECK(!parseSize("16KB"));
+}
