Start no work that cannot end in time, by its whole expected length

Cause: under overload each request reached the head of its queue just before its wait ended, passed the check on its prefill alone, was started and cut at its deadline.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -5,6 +5,7 @@
 #include "entry_func.h"
 #include "error_type.h"
 #include "fair_queue_func.h"
+#include "hopeless_func.h"
 #include "request_func.h"
 #include "routing_func.h"
 
@@ -63,8 +64,9 @@
         return false;
     }
     const Upstream &upstream = *findRow(state.upstreams_, *choice.upstream_);
-    const FractionalSeconds prefill = expectedPrefill(state, upstream, request);
-    return now + std::chrono::duration_cast<Duration>(prefill) > request.deadline_;
+    const uint32_t left = request.likelyTokens_ - std::min(request.likelyTokens_, request.answeredTokens_);
+    const FractionalSeconds work = expectedPrefill(state, upstream, request) + expectedDecode(upstream, left);
+    return cannotEndInTime(work, request.deadline_ - now);
 }
 
 HeadOutcome dispatchHead(
--- a/src/intake.cpp
+++ b/src/intake.cpp
@@ -103,6 +103,15 @@
     return learnt > 0 ? std::min(learnt, caller.maxTokens_) : caller.maxTokens_;
 }
 
+/// @return an answer length that few answers to such a request exceed.
+uint32_t likelyAnswerTokens(const Route &route, const CallerRequest &caller)
+{
+    constexpr double deviations = 2;
+    const double learnt = route.meanAnswerTokens_ + deviations * route.answerDeviation_;
+    const uint32_t likely = learnt > 0 ? static_cast<uint32_t>(learnt) : defaultAnswerTokens;
+    return caller.maxTokens_ > 0 ? std::min(likely, caller.maxTokens_) : likely;
+}
+
 Request makeRequest(EntryState &state, CallerRequest caller, const Admission &admission, TimePoint now)
 {
     const Workspace &workspace = *findRow(state.workspaces_, admission.workspace_);
@@ -118,6 +127,7 @@
     request.prefixes_ = hashPrefixes(caller.prompt_);
     request.promptTokens_ = static_cast<uint32_t>(caller.prompt_.size() / bytesPerToken) + 1;
     request.answerTokens_ = estimateAnswerTokens(route, caller);
+    request.likelyTokens_ = likelyAnswerTokens(route, caller);
     request.cost_ = static_cast<double>(request.promptTokens_ + request.answerTokens_) / workspace.weight_;
     request.arrivedAt_ = now;
     const bool named = caller.wait_.count() > 0;
--- a/src/policy_type.h
+++ b/src/policy_type.h
@@ -40,6 +40,7 @@
     QueueRule queue_ = QueueRule::TierFair; ///< Order of waiting runs.
     bool bounded_ = true; ///< Whether runs wait here rather than in the engine's own queue.
     bool preemption_ = true; ///< Whether lower tiers are paused for higher ones.
+    bool dropHopeless_ = true; ///< Whether a run that cannot end in time is turned down before its prefill.
 };
 
 } // namespace Burdockfield
--- a/src/request.cpp
+++ b/src/request.cpp
@@ -9,6 +9,7 @@
 #include "suspect_func.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Burdockfield {
 
@@ -87,6 +88,8 @@
     }
     const auto tokens = static_cast<double>(request.answeredTokens_);
     const bool first = route->meanAnswerTokens_ == 0;
+    const double distance = first ? 0 : std::abs(tokens - route->meanAnswerTokens_);
+    route->answerDeviation_ += answerMeanGain * (distance - route->answerDeviation_);
     route->meanAnswerTokens_ += first ? tokens : answerMeanGain * (tokens - route->meanAnswerTokens_);
 }
 
@@ -108,6 +111,7 @@
     order.remainingWait_ = std::chrono::ceil<Milliseconds>(request.deadline_ - now);
     order.promptTokens_ = request.promptTokens_;
     order.answerTokens_ = request.answerTokens_;
+    order.likelyTokens_ = request.likelyTokens_;
     order.resumeTokens_ = request.answeredTokens_;
     order.isolated_ = mustRunAlone(state.suspects_, request.digest_);
     order.releasedRun_ = request.releasedRun_;
--- a/src/request_base.h
+++ b/src/request_base.h
@@ -39,6 +39,7 @@
     PrefixHashes prefixes_; ///< Hashes of the prompt's prefixes.
     uint32_t promptTokens_ = 0; ///< Estimated prompt length.
     uint32_t answerTokens_ = 0; ///< Estimated answer length.
+    uint32_t likelyTokens_ = 0; ///< Answer length that few answers exceed.
     double cost_ = 0; ///< Charge in the fair queue.
     TimePoint arrivedAt_{}; ///< When it came.
     TimePoint deadline_{}; ///< End of the agreed wait.
--- a/src/route_base.h
+++ b/src/route_base.h
@@ -25,6 +25,7 @@
     std::vector<UpstreamId> candidates_; ///< Upstreams of this entry's subset that serve it.
     size_t nextCandidate_ = 0; ///< Next in turn for round-robin.
     double meanAnswerTokens_ = 0; ///< Learnt mean length of answers; 0 before the first.
+    double answerDeviation_ = 0; ///< Learnt mean distance from that mean.
 };
 
 using RouteId = PoolId<Route>; ///< Index of a route.
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -93,9 +93,8 @@
 FractionalSeconds expectedFinish(const EntryState &state, const Upstream &upstream, const Request &request)
 {
     const AgentReport &report = upstream.report_;
-    const double decodeRate = report.decodeRate_ > 0 ? report.decodeRate_ : assumedDecodeRate;
     const FractionalSeconds prefill = expectedPrefill(state, upstream, request);
-    const FractionalSeconds decode{ static_cast<double>(request.answerTokens_) / decodeRate };
+    const FractionalSeconds decode = expectedDecode(upstream, request.answerTokens_);
     const uint32_t before
         = countAtOrAbove(report.occupied_, request.tier_) + countAtOrAbove(upstream.ordering_, request.tier_);
     const double slots = std::max(1U, report.slots_);
@@ -103,6 +102,12 @@
     return roundTrip(state.place_, upstream) + (prefill + decode) * (1 + rounds);
 }
 
+FractionalSeconds expectedDecode(const Upstream &upstream, uint32_t tokens)
+{
+    const double reported = upstream.report_.decodeRate_;
+    return FractionalSeconds(tokens / (reported > 0 ? reported : assumedDecodeRate));
+}
+
 FractionalSeconds expectedPrefill(const EntryState &state, const Upstream &upstream, const Request &request)
 {
     const double reported = upstream.report_.prefillRate_;
--- a/src/routing_func.h
+++ b/src/routing_func.h
@@ -42,6 +42,9 @@
 /// @return the expected time that the upstream works on the request's prompt.
 FractionalSeconds expectedPrefill(const EntryState &state, const Upstream &upstream, const Request &request);
 
+/// @return the expected time that the upstream takes to generate @p tokens tokens of one answer.
+FractionalSeconds expectedDecode(const Upstream &upstream, uint32_t tokens);
+
 /// Chooses an upstream for a waiting request under the entry's policy.
 RoutingChoice chooseUpstream(EntryState &state, Route &route, const Request &request, TimePoint now);
 
--- a/src/run_type.h
+++ b/src/run_type.h
@@ -37,6 +37,7 @@
     Milliseconds remainingWait_{ 0 }; ///< Time left of the agreed wait.
     uint32_t promptTokens_ = 0; ///< Estimated prompt length.
     uint32_t answerTokens_ = 0; ///< Estimated answer length.
+    uint32_t likelyTokens_ = 0; ///< Answer length that few answers exceed.
     uint32_t resumeTokens_ = 0; ///< Tokens of the answer that an earlier attempt delivered.
     bool isolated_ = false; ///< Whether it must run alone.
     RunName releasedRun_; ///< Run of the same key that its agent has said will never run.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -275,6 +275,7 @@
     settings.agentPolicy_.queue_ = QueueRule::FirstCome;
     settings.agentPolicy_.bounded_ = false;
     settings.agentPolicy_.preemption_ = false;
+    settings.agentPolicy_.dropHopeless_ = false;
 }
 
 void readEntryPolicy(const SettingsReader &reader, Settings &settings)
@@ -300,7 +301,7 @@
 
 void readAgentPolicy(const SettingsReader &reader, Settings &settings)
 {
-    const auto policy = enter(reader, "policy", false, { "preset", "queue", "bounded", "preemption" });
+    const auto policy = enter(reader, "policy", false, { "preset", "queue", "bounded", "preemption", "drop_hopeless" });
     if (!policy) {
         return;
     }
@@ -310,6 +311,7 @@
     readName(*policy, "queue", settings.agentPolicy_.queue_, queueRuleNames, false);
     readFlag(*policy, "bounded", settings.agentPolicy_.bounded_);
     readFlag(*policy, "preemption", settings.agentPolicy_.preemption_);
+    readFlag(*policy, "drop_hopeless", settings.agentPolicy_.dropHopeless_);
 }
 
 void readUpstream(const SettingsReader &reader, Settings &settings)
--- a/src/starts.cpp
+++ b/src/starts.cpp
@@ -3,6 +3,8 @@
  * @brief System that hands waiting runs to the upstream, pausing lower tiers for higher ones.
  */
 #include "agent_func.h"
+#include "error_type.h"
+#include "hopeless_func.h"
 #include "run_func.h"
 #include "suspect_func.h"
 
@@ -124,6 +126,19 @@
     return state.running_.size() < slots;
 }
 
+/// @return whether a run that has never started cannot end in time, as far as the upstream's speed is known.
+bool isHopeless(const AgentState &state, const Run &run, TimePoint now)
+{
+    const bool judged = state.policy_.dropHopeless_ && !run.started_ && run.order_.kind_ == RouteKind::Model
+        && state.prefillRate_ > 0 && state.decodeRate_ > 0;
+    if (!judged) {
+        return false;
+    }
+    const uint32_t tokens = run.order_.likelyTokens_ - std::min(run.order_.likelyTokens_, run.order_.resumeTokens_);
+    const FractionalSeconds decode{ tokens / state.decodeRate_ };
+    return cannotEndInTime(decode, run.deadline_ - now);
+}
+
 /// Starts the next run if it can be. @return whether it did.
 bool startNext(AgentState &state, TimePoint now, AgentOutbox &outbox)
 {
@@ -132,6 +147,10 @@
         return false;
     }
     const Run &run = *findRow(state.runs_, *next);
+    if (isHopeless(state, run, now)) {
+        endRun(state, *next, makeFailure(AdmissionErrc::Expired, Truth::NotRun), now, outbox);
+        return true;
+    }
     const bool isolated = runsAlone(state, run);
     if (!hasSlot(state, run) && (isolated || !preempt(state, run, outbox))) {
         return false;
