Prefer a free engine to pausing lower work on a faster one

Cause: the expected end counted only work of the same or higher tiers, so an urgent request went to the fast engine and paused a run there while another engine had a free slot. Ruled out: deadlines (nothing expired in calm). Now pausing is charged one second.

--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -59,15 +59,17 @@
         const TimePoint sent = Clock::now();
         bool first = true;
         StreamHandlers handlers;
-        handlers.onHead_ = [](const HttpReply & /*head*/) {};
+        handlers.onHead_ = [](const HttpReply & /*head*/) {
+        };
         handlers.onBytes_ = [&](std::string_view /*bytes*/) {
             if (std::exchange(first, false)) {
                 times.push_back(FractionalSeconds(Clock::now() - sent).count());
             }
         };
-        handlers.onEnd_ = [](std::error_code /*error*/) {};
+        handlers.onEnd_ = [](std::error_code /*error*/) {
+        };
         openStream(client, address, traceRequest(makeRecord(static_cast<uint64_t>(index), 4)), Milliseconds(5000),
-                   std::move(handlers));
+            std::move(handlers));
         io.run();
     }
     std::sort(times.begin(), times.end());
@@ -93,10 +95,10 @@
         TraceRecord record = makeRecord(static_cast<uint64_t>(++sent), 1);
         record.streamed_ = false;
         fetch(client, address, traceRequest(record), Milliseconds(30000), ConnectionUse::Reuse,
-              [&](std::error_code error, const HttpReply &reply) {
-                  good += !error && reply.status_ == 200 ? 1 : 0;
-                  next();
-              });
+            [&](std::error_code error, const HttpReply &reply) {
+                good += !error && reply.status_ == 200 ? 1 : 0;
+                next();
+            });
     };
     const TimePoint begun = Clock::now();
     for (int index = 0; index < throughputParallel; ++index) {
@@ -127,7 +129,7 @@
     for (const auto &[name, process] : fleet.processes_) {
         const FractionalSeconds used = processorTime(fleet, name) - before[name];
         std::printf("idle %-22s %.2f %% of a core, %zu KB resident\n", name.c_str(),
-                    100 * used.count() / FractionalSeconds(idleTime).count(), residentKilobytes(fleet, name));
+            100 * used.count() / FractionalSeconds(idleTime).count(), residentKilobytes(fleet, name));
     }
 }
 
@@ -137,8 +139,8 @@
     const auto through = firstBytes(fleet.processes_.at("entry-1").address_);
     for (const double share : { 0.5, 0.95 }) {
         std::printf("first token p%.0f: direct %.3f ms, through entry and agent %.3f ms, added %.3f ms, ratio %.2f\n",
-                    100 * share, 1000 * at(direct, share), 1000 * at(through, share),
-                    1000 * (at(through, share) - at(direct, share)), at(through, share) / at(direct, share));
+            100 * share, 1000 * at(direct, share), 1000 * at(through, share),
+            1000 * (at(through, share) - at(direct, share)), at(through, share) / at(direct, share));
     }
 }
 
--- a/bench/tick_bench.cpp
+++ b/bench/tick_bench.cpp
@@ -143,7 +143,8 @@
         arrival.arrivals_.push_back(makeCaller(number++, workspaces));
         const EntryOutbox ordered = tickEntry(state, start, std::move(arrival));
         const SendOrder &order = ordered.orders_.at(0);
-        const AgentReport report = findRow(state.upstreams_, findRow(state.requests_, order.request_)->upstream_)->report_;
+        const AgentReport report
+            = findRow(state.upstreams_, findRow(state.requests_, order.request_)->upstream_)->report_;
         EntryInbox reply;
         reply.runReplies_.push_back({ order.request_, 1, {}, { {}, report } });
         tickEntry(state, start, std::move(reply));
@@ -171,7 +172,8 @@
         crowd.arrivals_.push_back(makeCaller(number++, workspaces));
     }
     tickEntry(state, start, std::move(crowd));
-    bench.counters["bytes_each"] = static_cast<double>(mallinfo2().uordblks - before) / std::max<double>(1, bench.range(0));
+    bench.counters["bytes_each"]
+        = static_cast<double>(mallinfo2().uordblks - before) / std::max<double>(1, bench.range(0));
     for (auto _ : bench) {
         EntryInbox arrival;
         arrival.arrivals_.push_back(makeCaller(number++, workspaces));
@@ -256,9 +258,7 @@
 AgentState makeAgent(int watchers, int runs)
 {
     AgentState state = makeAgentState({ "agent", "10.0.0.3:1", "r", "z" }, AgentPolicy{},
-                                      { "10.0.0.3:2", RouteKind::Model, { modelName(0) },
-                                        static_cast<uint32_t>(std::max(1, runs)), 8 },
-                                      1);
+        { "10.0.0.3:2", RouteKind::Model, { modelName(0) }, static_cast<uint32_t>(std::max(1, runs)), 8 }, 1);
     AgentInbox inbox;
     inbox.loads_.push_back({ {}, 0, {} });
     for (int index = 0; index < runs; ++index) {
@@ -273,7 +273,7 @@
     AgentInbox asks;
     for (int index = 0; index < watchers; ++index) {
         asks.reportRequests_.push_back({ ExchangeId{ static_cast<uint64_t>(100000 + index) }, 0, false,
-                                         state.reportVersion_ + 1, std::chrono::seconds(5) });
+            state.reportVersion_ + 1, std::chrono::seconds(5) });
     }
     tickAgent(state, start, std::move(asks));
     return state;
--- a/src/agent_daemon.cpp
+++ b/src/agent_daemon.cpp
@@ -7,15 +7,11 @@
 #include "engine_wire.h"
 #include "error_type.h"
 #include "http_func.h"
-#include "log_func.h"
-#include "node_loop_type.h"
-#include "platform_wire.h"
+#include "node_daemon_type.h"
 #include "run_wire.h"
 #include "status_wire.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <set>
-#include <thread>
 
 namespace Burdockfield {
 
@@ -29,6 +25,9 @@
 /// Agent daemon: its tables' loop and its I/O.
 struct AgentDaemon
 {
+    using Event = AgentEvent; ///< Any input.
+    using Outbox = AgentOutbox; ///< Effects of one tick.
+
     Settings settings_; ///< Settings.
     Asio::io_context io_{ 1 }; ///< Network thread.
     AgentLoop loop_; ///< Tick thread.
@@ -187,42 +186,11 @@
         done);
 }
 
-void execute(AgentDaemon &daemon, const StoreRead &command)
-{
-    const auto done = [&daemon, number = command.call_](StoreResult result) {
-        postEvent(daemon.loop_, AgentEvent(StoreReplied{ number, std::move(result) }));
-    };
-    callStore(daemon.client_, daemon.settings_.platform_, makeRowCall(command.key_), false, done);
-}
-
-void execute(AgentDaemon &daemon, const StoreWrite &command)
-{
-    const auto done = [&daemon, number = command.call_](StoreResult result) {
-        postEvent(daemon.loop_, AgentEvent(StoreReplied{ number, std::move(result) }));
-    };
-    callStore(daemon.client_, daemon.settings_.platform_, makeTransactionCall(command.transaction_), true, done);
-}
-
-void execute(AgentDaemon &daemon, const FetchVms & /*command*/)
-{
-    fetchVms(daemon.client_, daemon.settings_.platform_, [&daemon](std::error_code error, std::vector<Vm> vms) {
-        postEvent(daemon.loop_, AgentEvent(VmsListed{ error, std::move(vms) }));
-    });
-}
-
 void execute(AgentDaemon &daemon, const OperatorReply &command)
 {
     respond(*daemon.server_, command.exchange_, serializeOperatorReply(command));
 }
 
-template<typename Command>
-void executeAll(AgentDaemon &daemon, const std::vector<Command> &commands)
-{
-    for (const Command &command : commands) {
-        execute(daemon, command);
-    }
-}
-
 void executeOutbox(AgentDaemon &daemon, const AgentOutbox &outbox)
 {
     executeAll(daemon, outbox.runReplies_);
@@ -316,12 +284,7 @@
     daemon.loop_.state_ = makeAgentState(settings.place_, settings.agentPolicy_, settings.upstream_, seedOf(settings));
     daemon.loop_.tick_ = tickAgent;
     daemon.loop_.nextDeadline_ = nextAgentDeadline;
-    daemon.loop_.execute_ = [&daemon](AgentOutbox outbox) {
-        for (const PlacementDecision &decision : outbox.decisions_) {
-            logDecision(decision);
-        }
-        Asio::post(daemon.io_, [&daemon, outbox = std::move(outbox)] { executeOutbox(daemon, outbox); });
-    };
+    connectLoop(daemon, executeOutbox);
 }
 
 } // namespace
@@ -334,24 +297,10 @@
     limits.bodyBytes_ = size_t{ 64 } << 20U; // a caller's body, escaped, with the rest of its order
     daemon.server_ = std::make_unique<HttpServer>(daemon.io_, limits, makeHandlers(daemon));
     if (const std::error_code error = listen(*daemon.server_, settings.listen_); error) {
-        logLine(LogLevel::Error, "cannot-listen", { { "address", settings.listen_ }, { "error", error.message() } });
-        return startFailureStatus;
+        return reportCannotListen(settings, error);
     }
     startLoop(daemon);
-    Asio::signal_set signals(daemon.io_, SIGTERM, SIGINT);
-    signals.async_wait([&daemon](const boost::system::error_code &error, int /*signal*/) {
-        if (!error) {
-            logLine(LogLevel::Info, "stopping");
-            postEvent(daemon.loop_, AgentEvent(StopRequested{}));
-        }
-    });
-    logLine(LogLevel::Info, "started", { { "role", "agent" }, { "listen", settings.listen_ } });
-    std::thread ticks([&daemon] { runLoop(daemon.loop_); });
-    daemon.io_.run();
-    daemon.loop_.io_.stop();
-    ticks.join();
-    logLine(LogLevel::Info, "stopped");
-    return 0;
+    return runNode(daemon, "agent");
 }
 
 } // namespace Burdockfield
--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -8,15 +8,10 @@
 #include "entry_func.h"
 #include "error_type.h"
 #include "http_func.h"
-#include "log_func.h"
-#include "node_loop_type.h"
-#include "platform_wire.h"
+#include "node_daemon_type.h"
 #include "run_wire.h"
 #include "status_wire.h"
 
-#include <boost/asio/signal_set.hpp>
-#include <thread>
-
 namespace Burdockfield {
 
 namespace {
@@ -34,6 +29,9 @@
 /// Entry daemon: its tables' loop and its I/O.
 struct EntryDaemon
 {
+    using Event = EntryEvent; ///< Any input.
+    using Outbox = EntryOutbox; ///< Effects of one tick.
+
     Settings settings_; ///< Settings.
     Asio::io_context io_{ 1 }; ///< Network thread.
     EntryLoop loop_; ///< Tick thread.
@@ -206,29 +204,6 @@
     fetch(daemon.client_, command.address_, std::move(request), timeout, ConnectionUse::Reuse, done);
 }
 
-void execute(EntryDaemon &daemon, const FetchVms & /*command*/)
-{
-    fetchVms(daemon.client_, daemon.settings_.platform_, [&daemon](std::error_code error, std::vector<Vm> vms) {
-        postEvent(daemon.loop_, EntryEvent(VmsListed{ error, std::move(vms) }));
-    });
-}
-
-void execute(EntryDaemon &daemon, const StoreRead &command)
-{
-    const auto done = [&daemon, number = command.call_](StoreResult result) {
-        postEvent(daemon.loop_, EntryEvent(StoreReplied{ number, std::move(result) }));
-    };
-    callStore(daemon.client_, daemon.settings_.platform_, makeRowCall(command.key_), false, done);
-}
-
-void execute(EntryDaemon &daemon, const StoreWrite &command)
-{
-    const auto done = [&daemon, number = command.call_](StoreResult result) {
-        postEvent(daemon.loop_, EntryEvent(StoreReplied{ number, std::move(result) }));
-    };
-    callStore(daemon.client_, daemon.settings_.platform_, makeTransactionCall(command.transaction_), true, done);
-}
-
 void fetchPeerConfiguration(EntryDaemon &daemon, const std::string &address)
 {
     HttpRequest request;
@@ -271,14 +246,6 @@
     respond(serverOf(daemon, command.exchange_), command.exchange_, serializeOperatorReply(command));
 }
 
-template<typename Command>
-void executeAll(EntryDaemon &daemon, const std::vector<Command> &commands)
-{
-    for (const Command &command : commands) {
-        execute(daemon, command);
-    }
-}
-
 /// Stops the network thread once the last answers are on their way.
 void exitWhenIdle(EntryDaemon &daemon)
 {
@@ -430,12 +397,7 @@
     daemon.loop_.state_ = makeEntryState(settings.place_, settings.entryPolicy_, seedOf(settings));
     daemon.loop_.tick_ = tickEntry;
     daemon.loop_.nextDeadline_ = nextEntryDeadline;
-    daemon.loop_.execute_ = [&daemon](EntryOutbox outbox) {
-        for (const RoutingDecision &decision : outbox.decisions_) {
-            logDecision(decision);
-        }
-        Asio::post(daemon.io_, [&daemon, outbox = std::move(outbox)] { executeOutbox(daemon, outbox); });
-    };
+    connectLoop(daemon, executeOutbox);
 }
 
 } // namespace
@@ -445,24 +407,10 @@
     EntryDaemon daemon;
     daemon.settings_ = settings;
     if (const std::error_code error = startServers(daemon); error) {
-        logLine(LogLevel::Error, "cannot-listen", { { "address", settings.listen_ }, { "error", error.message() } });
-        return startFailureStatus;
+        return reportCannotListen(settings, error);
     }
     startLoop(daemon);
-    Asio::signal_set signals(daemon.io_, SIGTERM, SIGINT);
-    signals.async_wait([&daemon](const boost::system::error_code &error, int /*signal*/) {
-        if (!error) {
-            logLine(LogLevel::Info, "stopping");
-            postEvent(daemon.loop_, EntryEvent(StopRequested{}));
-        }
-    });
-    logLine(LogLevel::Info, "started", { { "role", "entry" }, { "listen", settings.listen_ } });
-    std::thread ticks([&daemon] { runLoop(daemon.loop_); });
-    daemon.io_.run();
-    daemon.loop_.io_.stop();
-    ticks.join();
-    logLine(LogLevel::Info, "stopped");
-    return 0;
+    return runNode(daemon, "entry");
 }
 
 } // namespace Burdockfield
--- a/src/entry_event_type.h
+++ b/src/entry_event_type.h
@@ -129,9 +129,9 @@
 };
 
 /// Any input of an entry.
-using EntryEvent
-    = std::variant<CallerRequest, CallerGone, RunReplied, AnswerReceived, AnswerClosed, CancelReplied, ReportReceived,
-        VmsListed, StoreReplied, PeerChangesReceived, PeerConfigurationReceived, PlanRequested, ConfirmRequested, StatusRequested, StopRequested>;
+using EntryEvent = std::variant<CallerRequest, CallerGone, RunReplied, AnswerReceived, AnswerClosed, CancelReplied,
+    ReportReceived, VmsListed, StoreReplied, PeerChangesReceived, PeerConfigurationReceived, PlanRequested,
+    ConfirmRequested, StatusRequested, StopRequested>;
 
 /// Inputs of one tick, by kind; within a kind in order of arrival.
 struct EntryInbox
--- /dev/null
+++ b/src/node_daemon_type.h
@@ -0,0 +1,101 @@
+/**
+ * @file node_daemon_type.h
+ * @brief What the daemons of both roles do alike: calls to the platform, start and stop.
+ *
+ * A daemon is a struct with the members settings_, io_, loop_ and client_, and the types Event and Outbox.
+ */
+#pragma once
+
+#include "daemon_func.h"
+#include "entry_command_type.h"
+#include "log_func.h"
+#include "node_loop_type.h"
+#include "platform_wire.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace Burdockfield {
+
+/// @return a function that posts the store's answer to a call.
+template<typename Daemon>
+std::function<void(StoreResult)> postStoreReply(Daemon &daemon, uint64_t call)
+{
+    return [&daemon, call](StoreResult result) {
+        postEvent(daemon.loop_, typename Daemon::Event(StoreReplied{ call, std::move(result) }));
+    };
+}
+
+template<typename Daemon>
+void execute(Daemon &daemon, const StoreRead &command)
+{
+    callStore(daemon.client_, daemon.settings_.platform_, makeRowCall(command.key_), false,
+        postStoreReply(daemon, command.call_));
+}
+
+template<typename Daemon>
+void execute(Daemon &daemon, const StoreWrite &command)
+{
+    callStore(daemon.client_, daemon.settings_.platform_, makeTransactionCall(command.transaction_), true,
+        postStoreReply(daemon, command.call_));
+}
+
+template<typename Daemon>
+void execute(Daemon &daemon, const FetchVms & /*command*/)
+{
+    fetchVms(daemon.client_, daemon.settings_.platform_, [&daemon](std::error_code error, std::vector<Vm> vms) {
+        postEvent(daemon.loop_, typename Daemon::Event(VmsListed{ error, std::move(vms) }));
+    });
+}
+
+/// Carries out commands of one kind, in order.
+template<typename Daemon, typename Command>
+void executeAll(Daemon &daemon, const std::vector<Command> &commands)
+{
+    for (const Command &command : commands) {
+        execute(daemon, command);
+    }
+}
+
+/// Makes the loop log the decisions of each tick and hand the rest of its outbox to the network thread.
+template<typename Daemon>
+void connectLoop(Daemon &daemon, void (*executeOutbox)(Daemon &, const typename Daemon::Outbox &))
+{
+    daemon.loop_.execute_ = [&daemon, executeOutbox](typename Daemon::Outbox outbox) {
+        for (const auto &decision : outbox.decisions_) {
+            logDecision(decision);
+        }
+        Asio::post(daemon.io_, [&daemon, executeOutbox, outbox = std::move(outbox)] { executeOutbox(daemon, outbox); });
+    };
+}
+
+/// Runs a daemon whose servers listen until its network thread is stopped. @return exit status of the process
+template<typename Daemon>
+int runNode(Daemon &daemon, const std::string &role)
+{
+    Asio::signal_set signals(daemon.io_, SIGTERM, SIGINT);
+    signals.async_wait([&daemon](const boost::system::error_code &error, int /*signal*/) {
+        if (!error) {
+            logLine(LogLevel::Info, "stopping");
+            postEvent(daemon.loop_, typename Daemon::Event(StopRequested{}));
+        }
+    });
+    logLine(LogLevel::Info, "started", { { "role", role }, { "listen", daemon.settings_.listen_ } });
+    std::thread ticks([&daemon] { runLoop(daemon.loop_); });
+    daemon.io_.run();
+    daemon.loop_.io_.stop();
+    ticks.join();
+    logLine(LogLevel::Info, "stopped");
+    return 0;
+}
+
+/// Logs why a daemon cannot listen. @return exit status of the process
+inline int reportCannotListen(const Settings &settings, std::error_code error)
+{
+    logLine(LogLevel::Error, "cannot-listen", { { "address", settings.listen_ }, { "error", error.message() } });
+    return startFailureStatus;
+}
+
+} // namespace Burdockfield
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -99,7 +99,10 @@
         = countAtOrAbove(report.occupied_, request.tier_) + countAtOrAbove(upstream.ordering_, request.tier_);
     const double slots = std::max(1U, report.slots_);
     const double rounds = std::max(0.0, (static_cast<double>(before) + 1 - slots) / slots);
-    return roundTrip(state.place_, upstream) + (prefill + decode) * (1 + rounds);
+    const uint32_t all = countAtOrAbove(report.occupied_, 0) + countAtOrAbove(upstream.ordering_, 0);
+    const bool pauses = all >= report.slots_ && before < report.slots_;
+    const FractionalSeconds pause = pauses ? pauseSurcharge : FractionalSeconds(0);
+    return roundTrip(state.place_, upstream) + (prefill + decode) * (1 + rounds) + pause;
 }
 
 FractionalSeconds expectedDecode(const Upstream &upstream, uint32_t tokens)
--- a/src/routing_func.h
+++ b/src/routing_func.h
@@ -19,6 +19,9 @@
 /// Round trip to an agent in another region, with a surcharge for paid cross traffic.
 constexpr FractionalSeconds otherRegionRoundTrip{ 0.25 };
 
+/// Surcharge for pausing a run of a lower tier, whose prefill may have to be done again.
+constexpr FractionalSeconds pauseSurcharge{ 1.0 };
+
 /// Speeds assumed of an upstream that has not reported any.
 constexpr double assumedPrefillRate = 2000;
 constexpr double assumedDecodeRate = 40; ///< Tokens a second of one run.
--- a/src/run_wire.cpp
+++ b/src/run_wire.cpp
@@ -250,9 +250,8 @@
         { "dispatch", nameOf(order.rule_, dispatchRuleNames) }, { "method", order.method_ }, { "path", order.path_ },
         { "payload", order.payload_ }, { "digest", order.digest_ }, { "key", order.key_ },
         { "wait_ms", std::max<int64_t>(0, order.remainingWait_.count()) }, { "prompt_tokens", order.promptTokens_ },
-        { "answer_tokens", order.answerTokens_ },
-                         { "likely_tokens", order.likelyTokens_ }, { "resume_tokens", order.resumeTokens_ },
-        { "isolated", order.isolated_ } };
+        { "answer_tokens", order.answerTokens_ }, { "likely_tokens", order.likelyTokens_ },
+        { "resume_tokens", order.resumeTokens_ }, { "isolated", order.isolated_ } };
     if (!order.releasedRun_.request_.empty()) {
         object["released_run"] = toJson(order.releasedRun_);
     }
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -50,8 +50,8 @@
     }
 
     TimePoint now_{ std::chrono::hours(1) }; ///< Hand-moved clock.
-    AgentState state_ = makeAgentState({ "a", "a:1", "r", "z" }, AgentPolicy{},
-                                       { "e:1", RouteKind::Model, { "m" }, 2, 1 }, 42); ///< The agent.
+    AgentState state_ = makeAgentState(
+        { "a", "a:1", "r", "z" }, AgentPolicy{}, { "e:1", RouteKind::Model, { "m" }, 2, 1 }, 42); ///< The agent.
     uint64_t next_ = 1; ///< Number of the next order.
 };
 
@@ -97,6 +97,19 @@
     CHECK(outbox.engineStarts_.empty());
 }
 
+TEST_CASE_FIXTURE(AgentFixture, "Run_WhenItCannotEndInTime_IsTurnedDownBeforeItsPrefill")
+{
+    state_.prefillRate_ = 1000;
+    state_.decodeRate_ = 10;
+    RunOrder hopeless = makeOrder(1);
+    hopeless.likelyTokens_ = 200;
+    CHECK(order(hopeless).engineStarts_.empty());
+    CHECK(findRow(state_.runs_, state_.runByName_[hopeless.name_])->end_.truth_ == Truth::NotRun);
+    RunOrder brief = makeOrder(1);
+    brief.likelyTokens_ = 20;
+    CHECK(order(brief).engineStarts_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(AgentFixture, "Order_WhenSentTwice_IsRunOnce")
 {
     const RunOrder once = makeOrder(1);
@@ -167,7 +180,8 @@
     CHECK(outbox.engineStarts_.empty());
     StoreRow holder;
     holder.version_ = 1;
-    holder.value_ = R"({"request":"other","attempt":1,"agent":"b:1","incarnation":9,"digest":")" + keyed.digest_ + "\"}";
+    holder.value_
+        = R"({"request":"other","attempt":1,"agent":"b:1","incarnation":9,"digest":")" + keyed.digest_ + "\"}";
     AgentInbox inbox;
     inbox.storeReplies_.push_back({ outbox.storeWrites_[0].call_, { StoreErrc::Conflict, { holder } } });
     CHECK(tick(std::move(inbox)).engineStarts_.empty());
--- a/tests/control_process_test.cpp
+++ b/tests/control_process_test.cpp
@@ -18,8 +18,8 @@
     FleetSpec spec;
     spec.entries_ = 2;
     spec.upstreams_ = {
-        {"runner-a", RouteKind::Model, "itinerary", "norte-a", 4, 8000, 100, 0},
-        {"runner-b", RouteKind::Model, "itinerary", "norte-a", 4, 8000, 100, 0},
+        { "runner-a", RouteKind::Model, "itinerary", "norte-a", 4, 8000, 100, 0 },
+        { "runner-b", RouteKind::Model, "itinerary", "norte-a", 4, 8000, 100, 0 },
     };
     spec.changes_ = makeDeploymentChanges();
     return spec;
@@ -36,7 +36,7 @@
 bool allAt(const Fleet &fleet, uint64_t revision)
 {
     bool all = true;
-    for (const auto &names : {fleet.entries_, fleet.agents_}) {
+    for (const auto &names : { fleet.entries_, fleet.agents_ }) {
         for (const std::string &name : names) {
             all = all && revisionAt(fleet, name) >= revision;
         }
@@ -76,11 +76,10 @@
     auto answer = std::async(std::launch::async, [&] { return call(fleet_, "entry-1", running); });
     REQUIRE(waitUntil([&] { return !readLedgers(fleet_).empty(); }));
     const std::string leaving = readLedgers(fleet_).front().upstream_ == "runner-a-upstream" ? "runner-a" : "runner-b";
-    publishVms(fleet_, {leaving});
+    publishVms(fleet_, { leaving });
     const std::string &agent = fleet_.processes_[leaving].address_;
-    REQUIRE(waitUntil([&] {
-        return callNode(agent, "GET", "/v1/status").body_.find("\"leaving\":true") != std::string::npos;
-    }));
+    REQUIRE(waitUntil(
+        [&] { return callNode(agent, "GET", "/v1/status").body_.find("\"leaving\":true") != std::string::npos; }));
     const size_t before = startsOn(fleet_, leaving + "-upstream");
     CHECK(sendSome(fleet_, "after "));
     CHECK(startsOn(fleet_, leaving + "-upstream") == before);
@@ -90,13 +89,13 @@
 TEST_CASE_FIXTURE(ProcessFixture, "Upstream_WhenDrainedByAConfirmedPlan_GetsNoNewWorkUntilTheDrainEnds")
 {
     REQUIRE(startFleet(fleet_, makePairFleet()));
-    REQUIRE(confirmChanges(fleet_, "entry-1", {SetDrain{"upstream", "runner-a", true}}) == 200);
+    REQUIRE(confirmChanges(fleet_, "entry-1", { SetDrain{ "upstream", "runner-a", true } }) == 200);
     REQUIRE(waitUntil([&] { return allAt(fleet_, 2); }));
     const size_t before = startsOn(fleet_, "runner-a-upstream");
     CHECK(sendSome(fleet_, "drained "));
     CHECK(startsOn(fleet_, "runner-a-upstream") == before);
-    REQUIRE(confirmChanges(fleet_, "entry-2", {SetDrain{"upstream", "runner-a", false}}) == 200);
-    REQUIRE(confirmChanges(fleet_, "entry-2", {SetDrain{"upstream", "runner-b", true}}) == 200);
+    REQUIRE(confirmChanges(fleet_, "entry-2", { SetDrain{ "upstream", "runner-a", false } }) == 200);
+    REQUIRE(confirmChanges(fleet_, "entry-2", { SetDrain{ "upstream", "runner-b", true } }) == 200);
     REQUIRE(waitUntil([&] { return allAt(fleet_, 4); }));
     CHECK(sendSome(fleet_, "undrained "));
     CHECK(startsOn(fleet_, "runner-a-upstream") == before + 8);
@@ -108,11 +107,11 @@
     for (uint64_t round = 0; round < 5; ++round) {
         const bool drain = round % 2 == 0;
         const auto confirm = [&](const std::string &entry, const std::string &upstream) {
-            return confirmChanges(fleet_, entry, {SetDrain{"upstream", upstream, drain}});
+            return confirmChanges(fleet_, entry, { SetDrain{ "upstream", upstream, drain } });
         };
         auto left = std::async(std::launch::async, confirm, "entry-1", "x");
         auto right = std::async(std::launch::async, confirm, "entry-2", "x");
-        const int statuses[] = {left.get(), right.get()};
+        const int statuses[] = { left.get(), right.get() };
         const int won = (statuses[0] == 200 ? 1 : 0) + (statuses[1] == 200 ? 1 : 0);
         const bool raced = statuses[0] == 409 || statuses[1] == 409;
         const bool late = statuses[0] == 422 || statuses[1] == 422;
@@ -127,7 +126,7 @@
 {
     REQUIRE(startFleet(fleet_, makePairFleet()));
     controlStandin(fleet_, "platform", R"({"mode":"lose-answers"})");
-    CHECK(confirmChanges(fleet_, "entry-1", {SetDrain{"upstream", "y", true}}) == 200);
+    CHECK(confirmChanges(fleet_, "entry-1", { SetDrain{ "upstream", "y", true } }) == 200);
     CHECK(waitUntil([&] { return allAt(fleet_, 2); }));
     CHECK(revisionAt(fleet_, "entry-1") == 2);
 }
@@ -135,7 +134,7 @@
 TEST_CASE_FIXTURE(ProcessFixture, "Configuration_WhenTheStoreGoesDownAfterAConfirm_SpreadsFromPeersAndSurvivesARestart")
 {
     REQUIRE(startFleet(fleet_, makePairFleet()));
-    REQUIRE(confirmChanges(fleet_, "entry-1", {SetDrain{"upstream", "z", true}}) == 200);
+    REQUIRE(confirmChanges(fleet_, "entry-1", { SetDrain{ "upstream", "z", true } }) == 200);
     controlStandin(fleet_, "platform", R"({"mode":"down"})");
     CHECK(waitUntil([&] { return allAt(fleet_, 2); }));
     signalProcess(fleet_, "entry-2", SIGKILL);
@@ -143,7 +142,7 @@
     const std::string &control = fleet_.processes_["entry-2"].control_;
     CHECK(waitUntil([&] { return callNode(control, "GET", "/readyz").status_ == 200; }));
     CHECK(revisionAt(fleet_, "entry-2") == 2);
-    const int refused = confirmChanges(fleet_, "entry-1", {SetDrain{"upstream", "w", true}});
+    const int refused = confirmChanges(fleet_, "entry-1", { SetDrain{ "upstream", "w", true } });
     CHECK(refused == 503);
     CHECK(revisionAt(fleet_, "entry-1") == 2);
 }
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -87,6 +87,16 @@
     CHECK(orderedAt(submit({ makeRequest() })) == "near:1");
 }
 
+TEST_CASE_FIXTURE(EntryFixture, "Routing_WhenAnEngineIsFullOfLowerWork_PrefersAFreeOneThatIsLittleSlower")
+{
+    AgentReport full = makeReport("full", 2);
+    full.occupied_[0] = 2;
+    AgentReport free = makeReport("free", 2);
+    free.decodeRate_ = 40;
+    addEngines({ full, free });
+    CHECK(orderedAt(submit({ makeRequest("faculty", "urgent") })) == "free:1");
+}
+
 TEST_CASE_FIXTURE(EntryFixture, "Queue_WhenNoUpstreamHasRoom_WaitsAndServesTheHighestTierFirst")
 {
     AgentReport full = makeReport("only", 1);
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -142,8 +142,8 @@
     process.name_ = agent + "-link";
     process.address_ = listen;
     process.control_ = control;
-    process.command_ = {binary("burdockfield-standin"), "link", "--listen", listen, "--target",
-                        fleet.processes_.at(agent).address_, "--control", control};
+    process.command_ = { binary("burdockfield-standin"), "link", "--listen", listen, "--target",
+        fleet.processes_.at(agent).address_, "--control", control };
     fleet.processes_[process.name_] = std::move(process);
 }
 
--- a/tests/promise_process_test.cpp
+++ b/tests/promise_process_test.cpp
@@ -22,8 +22,8 @@
     FleetSpec spec;
     spec.entries_ = 2;
     spec.upstreams_ = {
-        {bookingAgent, RouteKind::Service, "booking", "norte-a", 8, 0, 0, serviceMs},
-        {"runner", RouteKind::Model, "itinerary", "norte-a", 4, 8000, 50, 0},
+        { bookingAgent, RouteKind::Service, "booking", "norte-a", 8, 0, 0, serviceMs },
+        { "runner", RouteKind::Model, "itinerary", "norte-a", 4, 8000, 50, 0 },
     };
     spec.changes_ = makeDeploymentChanges();
     return spec;
@@ -35,8 +35,8 @@
     FleetSpec spec;
     spec.linked_ = true;
     spec.upstreams_ = {
-        {"runner-a", RouteKind::Model, "itinerary", "norte-a", 4, 8000, 50, 0},
-        {"runner-b", RouteKind::Model, "itinerary", "norte-a", 4, 8000, 50, 0},
+        { "runner-a", RouteKind::Model, "itinerary", "norte-a", 4, 8000, 50, 0 },
+        { "runner-b", RouteKind::Model, "itinerary", "norte-a", 4, 8000, 50, 0 },
     };
     spec.changes_ = makeDeploymentChanges();
     return spec;
@@ -94,7 +94,7 @@
     const CallResult result = first.get();
     CHECK(result.status_ >= 500);
     CHECK(result.outcome_ == "unknown");
-    for (const char *entry : {"entry-1", "entry-2"}) {
+    for (const char *entry : { "entry-1", "entry-2" }) {
         const CallResult resent = call(fleet_, entry, booking);
         CHECK(resent.status_ >= 500);
         CHECK(resent.outcome_ == "unknown");
--- a/tests/schedule_fixture.cpp
+++ b/tests/schedule_fixture.cpp
@@ -177,7 +177,9 @@
             collect(node.inbox_, EntryEvent(AnswerReceived{ command.request_, command.streamNumber_, frame }));
         }
     };
-    fixture.unknownRuns_[exchange] = [close] { close({}, true); };
+    fixture.unknownRuns_[exchange] = [close] {
+        close({}, true);
+    };
     if (!toAgent(fixture, agent, AnswerRequested{ exchange, command.name_, command.offset_ })) {
         deliver(fixture, Milliseconds(50), [close] { close(TransportErrc::Lost, false); });
     }
@@ -196,8 +198,7 @@
     fixture.cancelReplies_[exchange] = [&fixture, entry, life, command](CancelReply reply) {
         toEntry(fixture, entry, life, CancelReplied{ command.request_, command.name_.attempt_, {}, reply });
     };
-    toAgent(fixture, agentAt(command.address_),
-            CancelOrdered{ exchange, command.name_, command.agentIncarnation_ });
+    toAgent(fixture, agentAt(command.address_), CancelOrdered{ exchange, command.name_, command.agentIncarnation_ });
 }
 
 void fetchReport(ScheduleFixture &fixture, size_t entry, const FetchReport &command)
@@ -208,8 +209,7 @@
         toEntry(fixture, entry, life, ReportReceived{ id, {}, report });
     };
     toAgent(fixture, agentAt(command.address_),
-            ReportRequested{ exchange, command.revision_, command.drained_, command.knownVersion_,
-                             command.maxWait_ });
+        ReportRequested{ exchange, command.revision_, command.drained_, command.knownVersion_, command.maxWait_ });
     deliver(fixture, command.maxWait_ + Milliseconds(500), [&fixture, entry, life, exchange, id = command.upstream_] {
         if (fixture.reportReplies_.erase(exchange) > 0) {
             toEntry(fixture, entry, life, ReportReceived{ id, TransportErrc::TimedOut, {} });
@@ -297,9 +297,8 @@
     }
     const std::string text = "<" + command.order_.payload_ + std::to_string(index) + ">";
     collect(node.inbox_, AgentEvent(EngineDeltas{ command.run_, command.dispatch_, { { text, 1 } } }));
-    deliver(fixture, pieceTime, [&fixture, agent, life, command, index] {
-        pieceReady(fixture, agent, life, command, index + 1);
-    });
+    deliver(fixture, pieceTime,
+        [&fixture, agent, life, command, index] { pieceReady(fixture, agent, life, command, index + 1); });
 }
 
 void crashEngine(ScheduleFixture &fixture, size_t agent)
@@ -314,8 +313,7 @@
 void startEngine(ScheduleFixture &fixture, size_t agent, const StartEngine &command)
 {
     const RunOrder &order = command.order_;
-    fixture.starts_.push_back(
-        { order.name_.request_, order.key_, order.payload_, order.rule_, order.resumeTokens_ });
+    fixture.starts_.push_back({ order.name_.request_, order.key_, order.payload_, order.rule_, order.resumeTokens_ });
     AgentNode &node = fixture.agents_[agent];
     node.engine_.insert({ command.run_, command.dispatch_ });
     const uint64_t life = node.life_;
@@ -327,9 +325,8 @@
             }
         });
     }
-    deliver(fixture, pieceTime, [&fixture, agent, life, command] {
-        pieceReady(fixture, agent, life, command, command.order_.resumeTokens_);
-    });
+    deliver(fixture, pieceTime,
+        [&fixture, agent, life, command] { pieceReady(fixture, agent, life, command, command.order_.resumeTokens_); });
 }
 
 template<typename Reply, typename Handlers>
@@ -455,8 +452,7 @@
     applyChanges(configuration, changes);
     const ConfirmedChange change{ 1, "first", changes, configurationDigest(configuration) };
     for (const char *key : { "head", "change/1" }) {
-        fixture.rows_[{ "configuration", key }]
-            = { { "configuration", key }, serializeConfirmedChange(change), 1 };
+        fixture.rows_[{ "configuration", key }] = { { "configuration", key }, serializeConfirmedChange(change), 1 };
     }
     fixture.rows_[{ "configuration", "snapshot" }]
         = { { "configuration", "snapshot" }, serializeConfiguration(configuration), 1 };
@@ -474,7 +470,7 @@
 bool everStarted(const ScheduleFixture &fixture, const std::string &request)
 {
     return std::any_of(fixture.starts_.begin(), fixture.starts_.end(),
-                       [&request](const StartRecord &start) { return start.request_ == request; });
+        [&request](const StartRecord &start) { return start.request_ == request; });
 }
 
 } // namespace
--- a/tests/standins/link.cpp
+++ b/tests/standins/link.cpp
@@ -34,8 +34,8 @@
 /// All state of a link.
 struct Link
 {
-    Asio::io_context io_{1}; ///< Where it runs.
-    Tcp::acceptor acceptor_{io_}; ///< Takes connections.
+    Asio::io_context io_{ 1 }; ///< Where it runs.
+    Tcp::acceptor acceptor_{ io_ }; ///< Takes connections.
     Tcp::endpoint target_; ///< Where they lead.
     std::list<std::weak_ptr<LinkPair>> pairs_; ///< Open connections.
     bool cut_ = false; ///< Whether everything is closed.
@@ -65,7 +65,7 @@
 
 void openPair(Link &link, Tcp::socket socket)
 {
-    auto pair = std::make_shared<LinkPair>(LinkPair{std::move(socket), Tcp::socket(link.io_)});
+    auto pair = std::make_shared<LinkPair>(LinkPair{ std::move(socket), Tcp::socket(link.io_) });
     link.pairs_.push_back(pair);
     const auto body = [&link, pair](Asio::yield_context yield) {
         boost::system::error_code error;
@@ -76,7 +76,9 @@
         }
         pair->near_.set_option(Tcp::no_delay(true), error);
         pair->far_.set_option(Tcp::no_delay(true), error);
-        const auto back = [pair](Asio::yield_context inner) { relay(pair, pair->far_, pair->near_, inner); };
+        const auto back = [pair](Asio::yield_context inner) {
+            relay(pair, pair->far_, pair->near_, inner);
+        };
         Asio::spawn(link.io_, back, Asio::detached);
         relay(pair, pair->near_, pair->far_, yield);
     };
@@ -132,8 +134,11 @@
         takeControl(link, request.target_);
         respond(*control, exchange, jsonReply(200, "{}"));
     };
-    handlers.onGone_ = [](ExchangeId /*exchange*/) {};
-    handlers.onBadRequest_ = [](std::error_code /*error*/) { return jsonReply(400, "{}"); };
+    handlers.onGone_ = [](ExchangeId /*exchange*/) {
+    };
+    handlers.onBadRequest_ = [](std::error_code /*error*/) {
+        return jsonReply(400, "{}");
+    };
     HttpServer server(link.io_, ServerLimits{}, std::move(handlers));
     control = &server;
     if (listen(server, place.control_)) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -99,12 +99,13 @@
     const Plan plan = makePlan(Configuration{}, "p", changes).plan_;
     const ConfirmedChange confirmed{ 1, "p", changes, "d" };
     const StoreTransaction transaction{ { { { "t", "k" }, 1 } }, { { { "t", "k" }, "v", false } } };
-    const std::string chat = R"({"model":"m","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"hi"}]})";
+    const std::string chat
+        = R"({"model":"m","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"hi"}]})";
     std::vector<Sample> samples;
     samples.push_back(textSample(serializeRunOrder(makeOrder()), parseRunOrder));
     samples.push_back(timedSample(serializeAnswerFrame(makeFrame(), now), parseAnswerFrame));
-    samples.push_back(timedSample(serializeRunReply({ AdmissionErrc::QueueFull, makeFrame().report_ }, now),
-                                  parseRunReply));
+    samples.push_back(
+        timedSample(serializeRunReply({ AdmissionErrc::QueueFull, makeFrame().report_ }, now), parseRunReply));
     samples.push_back(timedSample(serializeReport(makeFrame().report_, now), parseReport));
     samples.push_back(textSample(serializeCancelReply({ true, Truth::Ran }), parseCancelReply));
     samples.push_back(textSample(serializeConfiguration(configuration), parseConfiguration));
@@ -120,21 +121,21 @@
     samples.push_back(callerSample(std::string(chatPath), chat));
     samples.push_back(callerSample(std::string(completionPath), R"({"model":"m","prompt":["a","b"]})"));
     samples.push_back({ "data: {\"choices\":[{\"delta\":{\"content\":\"x\"},\"finish_reason\":null}]}\n\n",
-                        [](const std::string &mutated) {
-                            EngineStream stream;
-                            std::error_code error;
-                            takeEngineBytes(stream, mutated, error);
-                            return error;
-                        } });
+        [](const std::string &mutated) {
+            EngineStream stream;
+            std::error_code error;
+            takeEngineBytes(stream, mutated, error);
+            return error;
+        } });
     samples.push_back({ "- change: drain\n  kind: region\n  name: r\n", [](const std::string &mutated) {
                            std::vector<Change> parsed;
                            return parseChangesFile(mutated, parsed);
                        } });
-    samples.push_back({ "role: agent\nname: a\nupstream: { address: 127.0.0.1:1, slots: 4 }\n",
-                        [](const std::string &mutated) {
-                            Settings settings;
-                            return parseSettings(mutated, "f", settings).error_;
-                        } });
+    samples.push_back(
+        { "role: agent\nname: a\nupstream: { address: 127.0.0.1:1, slots: 4 }\n", [](const std::string &mutated) {
+             Settings settings;
+             return parseSettings(mutated, "f", settings).error_;
+         } });
     return samples;
 }
 
