Wait 100 ms for a slot to come free before lower work is paused

Cause: in a flood every more urgent request paused a run at once, whose prefill was then done again or lost, although a slot of the engine comes free every few tens of milliseconds. Ruled out: the choice of upstream (no engine had a free slot).

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -125,6 +125,7 @@
     state.runByName_[name] = id;
     state.waiting_.push_back(id);
     pushDeadline(state.runDeadlines_, deadline, id);
+    pushDeadline(state.runDeadlines_, now + pauseDelay, id);
     if (keyed) {
         writeClaim(state, id, outbox);
     }
--- a/src/run_func.h
+++ b/src/run_func.h
@@ -17,6 +17,9 @@
 /// Time without a reader after which a run that may be repeated is given up.
 constexpr std::chrono::seconds orphanBound{ 10 };
 
+/// Time that a run of a higher tier waits for a slot to come free before lower work is paused for it.
+constexpr Milliseconds pauseDelay{ 100 };
+
 /// @return an end that says why a run failed and what is known of it.
 AnswerEnd makeFailure(std::error_code error, Truth truth);
 
--- a/src/starts.cpp
+++ b/src/starts.cpp
@@ -104,12 +104,16 @@
     count(state.metrics_, "runs_paused_total", std::to_string(run.order_.tier_));
 }
 
-/// Makes a slot free for a run of a higher tier. @return whether it did.
-bool preempt(AgentState &state, const Run &next, AgentOutbox &outbox)
+/// Makes a slot free for a run of a higher tier that has waited long enough for one. @return whether it did.
+bool preempt(AgentState &state, RunId id, TimePoint now, AgentOutbox &outbox)
 {
+    const Run &next = *findRow(state.runs_, id);
     if (!state.policy_.preemption_) {
         return false;
     }
+    if (now < next.orderedAt_ + pauseDelay) {
+        return false;
+    }
     const auto victim = findPausable(state, next.order_.tier_);
     if (victim) {
         pause(state, *victim, outbox);
@@ -152,7 +156,7 @@
         return true;
     }
     const bool isolated = runsAlone(state, run);
-    if (!hasSlot(state, run) && (isolated || !preempt(state, run, outbox))) {
+    if (!hasSlot(state, run) && (isolated || !preempt(state, *next, now, outbox))) {
         return false;
     }
     start(state, *next, now, outbox);
