Bound what reports and the VM list cost a node, whatever the size of the fleet

Cause: worked out from the slopes, an entry at the size to come would hold 288 upstreams and could ask for 20 reports a second from each, at about 600 bytes an exchange, and would read a VM list of about 177 KB every 2 s; the budget for control is 14 KB a second. Now report requests are paced to 16 a second with a burst of 64, the VM list is read at 4 KB a second at most, and the first entry to read that an upstream leaves tells its agent.

--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -159,6 +159,29 @@
     }
 }
 
+/// Streams long answers side by side and prints what a token costs.
+void printTokenCost(const Fleet &fleet)
+{
+    constexpr uint64_t streams = 40;
+    constexpr uint32_t tokens = 2000;
+    Trace trace;
+    for (uint64_t id = 0; id < streams; ++id) {
+        trace.records_.push_back(makeRecord(50000 + id, tokens));
+    }
+    std::map<std::string, FractionalSeconds> before;
+    for (const char *name : { "entry-1", "runner" }) {
+        before[name] = processorTime(fleet, name);
+    }
+    ReplaySettings settings;
+    settings.entries_ = { fleet.processes_.at("entry-1").address_ };
+    const ReplaySummary summary = summarize(replayTrace(trace, settings));
+    std::printf("streams: %lu of %lu good\n", summary.byGroup_.at("").good_, streams);
+    for (const char *name : { "entry-1", "runner" }) {
+        const FractionalSeconds used = processorTime(fleet, name) - before[name];
+        std::printf("processor time of %s: %.1f us a streamed token\n", name, 1e6 * used.count() / (streams * tokens));
+    }
+}
+
 } // namespace
 
 int main()
@@ -171,6 +194,7 @@
     printIdle(fleet);
     printLatency(fleet);
     printThroughput(fleet);
+    printTokenCost(fleet);
     stopFleet(fleet);
     return 0;
 }
--- a/src/agent_daemon.cpp
+++ b/src/agent_daemon.cpp
@@ -251,6 +251,9 @@
         postEvent(daemon.loop_, AgentEvent(CancelOrdered{ exchange, runNameOf(target), incarnation }));
     } else if (target.path_ == reportPath) {
         takeReportRequest(daemon, exchange, target);
+    } else if (target.path_ == leavePath && request.method_ == "POST") {
+        respond(*daemon.server_, exchange, textReply(200, "ok\n"));
+        postEvent(daemon.loop_, AgentEvent(LeaveNoticed{}));
     } else if (target.path_ == "/healthz") {
         respond(*daemon.server_, exchange, textReply(200, "ok\n"));
     } else if (auto status = parseStatusRequest(request); status) {
--- a/src/agent_event_type.h
+++ b/src/agent_event_type.h
@@ -35,6 +35,11 @@
     uint64_t agentIncarnation_ = 0; ///< Agent incarnation that had the order.
 };
 
+/// An entry has read that this agent's VM leaves.
+struct LeaveNoticed
+{
+};
+
 /// An entry asks for a report.
 struct ReportRequested
 {
@@ -77,8 +82,8 @@
 };
 
 /// Any input of an agent.
-using AgentEvent = std::variant<RunOrdered, AnswerRequested, CancelOrdered, ReportRequested, PeerGone, EngineDeltas,
-    EngineEnded, EngineLoad, StoreReplied, VmsListed, StatusRequested, StopRequested>;
+using AgentEvent = std::variant<RunOrdered, AnswerRequested, CancelOrdered, ReportRequested, LeaveNoticed, PeerGone,
+    EngineDeltas, EngineEnded, EngineLoad, StoreReplied, VmsListed, StatusRequested, StopRequested>;
 
 /// Inputs of one tick, by kind; within a kind in order of arrival.
 struct AgentInbox
@@ -94,6 +99,7 @@
     std::vector<StoreReplied> storeReplies_; ///< Answers of the table service.
     std::vector<VmsListed> vmLists_; ///< Lists of VMs.
     std::vector<StatusRequested> statusRequests_; ///< Status requests.
+    bool leave_ = false; ///< Whether an entry has read that the VM leaves.
     bool stop_ = false; ///< Whether to stop.
 };
 
--- a/src/agent_tick.cpp
+++ b/src/agent_tick.cpp
@@ -34,6 +34,11 @@
     inbox.reportRequests_.push_back(event);
 }
 
+void put(AgentInbox &inbox, LeaveNoticed /*event*/)
+{
+    inbox.leave_ = true;
+}
+
 void put(AgentInbox &inbox, PeerGone event)
 {
     inbox.departures_.push_back(event);
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -39,17 +39,14 @@
     fetch(client, platform, std::move(request), storeTimeout, ConnectionUse::Reuse, judge);
 }
 
-void fetchVms(
-    HttpClient &client, const std::string &platform, std::function<void(std::error_code, std::vector<Vm>)> done)
+void fetchVms(HttpClient &client, const std::string &platform, std::function<void(VmsListed)> done)
 {
     const auto parse = [done = std::move(done)](std::error_code error, const HttpReply &reply) {
-        std::vector<Vm> vms;
-        const bool answered = !error && reply.status_ == 200;
-        if (!answered || parseVms(reply.body_, vms)) {
-            done(error ? error : make_error_code(TransportErrc::Malformed), {});
-            return;
+        VmsListed event{ error, {}, reply.body_.size() };
+        if (!error && (reply.status_ != 200 || parseVms(reply.body_, event.vms_))) {
+            event = { TransportErrc::Malformed, {}, 0 };
         }
-        done({}, std::move(vms));
+        done(std::move(event));
     };
     HttpRequest request;
     request.target_ = vmsPath;
--- a/src/daemon_func.h
+++ b/src/daemon_func.h
@@ -33,8 +33,7 @@
     std::function<void(StoreResult)> done);
 
 /// Asks the platform for the VM list.
-void fetchVms(
-    HttpClient &client, const std::string &platform, std::function<void(std::error_code, std::vector<Vm>)> done);
+void fetchVms(HttpClient &client, const std::string &platform, std::function<void(VmsListed)> done);
 
 /// @return what a status path asks for, or nothing.
 std::optional<StatusRequested> parseStatusRequest(const HttpRequest &request);
--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -8,6 +8,7 @@
 #include "deadline_type.h"
 #include "entry_command_type.h"
 #include "metrics_type.h"
+#include "pace_type.h"
 #include "policy_type.h"
 #include "request_base.h"
 #include "route_base.h"
@@ -27,6 +28,12 @@
 /// Lost runs that may be repeated at once when there has been no trouble.
 constexpr double retryBudgetLimit = 50;
 
+/// Report requests a second of one entry: at about 600 bytes each, two thirds of its control budget of 14 KB a second.
+constexpr double reportRate = 16;
+
+/// Report requests that may follow each other at once.
+constexpr double reportBurst = 64;
+
 /// Where a node stands.
 struct NodePlace
 {
@@ -85,6 +92,7 @@
     Pool<Upstream> upstreams_; ///< Upstreams.
     std::map<std::string, UpstreamId> upstreamByName_; ///< Upstreams by name.
     DeadlineQueue<Upstream> reportDeadlines_; ///< When reports are due.
+    Pace reportPace_{ reportRate, reportBurst, reportBurst, {} }; ///< Bounds the cost of reports.
     std::vector<std::string> peers_; ///< Addresses of the other entries.
     TimePoint vmListDue_{}; ///< When to ask for the VM list.
     bool vmListPending_ = false; ///< Whether it has been asked for.
--- a/src/entry_command_type.h
+++ b/src/entry_command_type.h
@@ -67,6 +67,12 @@
 {
 };
 
+/// Tells an agent that the VM list says that its VM leaves.
+struct SendLeaveNotice
+{
+    std::string address_; ///< Agent.
+};
+
 /// Reads a row of the table service.
 struct StoreRead
 {
@@ -138,6 +144,7 @@
     std::vector<SendCancel> cancels_; ///< Attempts to cancel.
     std::vector<FetchReport> reportFetches_; ///< Reports to ask for.
     std::vector<FetchVms> vmFetches_; ///< VM lists to ask for.
+    std::vector<SendLeaveNotice> leaveNotices_; ///< Agents to tell that they leave.
     std::vector<StoreRead> storeReads_; ///< Rows to read.
     std::vector<StoreWrite> storeWrites_; ///< Transactions to run.
     std::vector<FetchPeerChanges> peerFetches_; ///< Changes to ask for.
--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -187,6 +187,16 @@
     fetch(daemon.client_, command.address_, std::move(request), cancelTimeout, ConnectionUse::Reuse, done);
 }
 
+void execute(EntryDaemon &daemon, const SendLeaveNotice &command)
+{
+    HttpRequest request;
+    request.method_ = "POST";
+    request.target_ = leavePath;
+    const auto ignore = [](std::error_code /*error*/, const HttpReply & /*reply*/) {
+    };
+    fetch(daemon.client_, command.address_, std::move(request), cancelTimeout, ConnectionUse::Reuse, ignore);
+}
+
 void execute(EntryDaemon &daemon, const FetchReport &command)
 {
     HttpRequest request;
@@ -273,6 +283,7 @@
     executeAll(daemon, outbox.cancels_);
     executeAll(daemon, outbox.reportFetches_);
     executeAll(daemon, outbox.vmFetches_);
+    executeAll(daemon, outbox.leaveNotices_);
     executeAll(daemon, outbox.storeReads_);
     executeAll(daemon, outbox.storeWrites_);
     executeAll(daemon, outbox.peerFetches_);
--- a/src/entry_event_type.h
+++ b/src/entry_event_type.h
@@ -69,6 +69,7 @@
 {
     std::error_code error_; ///< Success or a TransportErrc.
     std::vector<Vm> vms_; ///< The list, on success.
+    size_t bytes_ = 0; ///< Size of the list as it came.
 };
 
 /// The table service answered.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -4,11 +4,15 @@
  *
  * For each route and region the subset is the upstreams with the highest rendezvous hash of entry and upstream name,
  * so that what an entry holds does not grow with the fleet and a change of one VM moves few places.
+ *
+ * A list grows with the fleet, so it is read less often the longer it is. Whoever reads first that an upstream leaves
+ * tells its agent, which refuses new runs from then on and says so in its reports.
  * Source: Thaler, Ravishankar, "Using name-based mappings to increase hit rates", 1998.
  */
 #include "digest_func.h"
 #include "entry_func.h"
 #include "membership_func.h"
+#include "vm_func.h"
 
 #include <algorithm>
 #include <set>
@@ -17,8 +21,7 @@
 
 namespace {
 
-constexpr Milliseconds vmListInterval{ 2000 }; ///< Time between two reads of the VM list.
-constexpr double vmListJitter = 0.25; ///< Share of the interval by which reads are spread.
+constexpr Milliseconds vmListInterval{ 2000 }; ///< Shortest time between two reads of the VM list.
 
 /// Upstream with its place in the order of one entry.
 struct RankedUpstream
@@ -39,7 +42,7 @@
     return id;
 }
 
-void takeVm(EntryState &state, const Vm &vm)
+void takeVm(EntryState &state, const Vm &vm, EntryOutbox &outbox)
 {
     Upstream &upstream = *findRow(state.upstreams_, findOrInsertUpstream(state, vm));
     if (upstream.address_ != vm.address_) {
@@ -49,6 +52,9 @@
     upstream.region_ = vm.region_;
     upstream.zone_ = vm.zone_;
     upstream.routes_ = vm.routes_;
+    if (vm.leaving_ && !upstream.leaving_) {
+        outbox.leaveNotices_.push_back({ vm.address_ });
+    }
     upstream.leaving_ = vm.leaving_;
 }
 
@@ -64,14 +70,14 @@
     }
 }
 
-void takeVmList(EntryState &state, const std::vector<Vm> &vms)
+void takeVmList(EntryState &state, const std::vector<Vm> &vms, EntryOutbox &outbox)
 {
     std::set<std::string> listed;
     state.peers_.clear();
     for (const Vm &vm : vms) {
         if (vm.role_ == "upstream") {
             listed.insert(vm.name_);
-            takeVm(state, vm);
+            takeVm(state, vm, outbox);
         } else if (vm.address_ != state.place_.address_ && !vm.leaving_) {
             state.peers_.push_back(vm.address_);
         }
@@ -122,12 +128,6 @@
     }
 }
 
-Duration jittered(EntryState &state, Milliseconds interval)
-{
-    std::uniform_real_distribution<double> spread(1 - vmListJitter, 1 + vmListJitter);
-    return std::chrono::duration_cast<Duration>(interval * spread(state.random_));
-}
-
 } // namespace
 
 void rebuildSubsets(EntryState &state, TimePoint now)
@@ -144,9 +144,9 @@
 {
     for (const VmsListed &event : inbox.vmLists_) {
         state.vmListPending_ = false;
-        state.vmListDue_ = now + jittered(state, vmListInterval);
+        state.vmListDue_ = now + vmListPause(state.random_, vmListInterval, event.bytes_);
         if (!event.error_) {
-            takeVmList(state, event.vms_);
+            takeVmList(state, event.vms_, outbox);
             rebuildSubsets(state, now);
         }
     }
--- a/src/node_daemon_type.h
+++ b/src/node_daemon_type.h
@@ -45,9 +45,8 @@
 template<typename Daemon>
 void execute(Daemon &daemon, const FetchVms & /*command*/)
 {
-    fetchVms(daemon.client_, daemon.settings_.platform_, [&daemon](std::error_code error, std::vector<Vm> vms) {
-        postEvent(daemon.loop_, typename Daemon::Event(VmsListed{ error, std::move(vms) }));
-    });
+    fetchVms(daemon.client_, daemon.settings_.platform_,
+        [&daemon](VmsListed event) { postEvent(daemon.loop_, typename Daemon::Event(std::move(event))); });
 }
 
 /// Carries out commands of one kind, in order.
--- a/src/reports.cpp
+++ b/src/reports.cpp
@@ -93,7 +93,12 @@
         Upstream *upstream = findRow(state.upstreams_, id);
         const bool due
             = upstream != nullptr && upstream->subscribed_ && !upstream->reportPending_ && upstream->reportDue_ <= now;
-        if (due) {
+        if (!due) {
+            continue;
+        }
+        if (const TimePoint allowed = takeToken(state.reportPace_, now); allowed > now) {
+            scheduleReport(state, id, *upstream, allowed);
+        } else {
             fetchReport(state, id, *upstream, outbox);
         }
     }
--- a/src/run_wire.h
+++ b/src/run_wire.h
@@ -15,6 +15,7 @@
 constexpr std::string_view runsPath = "/v1/runs"; ///< Orders.
 constexpr std::string_view answerPath = "/v1/runs/answer"; ///< Answers: run, attempt and offset in the query.
 constexpr std::string_view cancelPath = "/v1/runs/cancel"; ///< Cancellations: run, attempt, incarnation in the query.
+constexpr std::string_view leavePath = "/v1/leave"; ///< Word that the agent's VM leaves.
 constexpr std::string_view reportPath = "/v1/report"; ///< Reports.
 constexpr std::string_view configurationPath = "/v1/configuration"; ///< The configuration in force.
 constexpr std::string_view changesPath = "/v1/configuration/changes"; ///< Confirmed changes after a revision.
--- a/src/upstream_watch.cpp
+++ b/src/upstream_watch.cpp
@@ -6,6 +6,7 @@
 #include "error_type.h"
 #include "run_func.h"
 #include "suspect_func.h"
+#include "vm_func.h"
 
 #include <algorithm>
 
@@ -14,8 +15,7 @@
 namespace {
 
 constexpr Milliseconds loadInterval{ 500 }; ///< Time between two questions to the upstream.
-constexpr Milliseconds agentVmListInterval{ 4000 }; ///< Time between two reads of the VM list.
-constexpr double agentVmListJitter = 0.25; ///< Share of the interval by which reads are spread.
+constexpr Milliseconds agentVmListInterval{ 4000 }; ///< Shortest time between two reads of the VM list.
 constexpr uint32_t loadSteps = 4; ///< Steps of occupancy that are reported at once.
 
 /// The upstream does not answer: gives the waiting runs back, so that entries can order them elsewhere.
@@ -50,8 +50,7 @@
 void takeVmList(AgentState &state, const VmsListed &event, TimePoint now)
 {
     state.vmListPending_ = false;
-    std::uniform_real_distribution<double> spread(1 - agentVmListJitter, 1 + agentVmListJitter);
-    state.vmListDue_ = now + std::chrono::duration_cast<Duration>(agentVmListInterval * spread(state.random_));
+    state.vmListDue_ = now + vmListPause(state.random_, agentVmListInterval, event.bytes_);
     if (event.error_) {
         return;
     }
@@ -119,6 +118,7 @@
     for (const VmsListed &event : inbox.vmLists_) {
         takeVmList(state, event, now);
     }
+    state.leaving_ = state.leaving_ || inbox.leave_;
     expireSuspects(state.suspects_, now);
     if (!state.loadPending_ && state.loadDue_ <= now) {
         state.loadPending_ = true;
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -149,6 +149,14 @@
     CHECK(replyOf(order(makeOrder(1))) == AdmissionErrc::Leaving);
 }
 
+TEST_CASE_FIXTURE(AgentFixture, "Agent_WhenAnEntryHasReadThatItLeaves_RefusesNewRuns")
+{
+    AgentInbox inbox;
+    inbox.leave_ = true;
+    tick(std::move(inbox));
+    CHECK(replyOf(order(makeOrder(1))) == AdmissionErrc::Leaving);
+}
+
 TEST_CASE_FIXTURE(AgentFixture, "Report_WhenNothingChanges_IsHeldUntilItsTimeIsUp")
 {
     AgentInbox inbox;
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -218,6 +218,53 @@
     CHECK(kept == before.size() - 1);
 }
 
+TEST_CASE_FIXTURE(EntryFixture, "Reports_WhenTheSubsetIsLarge_AreAskedForAtABoundedRate")
+{
+    state_.policy_.subsetSize_ = 500;
+    std::vector<AgentReport> reports;
+    for (int index = 0; index < 500; ++index) {
+        reports.push_back(makeReport("up" + std::to_string(index)));
+    }
+    addEngines(reports);
+    size_t asked = 0;
+    constexpr int seconds = 10;
+    for (int step = 0; step < seconds * 100; ++step) {
+        now_ += Milliseconds(10);
+        EntryInbox inbox;
+        const EntryOutbox outbox = tick();
+        asked += outbox.reportFetches_.size();
+        for (const FetchReport &fetch : outbox.reportFetches_) {
+            inbox.reports_.push_back(
+                { fetch.upstream_, {}, makeReport(findRow(state_.upstreams_, fetch.upstream_)->name_) });
+        }
+        asked += tick(std::move(inbox)).reportFetches_.size();
+    }
+    CHECK(asked > seconds * reportRate / 2);
+    CHECK(asked <= seconds * reportRate + reportBurst + 1);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "VmList_WhenAnUpstreamBeginsToLeave_IsPassedOnToItsAgentOnce")
+{
+    addEngines({ makeReport("leaver") });
+    VmsListed list;
+    list.vms_.push_back({ "leaver", "upstream", "leaver:1", "r", "z", { "itinerary" }, true });
+    for (const size_t notices : { 1U, 0U }) {
+        EntryInbox inbox;
+        inbox.vmLists_.push_back(list);
+        CHECK(tick(std::move(inbox)).leaveNotices_.size() == notices);
+    }
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "VmList_WhenItIsLong_IsReadLessOften")
+{
+    VmsListed list;
+    list.bytes_ = 177000;
+    EntryInbox inbox;
+    inbox.vmLists_.push_back(list);
+    tick(std::move(inbox));
+    CHECK(state_.vmListDue_ - now_ > std::chrono::seconds(30));
+}
+
 TEST_CASE_FIXTURE(EntryFixture, "Replay_WhenAChangeLeadsToAnotherDigest_IsRefusedAsDiverged")
 {
     Configuration altered = state_.configuration_;
--- a/tests/flood_process_test.cpp
+++ b/tests/flood_process_test.cpp
@@ -57,7 +57,7 @@
         trace.records_.back().id_ += 10000;
     }
     std::stable_sort(trace.records_.begin(), trace.records_.end(),
-                     [](const auto &left, const auto &right) { return left.arrival_ < right.arrival_; });
+        [](const auto &left, const auto &right) { return left.arrival_ < right.arrival_; });
     return trace;
 }
 
