--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -2,6 +2,7 @@
  * @file path_bench.cpp
  * @brief Whole-process figures of the path: added time to the first token, throughput of an entry, idle cost.
  */
+#include "address_func.h"
 #include "fleet_func.h"
 #include "http_client.h"
 #include "http_func.h"
@@ -10,6 +11,8 @@
 #include "trace_wire.h"
 
 #include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <cstdio>
 #include <fstream>
 #include <thread>
@@ -159,6 +162,24 @@
     }
 }
 
+/// Asks an agent for a report as an entry does and prints the bytes of the exchange, without those of TCP and IP.
+void printReportBytes(const Fleet &fleet)
+{
+    const std::string &address = fleet.processes_.at("runner").address_;
+    const std::string request
+        = "GET /v1/report?entry=10.0.0.1:8081&revision=1400&drained=0&version=0&hold_ms=0 HTTP/1.1\r\n"
+          "Host: "
+        + address + "\r\nConnection: close\r\n\r\n";
+    Asio::io_context io;
+    Asio::ip::tcp::socket socket(io);
+    boost::system::error_code error;
+    socket.connect(*parseEndpoint(address), error);
+    Asio::write(socket, Asio::buffer(request), error);
+    std::string answer;
+    Asio::read(socket, Asio::dynamic_buffer(answer), error);
+    std::printf("report exchange: %zu bytes out, %zu bytes in\n", request.size(), answer.size());
+}
+
 /// Streams long answers side by side and prints what a token costs.
 void printTokenCost(const Fleet &fleet)
 {
@@ -192,6 +213,7 @@
         return 1;
     }
     printIdle(fleet);
+    printReportBytes(fleet);
     printLatency(fleet);
     printThroughput(fleet);
     printTokenCost(fleet);
