Judge work hopeless only by what has been learnt

Ruled out: the pacing of reports.

Also: confirmations are a system of their own; fields and errors that nothing set are gone.

--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -166,9 +166,8 @@
 void printReportBytes(const Fleet &fleet)
 {
     const std::string &address = fleet.processes_.at("runner").address_;
-    const std::string request
-        = "GET /v1/report?entry=10.0.0.1:8081&revision=1400&drained=0&version=0&hold_ms=0 HTTP/1.1\r\n"
-          "Host: "
+    const std::string request = "GET /v1/report?revision=1400&drained=0&version=0&hold_ms=0 HTTP/1.1\r\n"
+                                "Host: "
         + address + "\r\nConnection: close\r\n\r\n";
     Asio::io_context io;
     Asio::ip::tcp::socket socket(io);
--- a/src/answer_type.h
+++ b/src/answer_type.h
@@ -42,7 +42,6 @@
     uint32_t promptTokens_ = 0; ///< Prompt tokens counted by the engine.
     std::string ownerAddress_; ///< For a claim held elsewhere: the agent that holds it.
     RunName ownerRun_; ///< For a claim held elsewhere: the run that holds it.
-    uint32_t timesRun_ = 0; ///< How often the request ran, for a crash suspect.
 };
 
 } // namespace Burdockfield
--- a/src/configuration_sync.cpp
+++ b/src/configuration_sync.cpp
@@ -1,10 +1,10 @@
 /**
  * @file configuration_sync.cpp
- * @brief System that follows the configuration in the table service and answers plans and confirmations.
+ * @brief System that follows the configuration in the table service.
  *
  * Table `configuration` holds `head` (the newest confirmed change), `change/N` (each confirmed change) and `snapshot`
- * (the whole configuration). A confirmation is one transaction, conditional on `change/N` being absent, so one of two
- * racing operators wins. Followers apply changes by the code that made the plan and compare digests.
+ * (the whole configuration); confirmation.cpp writes them. Followers apply changes by the code that made the plan and
+ * compare digests.
  */
 #include "configuration_func.h"
 #include "configuration_sync_func.h"
@@ -20,22 +20,12 @@
 
 namespace {
 
-constexpr const char *configurationTable = "configuration";
-constexpr const char *headKey = "head";
-constexpr const char *snapshotKey = "snapshot";
 constexpr Milliseconds headInterval{ 4000 }; ///< Time between two reads of the head.
 constexpr Milliseconds headHurry{ 50 }; ///< The same while a higher revision is known of.
 constexpr Milliseconds peerInterval{ 1000 }; ///< Time between two questions to peers.
-constexpr Milliseconds confirmRetryInterval{ 200 }; ///< Time between tries to settle a confirmation.
-constexpr Milliseconds confirmTimeout{ 15000 }; ///< Time after which a confirmation gives up.
 constexpr uint64_t changeReadLimit = 32; ///< Revisions behind which the snapshot is read instead.
 constexpr size_t recentChangeLimit = 64; ///< Changes kept for peers.
 
-std::string changeKey(uint64_t revision)
-{
-    return "change/" + std::to_string(revision);
-}
-
 void syncWorkspaces(EntryState &state)
 {
     state.workspaceByToken_.clear();
@@ -80,29 +70,6 @@
     setGauge(state.metrics_, "configuration_revision", static_cast<double>(state.configuration_.revision_));
 }
 
-/// Applies the next change. @return whether it was applied.
-bool applyConfirmed(EntryState &state, const ConfirmedChange &change, TimePoint now)
-{
-    if (const std::error_code error = replayChange(state.configuration_, change); error) {
-        if (error == PlanErrc::Diverged) {
-            count(state.metrics_, "configuration_diverged_total", "replay");
-        }
-        return false;
-    }
-    state.sync_.recent_.push_back(change);
-    if (state.sync_.recent_.size() > recentChangeLimit) {
-        state.sync_.recent_.pop_front();
-    }
-    putInForce(state, now);
-    return true;
-}
-
-void readRow(EntryState &state, uint64_t &call, const std::string &key, EntryOutbox &outbox)
-{
-    call = state.nextCall_++;
-    outbox.storeReads_.push_back({ call, { configurationTable, key } });
-}
-
 /// Reads what follows the configuration in force.
 void readNext(EntryState &state, EntryOutbox &outbox)
 {
@@ -112,8 +79,8 @@
         return;
     }
     sync.readingSnapshot_ = own == 0 || sync.heardRevision_ - own > changeReadLimit;
-    const std::string key = sync.readingSnapshot_ ? snapshotKey : changeKey(own + 1);
-    readRow(state, sync.changeCall_, key, outbox);
+    const std::string key = sync.readingSnapshot_ ? configurationSnapshotKey : configurationChangeKey(own + 1);
+    readConfigurationRow(state, sync.changeCall_, key, outbox);
 }
 
 void handleHead(EntryState &state, const StoreResult &result, TimePoint now, EntryOutbox &outbox)
@@ -167,171 +134,15 @@
     readNext(state, outbox);
 }
 
-void answerConfirmation(
-    const EntryState &state, const PendingConfirmation &pending, std::error_code error, EntryOutbox &outbox)
-{
-    outbox.operatorReplies_.push_back(
-        { pending.exchange_, error, StatusKind::Status, "{}", state.configuration_.revision_ });
-}
-
-ConfirmedChange confirmedChange(const PendingConfirmation &pending)
-{
-    return { pending.altered_.revision_, pending.plan_.id_, pending.plan_.changes_,
-        configurationDigest(pending.altered_) };
-}
-
-void writeConfirmation(EntryState &state, PendingConfirmation &pending, EntryOutbox &outbox)
-{
-    const std::string change = serializeConfirmedChange(confirmedChange(pending));
-    const StoreKey key{ configurationTable, changeKey(pending.altered_.revision_) };
-    StoreTransaction transaction;
-    transaction.checks_.push_back({ key, 0 });
-    transaction.puts_.push_back({ key, change, false });
-    transaction.puts_.push_back({ { configurationTable, headKey }, change, false });
-    transaction.puts_.push_back(
-        { { configurationTable, snapshotKey }, serializeConfiguration(pending.altered_), false });
-    pending.call_ = state.nextCall_++;
-    pending.settling_ = false;
-    pending.retryAt_ = noDeadline;
-    outbox.storeWrites_.push_back({ pending.call_, std::move(transaction) });
-}
-
-void readBackConfirmation(EntryState &state, PendingConfirmation &pending, EntryOutbox &outbox)
-{
-    pending.settling_ = true;
-    pending.retryAt_ = noDeadline;
-    readRow(state, pending.call_, changeKey(pending.altered_.revision_), outbox);
-}
-
-/// The row of the plan's revision is there. @return whether it is this plan's.
-bool ownsRevision(const PendingConfirmation &pending, const StoreRow &row)
-{
-    ConfirmedChange change;
-    return !parseConfirmedChange(row.value_, change) && change.planId_ == pending.plan_.id_;
-}
-
-/// What a store answer means for a confirmation.
-enum class ConfirmStep : uint8_t {
-    Won, ///< The plan is confirmed.
-    LostRace, ///< Another plan took the revision.
-    WriteAgain, ///< Nothing is there yet; the write may be repeated.
-    RetryLater, ///< The service did not answer.
-};
-
-ConfirmStep judgeConfirmation(const PendingConfirmation &pending, const StoreResult &result)
-{
-    const bool conflict = result.error_ == StoreErrc::Conflict;
-    if (result.error_ && !conflict) {
-        return ConfirmStep::RetryLater;
-    }
-    if (!conflict && !pending.settling_) {
-        return ConfirmStep::Won;
-    }
-    if (result.rows_.empty() || result.rows_[0].version_ == 0) {
-        return ConfirmStep::WriteAgain;
-    }
-    return ownsRevision(pending, result.rows_[0]) ? ConfirmStep::Won : ConfirmStep::LostRace;
-}
-
-void handleConfirmReply(
-    EntryState &state, PendingConfirmation &pending, const StoreResult &result, TimePoint now, EntryOutbox &outbox)
-{
-    pending.call_ = 0;
-    pending.mayHaveWritten_ = pending.mayHaveWritten_ || (result.error_ == StoreErrc::Ambiguous && !pending.settling_);
-    switch (judgeConfirmation(pending, result)) {
-    case ConfirmStep::Won:
-        applyConfirmed(state, confirmedChange(pending), now);
-        answerConfirmation(state, pending, {}, outbox);
-        pending.deadline_ = TimePoint::min();
-        break;
-    case ConfirmStep::LostRace:
-        state.sync_.headDue_ = now;
-        answerConfirmation(state, pending, PlanErrc::StaleBase, outbox);
-        pending.deadline_ = TimePoint::min();
-        break;
-    case ConfirmStep::WriteAgain:
-        writeConfirmation(state, pending, outbox);
-        break;
-    case ConfirmStep::RetryLater:
-        pending.retryAt_ = now + confirmRetryInterval;
-        break;
-    }
-}
-
 void handleStoreReply(EntryState &state, const StoreReplied &event, TimePoint now, EntryOutbox &outbox)
 {
     if (event.call_ == state.sync_.headCall_) {
         handleHead(state, event.result_, now, outbox);
     } else if (event.call_ == state.sync_.changeCall_) {
         handleChangeRow(state, event.result_, now, outbox);
-    } else {
-        for (PendingConfirmation &pending : state.confirmations_) {
-            if (pending.call_ == event.call_) {
-                handleConfirmReply(state, pending, event.result_, now, outbox);
-            }
-        }
     }
 }
 
-void testPlan(EntryState &state, const PlanRequested &event, EntryOutbox &outbox)
-{
-    const std::string id = state.place_.name_ + "-plan-" + hexText(state.random_());
-    const PlanResult result = makePlan(state.configuration_, id, event.changes_);
-    const std::string text = result.error_ ? "{}" : serializePlan(result.plan_);
-    outbox.operatorReplies_.push_back(
-        { event.exchange_, result.error_, StatusKind::Status, text, state.configuration_.revision_ });
-}
-
-/// @return whether the plan has been confirmed before, as far as this node remembers.
-bool confirmedBefore(const EntryState &state, const Plan &plan)
-{
-    const auto same = [&plan](const ConfirmedChange &change) {
-        return change.planId_ == plan.id_;
-    };
-    return std::any_of(state.sync_.recent_.begin(), state.sync_.recent_.end(), same);
-}
-
-void startConfirmation(EntryState &state, const ConfirmRequested &event, TimePoint now, EntryOutbox &outbox)
-{
-    PendingConfirmation pending;
-    pending.exchange_ = event.exchange_;
-    pending.plan_ = event.plan_;
-    pending.deadline_ = now + confirmTimeout;
-    pending.altered_ = state.configuration_;
-    if (confirmedBefore(state, event.plan_)) {
-        answerConfirmation(state, pending, {}, outbox);
-        return;
-    }
-    std::error_code error;
-    if (event.plan_.baseRevision_ != state.configuration_.revision_) {
-        state.sync_.headDue_ = now;
-        error = PlanErrc::StaleBase;
-    } else {
-        error = applyChanges(pending.altered_, event.plan_.changes_);
-    }
-    if (error) {
-        answerConfirmation(state, pending, error, outbox);
-        return;
-    }
-    writeConfirmation(state, pending, outbox);
-    state.confirmations_.push_back(std::move(pending));
-}
-
-void advanceConfirmations(EntryState &state, TimePoint now, EntryOutbox &outbox)
-{
-    for (PendingConfirmation &pending : state.confirmations_) {
-        if (pending.deadline_ > TimePoint::min() && pending.deadline_ <= now) {
-            const PlanErrc error = pending.mayHaveWritten_ ? PlanErrc::OutcomeUnknown : PlanErrc::StoreUnavailable;
-            answerConfirmation(state, pending, error, outbox);
-            pending.deadline_ = TimePoint::min();
-        } else if (pending.retryAt_ <= now) {
-            readBackConfirmation(state, pending, outbox);
-        }
-    }
-    std::erase_if(
-        state.confirmations_, [](const PendingConfirmation &pending) { return pending.deadline_ == TimePoint::min(); });
-}
-
 void handlePeerChanges(EntryState &state, const PeerChangesReceived &event, TimePoint now)
 {
     state.sync_.peerPending_ = false;
@@ -368,6 +179,33 @@
 
 } // namespace
 
+std::string configurationChangeKey(uint64_t revision)
+{
+    return "change/" + std::to_string(revision);
+}
+
+bool applyConfirmed(EntryState &state, const ConfirmedChange &change, TimePoint now)
+{
+    if (const std::error_code error = replayChange(state.configuration_, change); error) {
+        if (error == PlanErrc::Diverged) {
+            count(state.metrics_, "configuration_diverged_total", "replay");
+        }
+        return false;
+    }
+    state.sync_.recent_.push_back(change);
+    if (state.sync_.recent_.size() > recentChangeLimit) {
+        state.sync_.recent_.pop_front();
+    }
+    putInForce(state, now);
+    return true;
+}
+
+void readConfigurationRow(EntryState &state, uint64_t &call, const std::string &key, EntryOutbox &outbox)
+{
+    call = state.nextCall_++;
+    outbox.storeReads_.push_back({ call, { configurationTable, key } });
+}
+
 void runConfiguration(EntryState &state, TimePoint now, const EntryInbox &inbox, EntryOutbox &outbox)
 {
     for (const PeerChangesReceived &event : inbox.peerChanges_) {
@@ -379,20 +217,13 @@
     for (const StoreReplied &event : inbox.storeReplies_) {
         handleStoreReply(state, event, now, outbox);
     }
-    for (const PlanRequested &event : inbox.plans_) {
-        testPlan(state, event, outbox);
-    }
-    for (const ConfirmRequested &event : inbox.confirmations_) {
-        startConfirmation(state, event, now, outbox);
-    }
-    advanceConfirmations(state, now, outbox);
     ConfigurationSync &sync = state.sync_;
     if (sync.heardRevision_ > state.configuration_.revision_) {
         sync.headDue_ = std::min(sync.headDue_, now + headHurry);
     }
     askPeer(state, now, outbox);
     if (sync.headCall_ == 0 && sync.headDue_ <= now) {
-        readRow(state, sync.headCall_, headKey, outbox);
+        readConfigurationRow(state, sync.headCall_, configurationHeadKey, outbox);
     }
 }
 
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -57,13 +57,17 @@
     sendOrder(state, id, now, outbox);
 }
 
-/// @return whether the answer cannot be complete by the deadline even on the fastest candidate.
+/// @return whether the answer cannot be complete by the deadline, as far as speeds and lengths have been learnt.
 bool isHopeless(const EntryState &state, const Request &request, const RoutingChoice &choice, TimePoint now)
 {
     if (!state.policy_.dropHopeless_ || request.caller_.kind_ != RouteKind::Model) {
         return false;
     }
     const Upstream &upstream = *findRow(state.upstreams_, *choice.upstream_);
+    const AgentReport &report = upstream.report_;
+    if (report.prefillRate_ <= 0 || report.decodeRate_ <= 0) {
+        return false;
+    }
     const uint32_t left = request.likelyTokens_ - std::min(request.likelyTokens_, request.answeredTokens_);
     const FractionalSeconds work = expectedPrefill(state, upstream, request) + expectedDecode(upstream, left);
     return cannotEndInTime(work, request.deadline_ - now);
--- a/src/entry_command_type.h
+++ b/src/entry_command_type.h
@@ -55,7 +55,6 @@
 {
     UpstreamId upstream_; ///< Upstream.
     std::string address_; ///< Agent.
-    std::string entryAddress_; ///< Where this entry serves its peers.
     uint64_t revision_ = 0; ///< Configuration revision of this entry.
     bool drained_ = false; ///< Whether that revision drains the upstream.
     uint64_t knownVersion_ = 0; ///< Report version that the entry has.
--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -200,9 +200,9 @@
 void execute(EntryDaemon &daemon, const FetchReport &command)
 {
     HttpRequest request;
-    request.target_ = std::string(reportPath) + "?entry=" + command.entryAddress_
-        + "&revision=" + std::to_string(command.revision_) + "&drained=" + (command.drained_ ? "1" : "0")
-        + "&version=" + std::to_string(command.knownVersion_) + "&hold_ms=" + std::to_string(command.maxWait_.count());
+    request.target_ = std::string(reportPath) + "?revision=" + std::to_string(command.revision_)
+        + "&drained=" + (command.drained_ ? "1" : "0") + "&version=" + std::to_string(command.knownVersion_)
+        + "&hold_ms=" + std::to_string(command.maxWait_.count());
     const auto done = [&daemon, id = command.upstream_](std::error_code error, const HttpReply &reply) {
         ReportReceived event{ id, error, {} };
         if (!error && (reply.status_ != 200 || parseReport(reply.body_, event.report_, Clock::now()))) {
--- a/src/entry_func.h
+++ b/src/entry_func.h
@@ -32,9 +32,12 @@
 /// Takes in agents' reports and asks for the next ones.
 void runReports(EntryState &state, TimePoint now, const EntryInbox &inbox, EntryOutbox &outbox);
 
-/// Follows the configuration in the table service and answers plans and confirmations.
+/// Follows the configuration in the table service.
 void runConfiguration(EntryState &state, TimePoint now, const EntryInbox &inbox, EntryOutbox &outbox);
 
+/// Answers plans and confirmations.
+void runConfirmations(EntryState &state, TimePoint now, const EntryInbox &inbox, EntryOutbox &outbox);
+
 /// Puts new requests into the queues or refuses them.
 void runIntake(EntryState &state, TimePoint now, EntryInbox &inbox, EntryOutbox &outbox);
 
--- a/src/entry_tick.cpp
+++ b/src/entry_tick.cpp
@@ -99,6 +99,7 @@
     runMembership(state, now, inbox, outbox);
     runReports(state, now, inbox, outbox);
     runConfiguration(state, now, inbox, outbox);
+    runConfirmations(state, now, inbox, outbox);
     runIntake(state, now, inbox, outbox);
     runOrders(state, now, inbox, outbox);
     runRelay(state, now, inbox, outbox);
--- a/src/error_type.h
+++ b/src/error_type.h
@@ -47,14 +47,12 @@
     WaitExpired, ///< The agreed wait ended before an answer was complete.
     NotReady, ///< The node has no configuration yet.
     Stopping, ///< The node is shutting down.
-    NoUpstream, ///< No upstream serves the route.
     KeyReused, ///< The idempotency key was used with another payload.
     CrashSuspect, ///< The request has crashed upstreams that ran it.
     StoreUnavailable, ///< The claim could not be written in time.
     UpstreamLost, ///< The upstream was lost after it was given the request.
     UpstreamError, ///< The upstream answered with an error.
     AnswerDamaged, ///< The answer failed its length check.
-    AlreadyRan, ///< The key's run has ended and its answer is no longer kept.
 };
 
 /// Why an agent did not take a run order.
--- a/src/intake.cpp
+++ b/src/intake.cpp
@@ -103,12 +103,12 @@
     return learnt > 0 ? std::min(learnt, caller.maxTokens_) : caller.maxTokens_;
 }
 
-/// @return an answer length that few answers to such a request exceed.
+/// @return an answer length that few answers to such a request exceed; 0 while nothing has been learnt.
 uint32_t likelyAnswerTokens(const Route &route, const CallerRequest &caller)
 {
     constexpr double deviations = 2;
     const double learnt = route.meanAnswerTokens_ + deviations * route.answerDeviation_;
-    const uint32_t likely = learnt > 0 ? static_cast<uint32_t>(learnt) : defaultAnswerTokens;
+    const auto likely = static_cast<uint32_t>(learnt);
     return caller.maxTokens_ > 0 ? std::min(likely, caller.maxTokens_) : likely;
 }
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -37,7 +37,6 @@
     }
     const uint64_t known = std::min<uint64_t>(expected - frame.offset_, frame.deltas_.size());
     if (request.answer_.empty() && !frame.deltas_.empty()) {
-        request.firstDeltaAt_ = now;
         observe(state.metrics_, "first_token_seconds", std::to_string(request.tier_), now - request.arrivedAt_);
     }
     std::vector<Delta> fresh(std::make_move_iterator(frame.deltas_.begin() + static_cast<ptrdiff_t>(known)),
@@ -89,7 +88,7 @@
     } else if (end.error_ == RefusalErrc::UpstreamLost) {
         resolveLostAttempt(state, id, now, true, outbox);
     } else {
-        refuseRequest(state, id, end.error_, end.truth_, outbox, end.timesRun_);
+        refuseRequest(state, id, end.error_, end.truth_, outbox);
     }
 }
 
--- a/src/reports.cpp
+++ b/src/reports.cpp
@@ -62,7 +62,6 @@
     FetchReport fetch;
     fetch.upstream_ = id;
     fetch.address_ = upstream.address_;
-    fetch.entryAddress_ = state.place_.address_;
     fetch.revision_ = state.configuration_.revision_;
     fetch.drained_ = upstream.drained_;
     fetch.knownVersion_ = known ? upstream.report_.version_ : 0;
--- a/src/request.cpp
+++ b/src/request.cpp
@@ -58,7 +58,7 @@
 bool helpsToRetry(std::error_code error)
 {
     return error == RefusalErrc::Overloaded || error == RefusalErrc::WaitExpired || error == RefusalErrc::NotReady
-        || error == RefusalErrc::Stopping || error == RefusalErrc::NoUpstream || error == RefusalErrc::WorkspaceLimit
+        || error == RefusalErrc::Stopping || error == RefusalErrc::WorkspaceLimit
         || error == RefusalErrc::StoreUnavailable;
 }
 
@@ -97,7 +97,6 @@
 {
     RunOrder order;
     order.name_ = { request.name_, request.attempt_ };
-    order.entryAddress_ = state.place_.address_;
     order.agentIncarnation_ = request.agentIncarnation_;
     order.revision_ = state.configuration_.revision_;
     order.tier_ = request.tier_;
--- a/src/request_base.h
+++ b/src/request_base.h
@@ -63,7 +63,6 @@
     uint32_t answeredTokens_ = 0; ///< Tokens received.
     uint64_t attemptOffset_ = 0; ///< Pieces received before the present attempt.
     bool begun_ = false; ///< Whether pieces have gone to the caller.
-    TimePoint firstDeltaAt_{}; ///< When the first piece came.
 };
 
 using RequestId = PoolId<Request>; ///< Index of a request.
--- a/src/run_type.h
+++ b/src/run_type.h
@@ -20,7 +20,6 @@
 struct RunOrder
 {
     RunName name_; ///< Attempt that is ordered.
-    std::string entryAddress_; ///< Where the entry serves its peers.
     uint64_t agentIncarnation_ = 0; ///< Agent incarnation that the order is meant for.
     uint64_t revision_ = 0; ///< Configuration revision that the entry knows.
     std::string workspace_; ///< Workspace of the caller.
--- a/src/run_wire.cpp
+++ b/src/run_wire.cpp
@@ -179,8 +179,7 @@
 {
     Json::object object{ { "error", errorToJson(end.error_) }, { "outcome", nameOf(end.truth_, truthNames) },
         { "deltas", end.deltaCount_ }, { "checksum", end.checksum_ }, { "finish_reason", end.finishReason_ },
-        { "status", end.status_ }, { "content_type", end.contentType_ }, { "prompt_tokens", end.promptTokens_ },
-        { "times_run", end.timesRun_ } };
+        { "status", end.status_ }, { "content_type", end.contentType_ }, { "prompt_tokens", end.promptTokens_ } };
     if (!end.ownerRun_.request_.empty()) {
         object["owner_address"] = end.ownerAddress_;
         object["owner_run"] = toJson(end.ownerRun_);
@@ -204,7 +203,6 @@
     read(members, "status", status);
     read(members, "content_type", end.contentType_);
     read(members, "prompt_tokens", end.promptTokens_);
-    read(members, "times_run", end.timesRun_);
     read(members, "owner_address", end.ownerAddress_, Presence::Optional);
     readRunName(members, "owner_run", end.ownerRun_, Presence::Optional);
     end.status_ = static_cast<int>(status);
@@ -243,10 +241,9 @@
 
 std::string serializeRunOrder(const RunOrder &order)
 {
-    Json::object object{ { "run", toJson(order.name_) }, { "entry", order.entryAddress_ },
-        { "agent_incarnation", order.agentIncarnation_ }, { "revision", order.revision_ },
-        { "workspace", order.workspace_ }, { "weight", order.weight_ }, { "tier", order.tier_ },
-        { "route", order.route_ }, { "kind", nameOf(order.kind_, routeKindNames) },
+    Json::object object{ { "run", toJson(order.name_) }, { "agent_incarnation", order.agentIncarnation_ },
+        { "revision", order.revision_ }, { "workspace", order.workspace_ }, { "weight", order.weight_ },
+        { "tier", order.tier_ }, { "route", order.route_ }, { "kind", nameOf(order.kind_, routeKindNames) },
         { "dispatch", nameOf(order.rule_, dispatchRuleNames) }, { "method", order.method_ }, { "path", order.path_ },
         { "payload", order.payload_ }, { "digest", order.digest_ }, { "key", order.key_ },
         { "wait_ms", std::max<int64_t>(0, order.remainingWait_.count()) }, { "prompt_tokens", order.promptTokens_ },
@@ -263,7 +260,6 @@
     Json::value document;
     JsonReader reader = readJsonObject(text, document, TextRule::AnyBytes);
     readRunName(reader, "run", order.name_);
-    read(reader, "entry", order.entryAddress_);
     read(reader, "agent_incarnation", order.agentIncarnation_);
     read(reader, "revision", order.revision_);
     read(reader, "workspace", order.workspace_);
--- a/src/table/error_names.h
+++ b/src/table/error_names.h
@@ -17,10 +17,10 @@
 constexpr std::array<std::string_view, 10> settingsErrorNames{ "ok", "cannot-read", "malformed-yaml", "unknown-key",
     "missing-key", "wrong-type", "wrong-unit", "out-of-range", "bad-address", "unknown-value" };
 
-constexpr std::array<std::string_view, 21> refusalErrorNames{ "ok", "unknown-token", "unknown-route", "bad-request",
+constexpr std::array<std::string_view, 19> refusalErrorNames{ "ok", "unknown-token", "unknown-route", "bad-request",
     "body-too-large", "header-too-large", "slow-request", "tier-not-allowed", "workspace-limit", "overloaded",
-    "wait-expired", "not-ready", "stopping", "no-upstream", "key-reused", "crash-suspect", "store-unavailable",
-    "upstream-lost", "upstream-error", "answer-damaged", "already-ran" };
+    "wait-expired", "not-ready", "stopping", "key-reused", "crash-suspect", "store-unavailable", "upstream-lost",
+    "upstream-error", "answer-damaged" };
 
 constexpr std::array<std::string_view, 14> admissionErrorNames{ "ok", "queue-full", "leaving", "stopping", "expired",
     "unknown-route", "stale-incarnation", "upstream-down", "store-unavailable", "key-reused", "displaced", "withdrawn",
--- a/src/table/refusal_status.h
+++ b/src/table/refusal_status.h
@@ -8,7 +8,7 @@
 
 namespace Burdockfield {
 
-constexpr std::array<int, 21> refusalStatus{
+constexpr std::array<int, 19> refusalStatus{
     200, // ok
     401, // unknown-token
     404, // unknown-route
@@ -22,14 +22,12 @@
     504, // wait-expired
     503, // not-ready
     503, // stopping
-    503, // no-upstream
     422, // key-reused
     422, // crash-suspect
     503, // store-unavailable
     502, // upstream-lost
     502, // upstream-error
     502, // answer-damaged
-    409, // already-ran
 };
 
 } // namespace Burdockfield
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -97,6 +97,32 @@
     CHECK(orderedAt(submit({ makeRequest("faculty", "urgent") })) == "free:1");
 }
 
+TEST_CASE_FIXTURE(EntryFixture, "Request_WhenNothingIsLearntOfSpeedOrLength_IsNotTakenForHopeless")
+{
+    AgentReport fresh = makeReport("fresh");
+    fresh.prefillRate_ = 0;
+    fresh.decodeRate_ = 0;
+    addEngines({ fresh });
+    CallerRequest request = makeRequest();
+    request.maxTokens_ = 4096;
+    request.wait_ = std::chrono::seconds(1);
+    CHECK(submit({ request }).orders_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(EntryFixture, "Request_WhenItsLikelyAnswerTakesLongerThanItsWait_IsRefusedNotRun")
+{
+    addEngines({ makeReport("only") });
+    Route &route = *findRow(state_.routes_, state_.routeByName_["itinerary"]);
+    route.meanAnswerTokens_ = 100;
+    CallerRequest request = makeRequest();
+    request.maxTokens_ = 0;
+    request.wait_ = std::chrono::seconds(2);
+    const EntryOutbox outbox = submit({ request });
+    CHECK(outbox.orders_.empty());
+    REQUIRE(outbox.callerOutputs_.size() == 1);
+    CHECK(refusalIn(outbox.callerOutputs_[0])->truth_ == Truth::NotRun);
+}
+
 TEST_CASE_FIXTURE(EntryFixture, "Queue_WhenNoUpstreamHasRoom_WaitsAndServesTheHighestTierFirst")
 {
     AgentReport full = makeReport("only", 1);
