--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -1,6 +1,8 @@
 /**
  * @file path_bench.cpp
  * @brief Whole-process figures of the path: added time to the first token, throughput of an entry, idle cost.
+ *
+ * With a number as argument: idle cost of an entry before that many upstreams, and spread of a confirmed plan.
  */
 #include "address_func.h"
 #include "fleet_func.h"
@@ -202,10 +204,60 @@
     }
 }
 
+/// @return whether every entry and agent has the revision.
+bool allAt(const Fleet &fleet, const std::string &revision)
+{
+    const std::string text = "\"revision\":" + revision + ",";
+    const auto has = [&](const std::string &name) {
+        return callNode(fleet.processes_.at(name).control_, "GET", "/v1/status").body_.find(text) != std::string::npos;
+    };
+    return std::all_of(fleet.entries_.begin(), fleet.entries_.end(), has)
+        && std::all_of(fleet.agents_.begin(), fleet.agents_.end(), has);
+}
+
+void printSpread(const Fleet &fleet)
+{
+    for (int round = 2; round < 5; ++round) {
+        const TimePoint begun = Clock::now();
+        confirmChanges(fleet, "entry-1", { SetDrain{ "upstream", "elsewhere", round % 2 == 0 } });
+        const bool spread = waitUntil([&] { return allAt(fleet, std::to_string(round)); }, Milliseconds(60000));
+        std::printf("confirmed plan in force at every node: %s after %.2f s\n", spread ? "yes" : "no",
+            FractionalSeconds(Clock::now() - begun).count());
+    }
+}
+
+/// Prints what an idle entry costs before a number of upstreams, and how soon a confirmed plan is in force everywhere.
+bool printSlope(size_t upstreams)
+{
+    FleetSpec spec;
+    spec.entries_ = 3;
+    spec.entryPolicy_ = "  subset_size: 1000\n";
+    spec.changes_ = makeDeploymentChanges();
+    for (size_t index = 0; index < upstreams; ++index) {
+        spec.upstreams_.push_back(
+            { "runner-" + std::to_string(index), RouteKind::Model, "itinerary", "norte-a", 4, 8000, 100, 0 });
+    }
+    Fleet fleet;
+    const bool started = startFleet(fleet, spec);
+    if (started) {
+        const FractionalSeconds before = processorTime(fleet, "entry-1");
+        std::this_thread::sleep_for(idleTime);
+        const FractionalSeconds used = processorTime(fleet, "entry-1") - before;
+        std::printf("%zu upstreams: idle entry %.2f %% of a core, %zu KB resident\n", upstreams,
+            100 * used.count() / FractionalSeconds(idleTime).count(), residentKilobytes(fleet, "entry-1"));
+        printSpread(fleet);
+    }
+    stopFleet(fleet);
+    return started;
+}
+
 } // namespace
 
-int main()
+int main(int argc, char **argv)
 {
+    if (argc > 1) {
+        return printSlope(std::strtoul(argv[1], nullptr, 10)) ? 0 : 1;
+    }
     Fleet fleet;
     if (!startFleet(fleet, makeSpec())) {
         std::fprintf(stderr, "the fleet did not start\n");
