--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -219,7 +219,7 @@
 {
     for (int round = 2; round < 5; ++round) {
         const TimePoint begun = Clock::now();
-        confirmChanges(fleet, "entry-1", { SetDrain{ "upstream", "elsewhere", round % 2 == 0 } });
+        confirmChanges(fleet, "entry-1", { SetDrain{ DrainKind::Upstream, "elsewhere", round % 2 == 0 } });
         const bool spread = waitUntil([&] { return allAt(fleet, std::to_string(round)); }, Milliseconds(60000));
         std::printf("confirmed plan in force at every node: %s after %.2f s\n", spread ? "yes" : "no",
             FractionalSeconds(Clock::now() - begun).count());
--- a/bench/tick_bench.cpp
+++ b/bench/tick_bench.cpp
@@ -69,7 +69,8 @@
     for (int index = 0; index < upstreams; ++index) {
         const AgentReport report = makeReport(index);
         const std::string region = "region-" + std::to_string(index / modelCount % regionCount);
-        list.vms_.push_back({ report.upstream_, "upstream", "10.0.0.1:1", region, region, report.routes_, false });
+        list.vms_.push_back(
+            { report.upstream_, VmRole::Upstream, "10.0.0.1:1", region, region, report.routes_, false });
     }
     return list;
 }
@@ -237,7 +238,7 @@
         bench.PauseTiming();
         Configuration altered = state.configuration_;
         drained = !drained;
-        const std::vector<Change> changes{ SetDrain{ "upstream", "up-1", drained } };
+        const std::vector<Change> changes{ SetDrain{ DrainKind::Upstream, "up-1", drained } };
         applyChanges(altered, changes);
         EntryInbox inbox;
         inbox.peerChanges_.push_back({ {}, { { altered.revision_, "p", changes, configurationDigest(altered) } } });
--- a/src/cli_main.cpp
+++ b/src/cli_main.cpp
@@ -37,6 +37,18 @@
     ExitStatus status_ = ExitStatus::Done; ///< Outcome.
 };
 
+/// @return the value that @p name has in a table of names; the option has been checked to be one of them.
+template<typename Value, typename Names>
+Value valueOf(const std::string &name, const Names &names)
+{
+    for (const auto &[known, value] : names) {
+        if (known == name) {
+            return value;
+        }
+    }
+    return Value{};
+}
+
 CLI::App *addCommand(CLI::App &parent, const std::string &name, const std::string &help)
 {
     CLI::App *command = parent.add_subcommand(name, help);
@@ -88,12 +100,10 @@
 
 void planRoute(Arguments &arguments)
 {
-    const bool service = arguments.kind_ == "service";
-    const bool once = arguments.rule_ == "at-most-once";
-    plan(arguments,
-        SetRoute{ arguments.name_,
-            { service ? RouteKind::Service : RouteKind::Model,
-                once ? DispatchRule::AtMostOnce : DispatchRule::Repeatable } });
+    SetRoute change{ arguments.name_, {} };
+    change.settings_.kind_ = valueOf<RouteKind>(arguments.kind_, routeKindNames);
+    change.settings_.rule_ = valueOf<DispatchRule>(arguments.rule_, dispatchRuleNames);
+    plan(arguments, change);
 }
 
 void addSubject(CLI::App &command, Arguments &arguments)
@@ -144,14 +154,17 @@
     addSubject(*drain, arguments);
     drain->add_flag("--end", arguments.endDrain_, "End the drain");
     drain->callback([&arguments] {
-        plan(arguments, SetDrain{ arguments.kind_, arguments.name_, !arguments.endDrain_ });
+        plan(arguments,
+            SetDrain{ valueOf<DrainKind>(arguments.kind_, drainKindNames), arguments.name_, !arguments.endDrain_ });
     });
     CLI::App *removal = addCommand(*planApp, "remove", "Remove a tier, workspace or route");
     removal->add_option("kind", arguments.kind_, "tier, workspace or route")
         ->required()
         ->check(CLI::IsMember({ "tier", "workspace", "route" }));
     addSubject(*removal, arguments);
-    removal->callback([&arguments] { plan(arguments, RemoveSubject{ arguments.kind_, arguments.name_ }); });
+    removal->callback([&arguments] {
+        plan(arguments, RemoveSubject{ valueOf<SubjectKind>(arguments.kind_, subjectKindNames), arguments.name_ });
+    });
 }
 
 void addReplayCommand(CLI::App &app, Arguments &arguments)
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -7,6 +7,8 @@
 #include "configuration_wire.h"
 #include "digest_func.h"
 #include "error_type.h"
+#include "json_func.h"
+#include "table/wire_names.h"
 
 namespace Burdockfield {
 
@@ -79,30 +81,30 @@
 std::error_code apply(Configuration &configuration, const RemoveSubject &change)
 {
     size_t removed = 0;
-    if (change.kind_ == "tier") {
+    switch (change.kind_) {
+    case SubjectKind::Tier:
         if (tierInUse(configuration, change.name_)) {
             return PlanErrc::BadValue;
         }
         removed = configuration.tiers_.erase(change.name_);
-    } else if (change.kind_ == "workspace") {
+        break;
+    case SubjectKind::Workspace:
         removed = configuration.workspaces_.erase(change.name_);
-    } else if (change.kind_ == "route") {
+        break;
+    case SubjectKind::Route:
         removed = configuration.routes_.erase(change.name_);
-    } else {
-        return PlanErrc::UnknownChange;
+        break;
     }
     return removed > 0 ? std::error_code{} : PlanErrc::UnknownSubject;
 }
 
 std::error_code apply(Configuration &configuration, const SetDrain &change)
 {
-    if (change.kind_ != "upstream" && change.kind_ != "region") {
-        return PlanErrc::UnknownChange;
-    }
     if (change.name_.empty()) {
         return PlanErrc::BadValue;
     }
-    auto &drained = change.kind_ == "upstream" ? configuration.drainedUpstreams_ : configuration.drainedRegions_;
+    auto &drained
+        = change.kind_ == DrainKind::Upstream ? configuration.drainedUpstreams_ : configuration.drainedRegions_;
     if (change.drained_) {
         drained.insert(change.name_);
         return {};
@@ -114,10 +116,12 @@
 std::string displacedBy(const Configuration &before, const Change &change)
 {
     if (const auto *drain = std::get_if<SetDrain>(&change); drain != nullptr && drain->drained_) {
-        return "new runs on " + drain->kind_ + " " + drain->name_ + "; runs in progress finish";
+        return "new runs on " + std::string(nameOf(drain->kind_, drainKindNames)) + " " + drain->name_
+            + "; runs in progress finish";
     }
     if (const auto *removal = std::get_if<RemoveSubject>(&change); removal != nullptr) {
-        return "new requests of " + removal->kind_ + " " + removal->name_ + "; requests in progress finish";
+        return "new requests of " + std::string(nameOf(removal->kind_, subjectKindNames)) + " " + removal->name_
+            + "; requests in progress finish";
     }
     if (const auto *workspace = std::get_if<SetWorkspace>(&change); workspace != nullptr) {
         const auto old = before.workspaces_.find(workspace->name_);
--- a/src/configuration_type.h
+++ b/src/configuration_type.h
@@ -82,17 +82,30 @@
     RouteSettings settings_; ///< New settings.
 };
 
+/// What a removal takes away.
+enum class SubjectKind : uint8_t {
+    Tier, ///< A tier.
+    Workspace, ///< A workspace.
+    Route, ///< A route.
+};
+
 /// Removes a tier, workspace or route.
 struct RemoveSubject
 {
-    std::string kind_; ///< "tier", "workspace" or "route".
+    SubjectKind kind_ = SubjectKind::Tier; ///< Kind of the subject.
     std::string name_; ///< What to remove.
 };
 
+/// What a drain holds for.
+enum class DrainKind : uint8_t {
+    Upstream, ///< One upstream VM.
+    Region, ///< Every upstream of a region.
+};
+
 /// Starts or ends the drain of an upstream or of a region.
 struct SetDrain
 {
-    std::string kind_; ///< "upstream" or "region".
+    DrainKind kind_ = DrainKind::Upstream; ///< What the drain holds for.
     std::string name_; ///< What to drain.
     bool drained_ = true; ///< False ends the drain.
 };
--- a/src/configuration_wire.cpp
+++ b/src/configuration_wire.cpp
@@ -111,12 +111,12 @@
 
 Json::object changeToJson(const RemoveSubject &change)
 {
-    return { { "change", "remove" }, { "kind", change.kind_ }, { "name", change.name_ } };
+    return { { "change", "remove" }, { "kind", nameOf(change.kind_, subjectKindNames) }, { "name", change.name_ } };
 }
 
 Json::object changeToJson(const SetDrain &change)
 {
-    return { { "change", "drain" }, { "kind", change.kind_ }, { "name", change.name_ },
+    return { { "change", "drain" }, { "kind", nameOf(change.kind_, drainKindNames) }, { "name", change.name_ },
         { "drained", change.drained_ } };
 }
 
@@ -138,7 +138,7 @@
 Change readRemoval(JsonReader &reader)
 {
     RemoveSubject change;
-    read(reader, "kind", change.kind_);
+    readName(reader, "kind", change.kind_, subjectKindNames);
     read(reader, "name", change.name_);
     return change;
 }
@@ -146,7 +146,7 @@
 Change readDrain(JsonReader &reader)
 {
     SetDrain change;
-    read(reader, "kind", change.kind_);
+    readName(reader, "kind", change.kind_, drainKindNames);
     read(reader, "name", change.name_);
     read(reader, "drained", change.drained_, Presence::Optional);
     return change;
@@ -185,16 +185,17 @@
 
 std::string drainText(const Configuration &configuration, const SetDrain &change)
 {
-    const auto &set = change.kind_ == "region" ? configuration.drainedRegions_ : configuration.drainedUpstreams_;
+    const auto &set
+        = change.kind_ == DrainKind::Region ? configuration.drainedRegions_ : configuration.drainedUpstreams_;
     return set.contains(change.name_) ? "drained" : "serving";
 }
 
 std::string removedText(const Configuration &configuration, const RemoveSubject &change)
 {
-    if (change.kind_ == "tier") {
+    if (change.kind_ == SubjectKind::Tier) {
         return settingsText(configuration.tiers_, change.name_);
     }
-    if (change.kind_ == "workspace") {
+    if (change.kind_ == SubjectKind::Workspace) {
         return settingsText(configuration.workspaces_, change.name_);
     }
     return settingsText(configuration.routes_, change.name_);
@@ -242,12 +243,12 @@
 
 std::string subjectName(const RemoveSubject &change)
 {
-    return change.kind_ + " " + change.name_;
+    return std::string(nameOf(change.kind_, subjectKindNames)) + " " + change.name_;
 }
 
 std::string subjectName(const SetDrain &change)
 {
-    return change.kind_ + " " + change.name_;
+    return std::string(nameOf(change.kind_, drainKindNames)) + " " + change.name_;
 }
 
 Json::object effectToJson(const PlanEffect &effect)
--- a/src/error_type.h
+++ b/src/error_type.h
@@ -91,8 +91,7 @@
 
 /// Why a plan or confirmation was refused.
 enum class PlanErrc {
-    UnknownChange = 1, ///< No change has this kind.
-    UnknownSubject, ///< The change names something that does not exist.
+    UnknownSubject = 1, ///< The change names something that does not exist.
     BadValue, ///< A value is outside its bounds.
     StaleBase, ///< The configuration has moved on since the plan was made.
     AltersNothing, ///< The plan would leave the configuration as it is.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -75,7 +75,7 @@
     std::set<std::string> listed;
     state.peers_.clear();
     for (const Vm &vm : vms) {
-        if (vm.role_ == "upstream") {
+        if (vm.role_ == VmRole::Upstream) {
             listed.insert(vm.name_);
             takeVm(state, vm, outbox);
         } else if (vm.address_ != state.place_.address_ && !vm.leaving_) {
--- a/src/platform_wire.cpp
+++ b/src/platform_wire.cpp
@@ -6,6 +6,7 @@
 
 #include "error_type.h"
 #include "json_func.h"
+#include "table/wire_names.h"
 
 namespace Burdockfield {
 
@@ -182,8 +183,8 @@
 {
     Json::array array;
     for (const Vm &vm : vms) {
-        array.push_back(Json::object{ { "name", vm.name_ }, { "role", vm.role_ }, { "address", vm.address_ },
-            { "region", vm.region_ }, { "zone", vm.zone_ },
+        array.push_back(Json::object{ { "name", vm.name_ }, { "role", nameOf(vm.role_, vmRoleNames) },
+            { "address", vm.address_ }, { "region", vm.region_ }, { "zone", vm.zone_ },
             { "routes", Json::array(vm.routes_.begin(), vm.routes_.end()) }, { "leaving", vm.leaving_ } });
     }
     return Json::serialize(Json::object{ { "vms", std::move(array) } });
@@ -201,7 +202,7 @@
         JsonReader row = readObject(item);
         Vm vm;
         read(row, "name", vm.name_);
-        read(row, "role", vm.role_);
+        readName(row, "role", vm.role_, vmRoleNames);
         read(row, "address", vm.address_);
         read(row, "region", vm.region_);
         read(row, "zone", vm.zone_);
--- a/src/table/error_names.h
+++ b/src/table/error_names.h
@@ -31,7 +31,7 @@
 
 constexpr std::array<std::string_view, 4> storeErrorNames{ "ok", "conflict", "unavailable", "ambiguous" };
 
-constexpr std::array<std::string_view, 9> planErrorNames{ "ok", "unknown-change", "unknown-subject", "bad-value",
-    "stale-base", "alters-nothing", "store-unavailable", "outcome-unknown", "diverged" };
+constexpr std::array<std::string_view, 8> planErrorNames{ "ok", "unknown-subject", "bad-value", "stale-base",
+    "alters-nothing", "store-unavailable", "outcome-unknown", "diverged" };
 
 } // namespace Burdockfield
--- a/src/table/wire_names.h
+++ b/src/table/wire_names.h
@@ -4,7 +4,9 @@
  */
 #pragma once
 
+#include "../configuration_type.h"
 #include "../route_type.h"
+#include "../vm_type.h"
 
 #include <array>
 #include <string_view>
@@ -28,4 +30,20 @@
     { "unknown", Truth::Unknown },
 } };
 
+constexpr std::array<std::pair<std::string_view, SubjectKind>, 3> subjectKindNames{ {
+    { "tier", SubjectKind::Tier },
+    { "workspace", SubjectKind::Workspace },
+    { "route", SubjectKind::Route },
+} };
+
+constexpr std::array<std::pair<std::string_view, DrainKind>, 2> drainKindNames{ {
+    { "upstream", DrainKind::Upstream },
+    { "region", DrainKind::Region },
+} };
+
+constexpr std::array<std::pair<std::string_view, VmRole>, 2> vmRoleNames{ {
+    { "entry", VmRole::Entry },
+    { "upstream", VmRole::Upstream },
+} };
+
 } // namespace Burdockfield
--- a/src/vm_type.h
+++ b/src/vm_type.h
@@ -4,16 +4,23 @@
  */
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace Burdockfield {
 
+/// What runs on a VM.
+enum class VmRole : uint8_t {
+    Entry, ///< An entry.
+    Upstream, ///< An upstream with its agent.
+};
+
 /// VM as the platform lists it; the list lags.
 struct Vm
 {
     std::string name_; ///< Name of the VM.
-    std::string role_; ///< "entry" or "upstream".
+    VmRole role_ = VmRole::Upstream; ///< What runs on it.
     std::string address_; ///< IP:PORT of the project's process on it.
     std::string region_; ///< Region.
     std::string zone_; ///< Availability zone.
--- a/tests/control_process_test.cpp
+++ b/tests/control_process_test.cpp
@@ -89,13 +89,13 @@
 TEST_CASE_FIXTURE(ProcessFixture, "Upstream_WhenDrainedByAConfirmedPlan_GetsNoNewWorkUntilTheDrainEnds")
 {
     REQUIRE(startFleet(fleet_, makePairFleet()));
-    REQUIRE(confirmChanges(fleet_, "entry-1", { SetDrain{ "upstream", "runner-a", true } }) == 200);
+    REQUIRE(confirmChanges(fleet_, "entry-1", { SetDrain{ DrainKind::Upstream, "runner-a", true } }) == 200);
     REQUIRE(waitUntil([&] { return allAt(fleet_, 2); }));
     const size_t before = startsOn(fleet_, "runner-a-upstream");
     CHECK(sendSome(fleet_, "drained "));
     CHECK(startsOn(fleet_, "runner-a-upstream") == before);
-    REQUIRE(confirmChanges(fleet_, "entry-2", { SetDrain{ "upstream", "runner-a", false } }) == 200);
-    REQUIRE(confirmChanges(fleet_, "entry-2", { SetDrain{ "upstream", "runner-b", true } }) == 200);
+    REQUIRE(confirmChanges(fleet_, "entry-2", { SetDrain{ DrainKind::Upstream, "runner-a", false } }) == 200);
+    REQUIRE(confirmChanges(fleet_, "entry-2", { SetDrain{ DrainKind::Upstream, "runner-b", true } }) == 200);
     REQUIRE(waitUntil([&] { return allAt(fleet_, 4); }));
     CHECK(sendSome(fleet_, "undrained "));
     CHECK(startsOn(fleet_, "runner-a-upstream") == before + 8);
@@ -107,7 +107,7 @@
     for (uint64_t round = 0; round < 5; ++round) {
         const bool drain = round % 2 == 0;
         const auto confirm = [&](const std::string &entry, const std::string &upstream) {
-            return confirmChanges(fleet_, entry, { SetDrain{ "upstream", upstream, drain } });
+            return confirmChanges(fleet_, entry, { SetDrain{ DrainKind::Upstream, upstream, drain } });
         };
         auto left = std::async(std::launch::async, confirm, "entry-1", "x");
         auto right = std::async(std::launch::async, confirm, "entry-2", "x");
@@ -126,7 +126,7 @@
 {
     REQUIRE(startFleet(fleet_, makePairFleet()));
     controlStandin(fleet_, "platform", R"({"mode":"lose-answers"})");
-    CHECK(confirmChanges(fleet_, "entry-1", { SetDrain{ "upstream", "y", true } }) == 200);
+    CHECK(confirmChanges(fleet_, "entry-1", { SetDrain{ DrainKind::Upstream, "y", true } }) == 200);
     CHECK(waitUntil([&] { return allAt(fleet_, 2); }));
     CHECK(revisionAt(fleet_, "entry-1") == 2);
 }
@@ -134,7 +134,7 @@
 TEST_CASE_FIXTURE(ProcessFixture, "Configuration_WhenTheStoreGoesDownAfterAConfirm_SpreadsFromPeersAndSurvivesARestart")
 {
     REQUIRE(startFleet(fleet_, makePairFleet()));
-    REQUIRE(confirmChanges(fleet_, "entry-1", { SetDrain{ "upstream", "z", true } }) == 200);
+    REQUIRE(confirmChanges(fleet_, "entry-1", { SetDrain{ DrainKind::Upstream, "z", true } }) == 200);
     controlStandin(fleet_, "platform", R"({"mode":"down"})");
     CHECK(waitUntil([&] { return allAt(fleet_, 2); }));
     signalProcess(fleet_, "entry-2", SIGKILL);
@@ -142,7 +142,7 @@
     const std::string &control = fleet_.processes_["entry-2"].control_;
     CHECK(waitUntil([&] { return callNode(control, "GET", "/readyz").status_ == 200; }));
     CHECK(revisionAt(fleet_, "entry-2") == 2);
-    const int refused = confirmChanges(fleet_, "entry-1", { SetDrain{ "upstream", "w", true } });
+    const int refused = confirmChanges(fleet_, "entry-1", { SetDrain{ DrainKind::Upstream, "w", true } });
     CHECK(refused == 503);
     CHECK(revisionAt(fleet_, "entry-1") == 2);
 }
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -40,7 +40,7 @@
         VmsListed list;
         for (const AgentReport &report : reports) {
             list.vms_.push_back(
-                { report.upstream_, "upstream", report.upstream_ + ":1", region, "z", report.routes_, false });
+                { report.upstream_, VmRole::Upstream, report.upstream_ + ":1", region, "z", report.routes_, false });
         }
         EntryInbox inbox;
         inbox.vmLists_.push_back(list);
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -74,8 +74,8 @@
 TEST_CASE_FIXTURE(EntryFixture, "Routing_WhenAnotherRegionIsNoFaster_StaysInItsOwn")
 {
     VmsListed list;
-    list.vms_.push_back({ "far", "upstream", "far:1", "other", "z", { "itinerary" }, false });
-    list.vms_.push_back({ "near", "upstream", "near:1", "r", "z", { "itinerary" }, false });
+    list.vms_.push_back({ "far", VmRole::Upstream, "far:1", "other", "z", { "itinerary" }, false });
+    list.vms_.push_back({ "near", VmRole::Upstream, "near:1", "r", "z", { "itinerary" }, false });
     EntryInbox inbox;
     inbox.vmLists_.push_back(list);
     tick(std::move(inbox));
@@ -273,7 +273,7 @@
 {
     addEngines({ makeReport("leaver") });
     VmsListed list;
-    list.vms_.push_back({ "leaver", "upstream", "leaver:1", "r", "z", { "itinerary" }, true });
+    list.vms_.push_back({ "leaver", VmRole::Upstream, "leaver:1", "r", "z", { "itinerary" }, true });
     for (const size_t notices : { 1U, 0U }) {
         EntryInbox inbox;
         inbox.vmLists_.push_back(list);
@@ -294,7 +294,7 @@
 TEST_CASE_FIXTURE(EntryFixture, "Replay_WhenAChangeLeadsToAnotherDigest_IsRefusedAsDiverged")
 {
     Configuration altered = state_.configuration_;
-    const std::vector<Change> changes{ SetDrain{ "region", "r", true } };
+    const std::vector<Change> changes{ SetDrain{ DrainKind::Region, "r", true } };
     REQUIRE(!applyChanges(altered, changes));
     ConfirmedChange change{ altered.revision_, "p", changes, "wrong" };
     Configuration copy = state_.configuration_;
@@ -309,6 +309,6 @@
 {
     const PlanResult result = makePlan(state_.configuration_, "p", { SetRoute{ "itinerary", {} } });
     CHECK(result.error_ == PlanErrc::AltersNothing);
-    const PlanResult unknown = makePlan(state_.configuration_, "p", { RemoveSubject{ "route", "nothing" } });
+    const PlanResult unknown = makePlan(state_.configuration_, "p", { RemoveSubject{ SubjectKind::Route, "nothing" } });
     CHECK(unknown.error_ == PlanErrc::UnknownSubject);
 }
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -320,11 +320,12 @@
         return std::find(leaving.begin(), leaving.end(), name) != leaving.end();
     };
     for (const UpstreamSpec &spec : fleet.spec_.upstreams_) {
-        vms.push_back({ spec.name_, "upstream", reachedAt(fleet, spec.name_), spec.region_, spec.region_,
+        vms.push_back({ spec.name_, VmRole::Upstream, reachedAt(fleet, spec.name_), spec.region_, spec.region_,
             { spec.route_ }, isLeaving(spec.name_) });
     }
     for (const std::string &name : fleet.entries_) {
-        vms.push_back({ name, "entry", fleet.processes_.at(name).control_, "norte-a", "norte-a", {}, isLeaving(name) });
+        vms.push_back(
+            { name, VmRole::Entry, fleet.processes_.at(name).control_, "norte-a", "norte-a", {}, isLeaving(name) });
     }
     callNode(fleet.processes_.at(platformName).address_, "POST", "/control/vms", serializeVms(vms));
 }
--- a/tests/schedule_fixture.cpp
+++ b/tests/schedule_fixture.cpp
@@ -128,8 +128,8 @@
 {
     std::vector<Vm> vms;
     for (size_t index = 0; index < agentCount; ++index) {
-        vms.push_back(
-            { agentAddress(index), "upstream", agentAddress(index), "r", "z", { "booking", "itinerary" }, false });
+        vms.push_back({ agentAddress(index), VmRole::Upstream, agentAddress(index), "r", "z",
+            { "booking", "itinerary" }, false });
     }
     return vms;
 }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -114,7 +114,8 @@
     samples.push_back(textSample(serializeConfirmedChanges({ confirmed }), parseConfirmedChanges));
     samples.push_back(textSample(serializeTransaction(transaction), parseTransaction));
     samples.push_back(textSample(serializeRows({ { { "t", "k" }, "v", 3 } }), parseRows));
-    samples.push_back(textSample(serializeVms({ { "n", "upstream", "a:1", "r", "z", { "m" }, true } }), parseVms));
+    samples.push_back(
+        textSample(serializeVms({ { "n", VmRole::Upstream, "a:1", "r", "z", { "m" }, true } }), parseVms));
     samples.push_back(textSample(serializeClaim({ { "r", 1 }, "a:1", 5, "d" }), parseClaim));
     samples.push_back(textSample(serializeTraceRecord(TraceRecord{}), parseTraceRecord));
     samples.push_back(textSample(R"({"slots":4,"models":["m"]})", parseLoad));
