--- a/src/fair_queue_func.h
+++ b/src/fair_queue_func.h
@@ -3,7 +3,7 @@
  * @brief Start-time fair queueing across workspaces.
  *
  * A request costs its tokens divided by the weight of its workspace. The workspace whose next request starts at the
- * earliest virtual time goes first. Source: Goyal, Vin, Cheng, "Start-time Fair Queueing", 1996.
+ * earliest start tag goes first. Source: Goyal, Vin, Cheng, "Start-time Fair Queueing", 1996.
  */
 #pragma once
 
