Ask in one place whether a request still waits

Dispatch and shedding each had the same test of a queued request; both now call isWaiting(). The process tests and the lint were not run again for this commit.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -95,8 +95,7 @@
 bool dispatchTier(EntryState &state, Route &route, size_t rank, TimePoint now, EntryOutbox &outbox)
 {
     const auto waits = [&state](RequestId id) {
-        const Request *row = findRow(state.requests_, id);
-        return row != nullptr && row->stage_ == RequestStage::Waiting;
+        return isWaiting(state, id);
     };
     TierQueue &queue = route.queue_.tiers_[rank];
     while (const auto head = findHead(queue, waits)) {
--- a/src/intake.cpp
+++ b/src/intake.cpp
@@ -167,8 +167,7 @@
         return false;
     }
     const auto waits = [&state](RequestId id) {
-        const Request *row = findRow(state.requests_, id);
-        return row != nullptr && row->stage_ == RequestStage::Waiting;
+        return isWaiting(state, id);
     };
     const auto tail = findTail(route.queue_.tiers_[lowest], waits);
     if (!tail || (lowest == rank && tail->workspace_ == workspace)) {
--- a/src/request.cpp
+++ b/src/request.cpp
@@ -136,6 +136,12 @@
     return state.policy_.queue_ == QueueRule::TierFair ? request.workspace_ : WorkspaceId{ 0, 0 };
 }
 
+bool isWaiting(const EntryState &state, RequestId id)
+{
+    const Request *row = findRow(state.requests_, id);
+    return row != nullptr && row->stage_ == RequestStage::Waiting;
+}
+
 void sendDeltas(Request &request, std::vector<Delta> deltas, EntryOutbox &outbox, const EntryState &state)
 {
     if (!request.caller_.streamed_ || deltas.empty()) {
--- a/src/request_func.h
+++ b/src/request_func.h
@@ -29,6 +29,9 @@
 /// @return workspace under which the request is queued; one for all when the policy is first come, first served.
 WorkspaceId queueWorkspace(const EntryState &state, const Request &request);
 
+/// @return whether the request is still there and queued at this entry.
+bool isWaiting(const EntryState &state, RequestId id);
+
 /// Sends pieces to a streaming caller.
 void sendDeltas(Request &request, std::vector<Delta> deltas, EntryOutbox &outbox, const EntryState &state);
 
