--- a/src/daemon_func.h
+++ b/src/daemon_func.h
@@ -25,6 +25,17 @@
 /// Runs an agent until it is told to stop. @return exit status of the process
 int runAgentDaemon(const Settings &settings);
 
+namespace Gateway {
+
+/**
+ * Runs a gateway until it is told to stop.
+ * @param file settings file, read again when it changes
+ * @return exit status of the process
+ */
+int runGatewayDaemon(const Settings &settings, const std::string &file);
+
+} // namespace Gateway
+
 /// @return the seed of the settings, or one drawn from the system.
 uint64_t seedOf(const Settings &settings);
 
--- a/src/daemon_main.cpp
+++ b/src/daemon_main.cpp
@@ -16,7 +16,7 @@
     CLI::App app{ "burdockfieldd: daemon of the burdockfield request scheduler" };
     app.set_version_flag("--version", std::string(versionText));
     std::string file;
-    app.add_option("--settings", file, "Settings file (YAML); its role chooses entry or agent")->required();
+    app.add_option("--settings", file, "Settings file (YAML); its role chooses gateway, entry or agent")->required();
     CLI11_PARSE(app, argc, argv);
     Settings settings;
     if (const SettingsError error = loadSettings(file, settings); error.error_) {
@@ -24,5 +24,18 @@
         return startFailureStatus;
     }
     startLog("burdockfieldd", settings.place_.name_, settings.logLevel_);
-    return settings.role_ == Role::Entry ? runEntryDaemon(settings) : runAgentDaemon(settings);
+    int status = 0;
+    switch (settings.role_) {
+    case Role::Gateway:
+        status = Gateway::runGatewayDaemon(settings, file);
+        break;
+    case Role::Entry:
+        status = runEntryDaemon(settings);
+        break;
+    case Role::Agent:
+        status = runAgentDaemon(settings);
+        break;
+    }
+    stopLog();
+    return status;
 }
--- /dev/null
+++ b/src/gateway_answers.cpp
@@ -0,0 +1,294 @@
+/**
+ * @file gateway_answers.cpp
+ * @brief System that passes answers on, and repeats or ends what failed.
+ *
+ * Answers that are not streamed are passed on once they are whole. Streams are passed on event by event, so that a run
+ * that breaks off inside an event can go on elsewhere after the last whole one.
+ */
+#include "gateway_func.h"
+
+#include "error_type.h"
+#include "gateway_event_stream_func.h"
+
+#include <algorithm>
+
+namespace Burdockfield::Gateway {
+
+namespace {
+
+constexpr size_t answerBytesLimit = 16U << 20U; ///< Longest answer that is kept whole; below any memory limit.
+constexpr uint32_t connectAttemptLimit = 4; ///< Upstreams that may be found unreachable before the call is given up.
+constexpr Milliseconds firstAvoidance{ 250 }; ///< Time without use after a failure to connect.
+constexpr Milliseconds longestAvoidance{ 4000 }; ///< The same after many failures in a row.
+constexpr uint32_t avoidanceDoublings = 4; ///< Failures after which the time no longer doubles.
+constexpr Milliseconds requeueWait{ 400 }; ///< Time that a repeated call may wait for room.
+constexpr int serverErrorStatus = 500; ///< Least status of a server's failure.
+
+Call *findSent(GatewayState &state, uint64_t send, CallId &id)
+{
+    const auto found = state.callBySend_.find(send);
+    if (found == state.callBySend_.end()) {
+        return nullptr;
+    }
+    id = found->second;
+    return findRow(state.calls_, id);
+}
+
+bool isStreamed(const Call &call)
+{
+    return call.kind_ == CallKind::Streaming && call.headSeen_ && call.head_.genuine_ && call.head_.eventStream_;
+}
+
+void finish(GatewayState &state, TimePoint now, CallId id, const char *outcome, int status, GatewayOutbox &outbox)
+{
+    const Call &call = *findRow(state.calls_, id);
+    outbox.decisions_.push_back({ "answered",
+        { { "request", call.request_.id_ }, { "route", call.routeName_ }, { "workspace", call.workspace_ },
+            { "outcome", outcome }, { "status", std::to_string(status) },
+            { "attempts", std::to_string(call.attempts_) }, { "events", std::to_string(call.events_) },
+            { "upstream", call.triedInstances_.empty() ? std::string() : call.triedInstances_.back() },
+            { "took_ms", millisecondsText(now - call.arrivedAt_) } } });
+    count(state.metrics_, "calls_ended", outcome);
+    observe(state.metrics_, "call_seconds", call.routeName_, now - call.arrivedAt_);
+    eraseCall(state, id);
+}
+
+/// Passes on the events that have come whole. @return whether their order holds
+bool relayEvents(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox)
+{
+    const EventScan scan = scanEvents(call.body_, call.lastEvent_);
+    if (scan.outOfOrder_) {
+        return false;
+    }
+    if (scan.bytes_.empty()) {
+        call.body_.erase(0, scan.consumed_);
+        return true;
+    }
+    if (!call.streamBegun_) {
+        call.streamBegun_ = true;
+        call.stage_ = CallStage::Relaying;
+        outbox.begins_.push_back({ call.exchange_, call.head_.reply_ });
+        observe(state.metrics_, "first_event_seconds", call.routeName_, now - call.arrivedAt_);
+    }
+    call.events_ += scan.events_;
+    call.lastEvent_ = scan.lastEvent_;
+    outbox.events_.push_back({ call.exchange_, scan.bytes_ });
+    call.body_.erase(0, scan.consumed_);
+    return true;
+}
+
+void breakStream(GatewayState &state, TimePoint now, CallId id, const char *reason, GatewayOutbox &outbox)
+{
+    const Call &call = *findRow(state.calls_, id);
+    outbox.breaks_.push_back(call.exchange_);
+    finish(state, now, id, reason, 0, outbox);
+}
+
+bool mayRepeat(GatewayState &state, TimePoint now, const Call &call)
+{
+    return call.attempts_ < call.attemptLimit_ && call.deadline_ - now > requeueWait / 4
+        && !isCrashSuspect(state, now, call.fingerprint_) && takeRepeat(state, call.service_);
+}
+
+void logFailedSend(
+    const Call &call, const Upstream *upstream, std::error_code error, TimePoint now, GatewayOutbox &outbox)
+{
+    const std::string status = call.headSeen_ ? std::to_string(call.head_.reply_.status_) : "none";
+    outbox.decisions_.push_back({ "send-failed",
+        { { "request", call.request_.id_ }, { "upstream", upstream == nullptr ? "gone" : upstream->id_ },
+            { "error", error ? error.message() : std::string("answer-refused") }, { "status", status },
+            { "not_run", call.headSeen_ && (call.head_.notRun_ || call.head_.wrongInstance_) ? "yes" : "no" },
+            { "attempt", std::to_string(call.attempts_) }, { "events", std::to_string(call.events_) },
+            { "after_ms", millisecondsText(now - call.sentAt_) } },
+        true });
+}
+
+void avoidUnreachable(Upstream &upstream, TimePoint now)
+{
+    const uint32_t doublings = std::min(upstream.connectFailures_, avoidanceDoublings);
+    upstream.avoidUntil_ = now + std::min(firstAvoidance * (1 << doublings), longestAvoidance);
+    ++upstream.connectFailures_;
+}
+
+/// The send reached no upstream: the call may go anywhere else.
+void handleUnreachable(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
+        avoidUnreachable(*upstream, now);
+    }
+    --call.attempts_;
+    ++call.connectFailures_;
+    detachFromUpstream(state, call, false, outbox);
+    if (call.connectFailures_ < connectAttemptLimit) {
+        call.waitUntil_ = std::min(call.deadline_, std::max(call.waitUntil_, now + requeueWait));
+        requeue(state, id);
+        return;
+    }
+    refuse(state, now, id, RefusalReason::NoUpstream, outbox);
+}
+
+/// The upstream promises that it has not run the call.
+void handleNotRun(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    const bool elsewhere = call.head_.wrongInstance_;
+    Upstream *upstream = findRow(state.upstreams_, call.upstream_);
+    if (upstream != nullptr && elsewhere) {
+        upstream->avoidUntil_ = now + longestAvoidance;
+    }
+    detachFromUpstream(state, call, false, outbox);
+    if (elsewhere) {
+        --call.attempts_;
+        ++call.connectFailures_;
+    }
+    const bool again = elsewhere ? call.connectFailures_ < connectAttemptLimit : mayRepeat(state, now, call);
+    if (again) {
+        call.waitUntil_ = std::min(call.deadline_, std::max(call.waitUntil_, now + requeueWait));
+        requeue(state, id);
+        return;
+    }
+    refuse(state, now, id, RefusalReason::NotRunThere, outbox);
+}
+
+/// The upstream failed the call, which may have run.
+void handleFailure(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    const bool genuine = call.headSeen_ && call.head_.genuine_;
+    const int status = call.head_.reply_.status_;
+    call.mayHaveRun_ = true;
+    if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
+        noteOutcome(*upstream, now, true);
+    }
+    detachFromUpstream(state, call, false, outbox);
+    if (call.repeatable_ && mayRepeat(state, now, call)) {
+        call.waitUntil_ = std::min(call.deadline_, now + requeueWait);
+        requeue(state, id);
+        return;
+    }
+    if (call.streamBegun_) {
+        breakStream(state, now, id, "stream-broken", outbox);
+        return;
+    }
+    if (genuine && status >= serverErrorStatus && !call.body_.empty()) {
+        HttpReply reply = call.head_.reply_;
+        reply.body_ = std::move(call.body_);
+        outbox.answers_.push_back({ call.exchange_, std::move(reply) });
+        finish(state, now, id, "upstream-error", status, outbox);
+        return;
+    }
+    refuse(state, now, id, RefusalReason::UpstreamFailed, outbox);
+}
+
+void passWhole(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    const int status = call.head_.reply_.status_;
+    HttpReply reply = std::move(call.head_.reply_);
+    reply.body_ = std::move(call.body_);
+    outbox.answers_.push_back({ call.exchange_, std::move(reply) });
+    finish(state, now, id, status < serverErrorStatus ? "ok" : "upstream-error", status, outbox);
+}
+
+void handleWholeAnswer(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    const bool streamed = isStreamed(call);
+    const int status = call.head_.reply_.status_;
+    const bool torn = streamed && !call.body_.empty();
+    const bool retryable = status >= serverErrorStatus && call.repeatable_;
+    if (!call.head_.genuine_ || torn || retryable || (call.streamBegun_ && !streamed)) {
+        handleFailure(state, now, id, call, outbox);
+        return;
+    }
+    if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
+        noteOutcome(*upstream, now, status >= serverErrorStatus);
+    }
+    detachFromUpstream(state, call, false, outbox);
+    if (!streamed) {
+        passWhole(state, now, id, call, outbox);
+        return;
+    }
+    if (!call.streamBegun_) {
+        outbox.begins_.push_back({ call.exchange_, call.head_.reply_ });
+    }
+    outbox.streamEnds_.push_back(call.exchange_);
+    finish(state, now, id, "ok", status, outbox);
+}
+
+void takeHead(GatewayState &state, TimePoint now, HeadReceived &event)
+{
+    CallId id;
+    Call *call = findSent(state, event.send_, id);
+    if (call == nullptr) {
+        return;
+    }
+    call->heardAt_ = now;
+    call->headSeen_ = true;
+    if (call->streamBegun_) { // the caller keeps the header of the first run
+        event.head_.reply_.headers_ = call->head_.reply_.headers_;
+    }
+    call->head_ = std::move(event.head_);
+    if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
+        upstream->connectFailures_ = 0;
+    }
+}
+
+void takeBytes(GatewayState &state, TimePoint now, BytesReceived &event, GatewayOutbox &outbox)
+{
+    CallId id;
+    Call *call = findSent(state, event.send_, id);
+    if (call == nullptr) {
+        return;
+    }
+    call->heardAt_ = now;
+    call->body_ += event.bytes_;
+    const bool relayed = !isStreamed(*call) || relayEvents(state, now, *call, outbox);
+    if (relayed && call->body_.size() <= answerBytesLimit) {
+        return;
+    }
+    const Upstream *upstream = findRow(state.upstreams_, call->upstream_);
+    logFailedSend(*call, upstream, TransportErrc::Malformed, now, outbox);
+    outbox.cancels_.push_back(call->send_);
+    call->body_.clear();
+    handleFailure(state, now, id, *call, outbox);
+}
+
+void takeEnd(GatewayState &state, TimePoint now, const SendEnded &event, GatewayOutbox &outbox)
+{
+    CallId id;
+    Call *call = findSent(state, event.send_, id);
+    if (call == nullptr) {
+        return;
+    }
+    const Upstream *upstream = findRow(state.upstreams_, call->upstream_);
+    const bool notRun = call->headSeen_ && (call->head_.notRun_ || call->head_.wrongInstance_);
+    const bool failed = event.error_ || notRun || !call->head_.genuine_;
+    if (failed) {
+        logFailedSend(*call, upstream, event.error_, now, outbox);
+        count(state.metrics_, "sends_failed", event.error_ ? event.error_.message() : "answer-refused");
+    }
+    if (notRun) {
+        handleNotRun(state, now, id, *call, outbox);
+    } else if (event.error_ == TransportErrc::NotSent) {
+        handleUnreachable(state, now, id, *call, outbox);
+    } else if (event.error_) {
+        call->body_.clear();
+        handleFailure(state, now, id, *call, outbox);
+    } else {
+        handleWholeAnswer(state, now, id, *call, outbox);
+    }
+}
+
+} // namespace
+
+void runAnswers(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
+{
+    for (HeadReceived &event : inbox.heads_) {
+        takeHead(state, now, event);
+    }
+    for (BytesReceived &event : inbox.bytes_) {
+        takeBytes(state, now, event, outbox);
+    }
+    for (const SendEnded &event : inbox.ends_) {
+        takeEnd(state, now, event, outbox);
+    }
+}
+
+} // namespace Burdockfield::Gateway
--- /dev/null
+++ b/src/gateway_base.h
@@ -0,0 +1,207 @@
+/**
+ * @file gateway_base.h
+ * @brief Tables of a gateway: calls, upstreams, workspaces, peers.
+ */
+#pragma once
+
+#include "deadline_type.h"
+#include "gateway_call_type.h"
+#include "gateway_configuration_type.h"
+#include "metrics_type.h"
+#include "pool_type.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Burdockfield::Gateway {
+
+/// Instance of a service's server, reached straight.
+struct Upstream
+{
+    std::string id_; ///< Name of this start of the server.
+    std::string service_; ///< Service that it belongs to.
+    std::string address_; ///< IP:PORT.
+    std::string zone_; ///< Availability zone.
+    std::string region_; ///< Region.
+    uint32_t slots_ = 1; ///< Requests that it runs at once.
+    uint64_t bornMs_ = 0; ///< Unix millisecond of its start, 0 if not told.
+    bool draining_ = false; ///< Whether it has announced that it leaves.
+
+    uint32_t ownInFlight_ = 0; ///< Calls of this gateway that are there.
+    uint32_t peerInFlight_ = 0; ///< Calls of other gateways that are there, as last told.
+    double failureRate_ = 0; ///< Share of failed answers, recent ones weighing more.
+    TimePoint failureAt_{}; ///< When failureRate_ was last brought up to date.
+    TimePoint avoidUntil_{}; ///< Not used before, after a failure to connect.
+    uint32_t connectFailures_ = 0; ///< Failures to connect in a row.
+    TimePoint missingSince_{ noDeadline }; ///< Since when the list lacks it, while that is not yet believed.
+};
+
+using UpstreamId = PoolId<Upstream>; ///< Index of an upstream.
+
+/// Where a call stands.
+enum class CallStage : uint8_t {
+    Waiting, ///< Waits for an upstream with room.
+    Sent, ///< At an upstream; nothing has gone to the caller.
+    Relaying, ///< Its stream goes to the caller.
+};
+
+/// Request in progress.
+struct Call
+{
+    ExchangeId exchange_; ///< Where the answer goes.
+    CallRequest request_; ///< What was asked.
+    std::string routeName_; ///< Route.
+    std::string service_; ///< Service that it goes to.
+    std::string workspace_; ///< Workspace, or empty.
+    CallKind kind_ = CallKind::NonIdempotent; ///< Kind of the route.
+    bool repeatable_ = false; ///< Whether it may run more than once.
+    bool resumable_ = false; ///< Whether its stream may go on elsewhere.
+    bool returned_ = false; ///< Whether the caller came back with it after a refusal.
+    uint32_t rank_ = 0; ///< Urgency.
+    uint32_t attemptLimit_ = 1; ///< Upstreams that it may be sent to.
+    Milliseconds objective_{ 0 }; ///< Time within which the answer earns its full credit.
+    uint64_t charge_ = 0; ///< Units taken from the workspace's quota.
+    uint64_t fingerprint_ = 0; ///< Hash of path, workspace and body, the same for each return of the request.
+    TimePoint arrivedAt_{}; ///< When it came.
+    TimePoint deadline_{}; ///< When the final answer is due.
+    TimePoint waitUntil_{}; ///< Until when it may wait for room.
+
+    CallStage stage_ = CallStage::Waiting; ///< Where it stands.
+    uint64_t send_ = 0; ///< Number of the present send.
+    UpstreamId upstream_; ///< Upstream of the present send.
+    TimePoint sentAt_{}; ///< When it was sent.
+    TimePoint heardAt_{}; ///< When the upstream was last heard.
+    uint32_t attempts_ = 0; ///< Sends that reached, or may have reached, an upstream.
+    uint32_t connectFailures_ = 0; ///< Sends that reached none.
+    bool mayHaveRun_ = false; ///< Whether an earlier send may have run.
+    std::vector<std::string> triedInstances_; ///< Instances that it was sent to.
+
+    AnswerHead head_; ///< Header of the present answer.
+    bool headSeen_ = false; ///< Whether head_ holds the present answer's header.
+    std::string body_; ///< Body of an answer that is not streamed, or bytes of an unfinished event.
+    bool streamBegun_ = false; ///< Whether the header has gone to the caller.
+    std::optional<uint64_t> lastEvent_; ///< Last event that went to the caller.
+    uint32_t events_ = 0; ///< Events that went to the caller.
+};
+
+using CallId = PoolId<Call>; ///< Index of a call.
+
+/// Quota of a workspace across all gateways.
+struct WorkspaceUse
+{
+    double level_ = 0; ///< Units left.
+    TimePoint levelAt_{}; ///< When level_ was last brought up to date.
+    uint64_t usedHere_ = 0; ///< Units charged by this gateway since its start.
+};
+
+/// Budget of repeated sends to a service.
+struct RepeatBudget
+{
+    double level_ = 0; ///< Repeats left.
+    bool started_ = false; ///< Whether level_ has been set.
+};
+
+/// Another gateway.
+struct Peer
+{
+    std::string address_; ///< IP:PORT for datagrams and calls.
+    std::string name_; ///< Name, empty until heard.
+    uint64_t incarnation_ = 0; ///< Start that the figures below belong to.
+    uint64_t sequence_ = 0; ///< Last datagram.
+    TimePoint heardAt_{}; ///< When it was last heard; the epoch if never.
+    TimePoint addedAt_{}; ///< When it was learnt of.
+    uint64_t configurationVersion_ = 0; ///< Configuration that it holds.
+    uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that it holds.
+    std::unordered_map<std::string, uint32_t> inFlight_; ///< Calls at each upstream.
+    std::unordered_map<std::string, uint64_t> used_; ///< Units charged to each workspace.
+};
+
+using PeerId = PoolId<Peer>; ///< Index of a peer.
+
+/// Row of the list of upstreams, as the store has it.
+struct UpstreamRow
+{
+    std::string id_; ///< Name of this start of the server.
+    std::string service_; ///< Service.
+    std::string address_; ///< IP:PORT.
+    std::string zone_; ///< Availability zone.
+    uint32_t slots_ = 1; ///< Requests that it runs at once.
+    uint64_t bornMs_ = 0; ///< Unix millisecond of its start, 0 if not told.
+    bool draining_ = false; ///< Whether it has announced that it leaves.
+    bool removed_ = false; ///< Whether the row is gone.
+};
+
+/// Figures of the settings that decisions use.
+struct Bounds
+{
+    double repeatRatio_ = 0.2; ///< Repeats allowed for each request of a service.
+    double repeatSlack_ = 50; ///< Repeats allowed besides, in a window.
+    std::chrono::seconds repeatWindow_{ 10 }; ///< Window of the repeat budget.
+    Milliseconds grace_{ 8000 }; ///< Time from SIGTERM to SIGKILL.
+    size_t bodyBytes_ = 32U << 20U; ///< Bodies that requests in progress may take together.
+    Milliseconds rowReturn_{ 2000 }; ///< Time in which rows that lapsed in an outage come back.
+};
+
+/// Recent requests that broke off when an upstream went down.
+struct CrashSuspect
+{
+    uint32_t crashes_ = 0; ///< Upstreams that went down with it.
+    TimePoint lastAt_{}; ///< When the last one did.
+};
+
+/// All tables of a gateway.
+struct GatewayState
+{
+    std::string name_; ///< Name of this node.
+    std::string zone_; ///< Availability zone of this node.
+    std::string region_; ///< Region of this node.
+    std::map<std::string, std::string> regionByZone_; ///< Regions of all zones.
+    std::string peerAddress_; ///< IP:PORT that peers reach this node at.
+    uint64_t incarnation_ = 0; ///< Names this start of the process.
+    Bounds bounds_; ///< Figures of the settings.
+    std::mt19937_64 random_; ///< Source of random choices.
+
+    Configuration configuration_; ///< Configuration in force.
+    std::string configurationText_; ///< The same as the operator wrote it, for peers.
+    TimePoint configurationAt_{}; ///< When it came into force.
+
+    Pool<Upstream> upstreams_; ///< Upstreams.
+    std::unordered_map<std::string, UpstreamId> upstreamById_; ///< Index by instance.
+    uint64_t upstreamsVersion_ = 0; ///< Version of the list; 0 when none is known yet.
+    TimePoint storeLostAt_{ noDeadline }; ///< Since when the store has not answered.
+    TimePoint storeBackAt_{}; ///< When the store last came back.
+
+    Pool<Call> calls_; ///< Requests in progress.
+    std::unordered_map<uint64_t, CallId> callByExchange_; ///< Index by exchange.
+    std::unordered_map<uint64_t, CallId> callBySend_; ///< Index by send.
+    size_t bodyBytes_ = 0; ///< Bytes of the bodies of all calls.
+    std::vector<CallId> waiting_; ///< Calls that wait for room.
+    DeadlineQueue<Call> deadlines_; ///< When calls have to be looked at.
+    uint64_t nextSend_ = 1; ///< Number of the next send.
+
+    std::unordered_map<std::string, WorkspaceUse> workspaces_; ///< Quotas by workspace.
+    std::unordered_map<std::string, RepeatBudget> repeatBudgets_; ///< Repeat budgets by service.
+    std::unordered_map<std::string, Milliseconds> longestWait_; ///< Longest wait seen on each route.
+    std::unordered_map<uint64_t, CrashSuspect> suspects_; ///< Crash suspects by fingerprint.
+
+    Pool<Peer> peers_; ///< Other gateways.
+    std::map<std::string, PeerId> peerByAddress_; ///< Index by address.
+    uint64_t nextSequence_ = 1; ///< Number of the next datagram.
+    TimePoint lastUpdateAt_{}; ///< When peers were last told.
+    TimePoint lastIntroductionAt_{}; ///< When all peers were last told of each other.
+    TimePoint nextSnapshotAt_{ noDeadline }; ///< When a peer may be asked for its snapshot again.
+    bool countsChanged_ = false; ///< Whether peers have not been told of the present counts.
+
+    bool stopping_ = false; ///< Whether the process has been told to stop.
+    TimePoint stopAt_{}; ///< When it was told to.
+    bool listening_ = true; ///< Whether new connections are still taken.
+    Metrics metrics_; ///< Figures served on the metrics address.
+};
+
+} // namespace Burdockfield::Gateway
--- /dev/null
+++ b/src/gateway_daemon.cpp
@@ -0,0 +1,507 @@
+/**
+ * @file gateway_daemon.cpp
+ * @brief I/O of a gateway: turns bytes into events and commands into bytes.
+ *
+ * One thread does both the I/O and the ticks: a gateway's machine has a fraction of one core, and handing events to
+ * another thread would cost a wake-up each.
+ */
+#include "gateway_daemon_type.h"
+
+#include "address_func.h"
+#include "error_type.h"
+#include "gateway_peer_wire.h"
+#include "gateway_status_wire.h"
+#include "http_func.h"
+#include "log_func.h"
+#include "settings_func.h"
+
+#include "call_wire.h"
+#include "header_names.h"
+
+#include <filesystem>
+
+namespace Burdockfield::Gateway {
+
+namespace {
+
+constexpr Milliseconds snapshotTimeout{ 1000 }; ///< Longest fetch of a peer's snapshot.
+constexpr std::chrono::seconds housekeepingInterval{
+    1
+}; ///< Time between looks at the settings file and idle connections.
+constexpr Milliseconds lastBytesTime{ 60 }; ///< Time for the last answers to leave before the process ends.
+constexpr double bodyMemoryShare = 0.25; ///< Part of the memory that bodies of waiting requests may take.
+
+void scheduleTick(GatewayDaemon &daemon);
+
+void execute(GatewayDaemon &daemon, SendCall &command)
+{
+    LinkCall call;
+    call.send_ = command.send_;
+    call.address_ = std::move(command.address_);
+    call.head_ = Platform::makeSend(command.request_, command.terms_);
+    call.body_ = command.request_.body_;
+    call.repeatable_ = command.repeatable_;
+    call.isCrossed_ = [id = command.request_.id_](const HttpReply &reply) {
+        return Platform::isCrossed(reply, id);
+    };
+    daemon.requestIds_[command.send_] = command.request_.id_;
+    startCall(daemon.link_, std::move(call));
+}
+
+void execute(GatewayDaemon &daemon, SendUpdate &command)
+{
+    const auto text = std::make_shared<const std::string>(serializePeerUpdate(command.update_));
+    for (const std::string &address : command.addresses_) {
+        const auto endpoint = parseEndpoint(address);
+        if (!endpoint) {
+            continue;
+        }
+        const Asio::ip::udp::endpoint target(endpoint->address(), endpoint->port());
+        boost::system::error_code error;
+        daemon.updates_.send_to(Asio::buffer(*text), target, 0, error);
+        count(daemon.state_.metrics_, "peer_updates", error ? "not-sent" : "sent");
+    }
+}
+
+void takeSnapshot(GatewayDaemon &daemon, const std::string &address, const HttpReply &reply)
+{
+    Snapshot snapshot;
+    std::error_code error = parseSnapshot(reply.body_, snapshot);
+    if (!error && !snapshot.configurationText_.empty()) {
+        ConfigurationReceived event;
+        error = Platform::decodeConfiguration(snapshot.configurationText_, address, event);
+        if (!error) {
+            daemon.inbox_.configurations_.push_back(std::move(event));
+        }
+    }
+    if (error) {
+        logLine(LogLevel::Warning, "bad-snapshot", { { "peer", address }, { "error", error.message() } });
+        return;
+    }
+    snapshot.upstreams_.source_ = address;
+    if (snapshot.upstreams_.version_ > daemon.state_.upstreamsVersion_) {
+        daemon.inbox_.upstreams_.push_back(std::move(snapshot.upstreams_));
+    }
+    scheduleTick(daemon);
+}
+
+void execute(GatewayDaemon &daemon, const FetchSnapshot &command)
+{
+    HttpRequest request;
+    request.target_ = snapshotPath;
+    const auto done = [&daemon, address = command.address_](std::error_code error, const HttpReply &reply) {
+        if (error || reply.status_ != 200) {
+            const std::string reason = error ? error.message() : "status " + std::to_string(reply.status_);
+            logLine(LogLevel::Warning, "snapshot-failed", { { "peer", address }, { "error", reason } });
+            return;
+        }
+        takeSnapshot(daemon, address, reply);
+    };
+    fetch(daemon.client_, command.address_, std::move(request), snapshotTimeout, ConnectionUse::Reuse, done);
+}
+
+void applyLimits(GatewayDaemon &daemon)
+{
+    const CallerLimits &limits = daemon.state_.configuration_.limits_;
+    daemon.callers_.limits_.headerBytes_ = limits.headerBytes_;
+    daemon.callers_.limits_.bodyBytes_ = limits.bodyBytes_;
+    daemon.callers_.limits_.readTimeout_ = std::max(limits.headerTimeout_, daemon.callers_.limits_.readTimeout_);
+    daemon.callers_.limits_.idleTimeout_ = limits.idleTimeout_;
+}
+
+/// Ends the process once the last answers have had the time to leave.
+void exitSoon(GatewayDaemon &daemon)
+{
+    if (daemon.exiting_) {
+        return;
+    }
+    daemon.exiting_ = true;
+    daemon.exitTimer_.expires_after(lastBytesTime);
+    daemon.exitTimer_.async_wait([&daemon](const boost::system::error_code & /*error*/) { daemon.io_.stop(); });
+}
+
+void executeAnswers(GatewayDaemon &daemon, GatewayOutbox &outbox)
+{
+    for (BeginStream &command : outbox.begins_) {
+        startStream(daemon.callers_, command.exchange_, std::move(command.head_));
+    }
+    for (SendEvents &command : outbox.events_) {
+        sendPiece(daemon.callers_, command.exchange_, std::move(command.bytes_));
+    }
+    for (const ExchangeId exchange : outbox.streamEnds_) {
+        endStream(daemon.callers_, exchange);
+    }
+    for (const ExchangeId exchange : outbox.breaks_) {
+        breakExchange(daemon.callers_, exchange);
+    }
+    for (PassAnswer &command : outbox.answers_) {
+        respond(daemon.callers_, command.exchange_, std::move(command.reply_));
+    }
+    for (const RefuseCall &command : outbox.refusals_) {
+        respond(daemon.callers_, command.exchange_, Platform::makeRefusal(command));
+    }
+}
+
+void executeOutbox(GatewayDaemon &daemon, GatewayOutbox outbox)
+{
+    for (const Decision &decision : outbox.decisions_) {
+        logLine(decision.failure_ ? LogLevel::Warning : LogLevel::Info, decision.event_, decision.fields_);
+    }
+    executeAnswers(daemon, outbox);
+    for (const uint64_t send : outbox.cancels_) {
+        daemon.requestIds_.erase(send);
+        cancelCall(daemon.link_, send);
+    }
+    for (SendCall &command : outbox.sends_) {
+        execute(daemon, command);
+    }
+    for (SendUpdate &command : outbox.updates_) {
+        execute(daemon, command);
+    }
+    for (const FetchSnapshot &command : outbox.snapshotFetches_) {
+        execute(daemon, command);
+    }
+    if (outbox.limitsChanged_) {
+        applyLimits(daemon);
+    }
+    daemon.callers_.closing_ = daemon.state_.stopping_;
+    if (outbox.stopListening_) {
+        stopListening(daemon.callers_);
+    }
+    if (outbox.exit_) {
+        exitSoon(daemon);
+    }
+}
+
+void runTick(GatewayDaemon &daemon)
+{
+    daemon.tickPosted_ = false;
+    GatewayInbox inbox = std::move(daemon.inbox_);
+    daemon.inbox_ = {};
+    executeOutbox(daemon, tickGateway(daemon.state_, Clock::now(), std::move(inbox)));
+    daemon.tickTimer_.expires_at(nextGatewayDeadline(daemon.state_));
+    daemon.tickTimer_.async_wait([&daemon](const boost::system::error_code &error) {
+        if (!error) {
+            scheduleTick(daemon);
+        }
+    });
+}
+
+/// Runs a tick after the events that are ready now, however many there are.
+void scheduleTick(GatewayDaemon &daemon)
+{
+    if (!daemon.tickPosted_) {
+        daemon.tickPosted_ = true;
+        Asio::post(daemon.io_, [&daemon] { runTick(daemon); });
+    }
+}
+
+HttpReply makeBadRequestReply(std::error_code error)
+{
+    HttpReply reply;
+    reply.status_ = 400;
+    if (error == RefusalErrc::BodyTooLarge) {
+        reply.status_ = 413;
+    } else if (error == RefusalErrc::HeaderTooLarge) {
+        reply.status_ = 431;
+    } else if (error == RefusalErrc::SlowRequest) {
+        reply.status_ = 408;
+    }
+    logLine(LogLevel::Warning, "bad-request", { { "error", error.message() } });
+    reply.body_ = error.message() + "\n";
+    return reply;
+}
+
+void takeCall(GatewayDaemon &daemon, ExchangeId exchange, HttpRequest request)
+{
+    CallArrived event{ exchange, {} };
+    if (const std::error_code error = Platform::parseCall(std::move(request), event.request_); error) {
+        respond(daemon.callers_, exchange, makeBadRequestReply(RefusalErrc::BadRequest));
+        return;
+    }
+    daemon.inbox_.arrivals_.push_back(std::move(event));
+    scheduleTick(daemon);
+}
+
+ServerHandlers callerHandlers(GatewayDaemon &daemon)
+{
+    ServerHandlers handlers;
+    handlers.onRequest_ = [&daemon](ExchangeId exchange, HttpRequest request) {
+        takeCall(daemon, exchange, std::move(request));
+    };
+    handlers.onGone_ = [&daemon](ExchangeId exchange) {
+        daemon.inbox_.departures_.push_back(exchange);
+        scheduleTick(daemon);
+    };
+    handlers.onBadRequest_ = makeBadRequestReply;
+    return handlers;
+}
+
+HttpReply textReplyOf(int status, std::string type, std::string body)
+{
+    HttpReply reply;
+    reply.status_ = status;
+    reply.headers_.emplace_back("Content-Type", std::move(type));
+    reply.body_ = std::move(body);
+    return reply;
+}
+
+HttpReply answerInner(GatewayDaemon &daemon, const HttpRequest &request)
+{
+    const std::string path = splitTarget(request.target_).path_;
+    GatewayState &state = daemon.state_;
+    if (path == Platform::readyPath || path == "/readyz") {
+        const bool ready = isReady(state);
+        return textReplyOf(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+    }
+    if (path == "/metrics") {
+        setGauge(state.metrics_, "calls_in_progress", static_cast<double>(state.calls_.size_));
+        setGauge(state.metrics_, "upstream_connections_opened", static_cast<double>(daemon.link_.opened_));
+        return textReplyOf(200, "text/plain; version=0.0.4", serializeMetrics(state.metrics_));
+    }
+    if (path == "/v1/status") {
+        return textReplyOf(200, "application/json", serializeGatewayStatus(state, Clock::now()));
+    }
+    if (path == snapshotPath) {
+        return textReplyOf(200, "application/json", serializeSnapshot(makeSnapshot(state)));
+    }
+    return textReplyOf(path == "/healthz" ? 200 : 404, "text/plain", path == "/healthz" ? "ok\n" : "unknown path\n");
+}
+
+ServerHandlers innerHandlers(GatewayDaemon &daemon, HttpServer &server)
+{
+    ServerHandlers handlers;
+    handlers.onRequest_ = [&daemon, &server](ExchangeId exchange, const HttpRequest &request) {
+        respond(server, exchange, answerInner(daemon, request));
+    };
+    handlers.onGone_ = [](ExchangeId /*exchange*/) {
+    };
+    handlers.onBadRequest_ = makeBadRequestReply;
+    return handlers;
+}
+
+LinkHandlers linkHandlers(GatewayDaemon &daemon)
+{
+    LinkHandlers handlers;
+    handlers.onHead_ = [&daemon](uint64_t send, HttpReply reply) {
+        const std::string &id = daemon.requestIds_[send];
+        daemon.inbox_.heads_.push_back({ send, Platform::parseAnswerHead(std::move(reply), id) });
+        scheduleTick(daemon);
+    };
+    handlers.onBytes_ = [&daemon](uint64_t send, std::string bytes) {
+        daemon.inbox_.bytes_.push_back({ send, std::move(bytes) });
+        scheduleTick(daemon);
+    };
+    handlers.onEnd_ = [&daemon](uint64_t send, std::error_code error) {
+        daemon.requestIds_.erase(send);
+        daemon.inbox_.ends_.push_back({ send, error });
+        scheduleTick(daemon);
+    };
+    return handlers;
+}
+
+Platform::FollowerHandlers followerHandlers(GatewayDaemon &daemon)
+{
+    Platform::FollowerHandlers handlers;
+    handlers.onConfiguration_ = [&daemon](ConfigurationReceived event) {
+        daemon.inbox_.configurations_.push_back(std::move(event));
+        scheduleTick(daemon);
+    };
+    handlers.onUpstreams_ = [&daemon](UpstreamsReceived event) {
+        daemon.inbox_.upstreams_.push_back(std::move(event));
+        scheduleTick(daemon);
+    };
+    handlers.onReachable_ = [&daemon](const StoreReachable &event) {
+        count(daemon.state_.metrics_, "store_calls", event.reachable_ ? "ok" : event.error_.message());
+        daemon.inbox_.storeChanges_.push_back(event);
+        scheduleTick(daemon);
+    };
+    handlers.onGateways_ = [&daemon](std::vector<std::string> addresses) {
+        std::move(addresses.begin(), addresses.end(), std::back_inserter(daemon.inbox_.peerAddresses_));
+        scheduleTick(daemon);
+    };
+    handlers.onBadRow_ = [](const std::string &table, const std::string &key, std::error_code error) {
+        logLine(LogLevel::Warning, "bad-row", { { "table", table }, { "key", key }, { "error", error.message() } });
+    };
+    return handlers;
+}
+
+void receiveUpdate(GatewayDaemon &daemon)
+{
+    daemon.updates_.async_receive_from(Asio::buffer(daemon.datagram_), daemon.datagramSender_,
+        [&daemon](const boost::system::error_code &error, size_t length) {
+            if (error == Asio::error::operation_aborted) {
+                return;
+            }
+            PeerUpdate update;
+            const std::string_view text(daemon.datagram_.data(), error ? 0 : length);
+            if (const std::error_code bad = parsePeerUpdate(text, update); bad) {
+                count(daemon.state_.metrics_, "peer_updates", "malformed");
+            } else {
+                daemon.inbox_.peerUpdates_.push_back(std::move(update));
+                scheduleTick(daemon);
+            }
+            receiveUpdate(daemon);
+        });
+}
+
+std::error_code openUpdates(GatewayDaemon &daemon)
+{
+    const auto endpoint = parseEndpoint(daemon.settings_.gateway_.peer_);
+    if (!endpoint) {
+        return SettingsErrc::BadAddress;
+    }
+    boost::system::error_code error;
+    daemon.updates_.open(Asio::ip::udp::v4(), error);
+    if (!error) {
+        daemon.updates_.bind({ endpoint->address(), endpoint->port() }, error);
+    }
+    if (!error) {
+        daemon.updates_.non_blocking(true, error);
+    }
+    return error;
+}
+
+void applyBounds(GatewayDaemon &daemon)
+{
+    daemon.state_.bounds_ = daemon.settings_.gateway_.bounds_;
+    const auto memory = static_cast<double>(daemon.settings_.gateway_.memoryBytes_);
+    daemon.state_.bounds_.bodyBytes_ = static_cast<size_t>(memory * bodyMemoryShare);
+}
+
+/// Reads the settings file again. Addresses keep until the next start.
+void reload(GatewayDaemon &daemon, const char *cause)
+{
+    Settings settings;
+    if (const SettingsError error = loadSettings(daemon.file_, settings); error.error_) {
+        logLine(LogLevel::Error, "reload-failed", { { "cause", cause }, { "error", describe(error) } });
+        return;
+    }
+    const bool moved = settings.listen_ != daemon.settings_.listen_ || settings.platform_ != daemon.settings_.platform_;
+    daemon.settings_.gateway_.bounds_ = settings.gateway_.bounds_;
+    daemon.settings_.gateway_.memoryBytes_ = settings.gateway_.memoryBytes_;
+    applyBounds(daemon);
+    logLine(LogLevel::Info, "reloaded", { { "cause", cause }, { "restart_needed", moved ? "yes" : "no" } });
+}
+
+std::filesystem::file_time_type changeTimeOf(const std::string &file)
+{
+    std::error_code missing;
+    const auto time = std::filesystem::last_write_time(file, missing);
+    return missing ? std::filesystem::file_time_type() : time;
+}
+
+void keepHouse(GatewayDaemon &daemon)
+{
+    closeStale(daemon.link_, Clock::now());
+    if (const auto time = changeTimeOf(daemon.file_); time != daemon.fileTime_) {
+        daemon.fileTime_ = time;
+        reload(daemon, "file-changed");
+    }
+    daemon.houseTimer_.expires_after(housekeepingInterval);
+    daemon.houseTimer_.async_wait([&daemon](const boost::system::error_code &error) {
+        if (!error) {
+            keepHouse(daemon);
+        }
+    });
+}
+
+void awaitSignal(GatewayDaemon &daemon)
+{
+    daemon.signals_.async_wait([&daemon](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload(daemon, "signal");
+        } else {
+            daemon.inbox_.stopRequested_ = true;
+            scheduleTick(daemon);
+        }
+        awaitSignal(daemon);
+    });
+}
+
+void fillState(GatewayDaemon &daemon)
+{
+    const Settings &settings = daemon.settings_;
+    GatewayState &state = daemon.state_;
+    state.name_ = settings.place_.name_;
+    state.zone_ = settings.place_.zone_;
+    state.region_ = settings.place_.region_;
+    state.regionByZone_ = settings.gateway_.regionByZone_;
+    state.peerAddress_ = settings.gateway_.peer_;
+    state.random_.seed(seedOf(settings));
+    state.incarnation_ = state.random_() >> 1U; // JSON numbers of the peers' messages are signed
+    applyBounds(daemon);
+}
+
+/// Peers listen at the same port on all nodes; settings tell only where some of them are.
+void learnSeeds(GatewayDaemon &daemon)
+{
+    const auto own = parseEndpoint(daemon.settings_.gateway_.peer_);
+    for (const std::string &seed : daemon.settings_.gateway_.seeds_) {
+        if (const auto endpoint = parseEndpoint(seed); endpoint && own) {
+            daemon.inbox_.peerAddresses_.push_back(endpoint->address().to_string() + ":" + std::to_string(own->port()));
+        }
+    }
+}
+
+std::error_code openListeners(GatewayDaemon &daemon)
+{
+    const GatewaySettings &settings = daemon.settings_.gateway_;
+    if (const std::error_code error = listen(daemon.ready_, settings.ready_); error) {
+        return error;
+    }
+    if (const std::error_code error = listen(daemon.inner_, settings.peer_); error) {
+        return error;
+    }
+    if (const std::error_code error = listen(daemon.metrics_, settings.metrics_); error) {
+        return error;
+    }
+    if (const std::error_code error = openUpdates(daemon); error) {
+        return error;
+    }
+    return listen(daemon.callers_, daemon.settings_.listen_);
+}
+
+} // namespace
+
+GatewayDaemon::GatewayDaemon(Settings settings, std::string file)
+    : settings_(std::move(settings))
+    , file_(std::move(file))
+    , callers_(io_, {}, callerHandlers(*this))
+    , ready_(io_, {}, innerHandlers(*this, ready_))
+    , inner_(io_, {}, innerHandlers(*this, inner_))
+    , metrics_(io_, {}, innerHandlers(*this, metrics_))
+    , link_(io_, linkHandlers(*this))
+    , follower_(client_, settings_.platform_, followerHandlers(*this))
+{
+}
+
+int runGatewayDaemon(const Settings &settings, const std::string &file)
+{
+    GatewayDaemon daemon(settings, file);
+    fillState(daemon);
+    if (const std::error_code error = openListeners(daemon); error) {
+        logLine(LogLevel::Error, "cannot-listen", { { "address", settings.listen_ }, { "error", error.message() } });
+        return startFailureStatus;
+    }
+    logLine(LogLevel::Info, "started",
+        { { "role", "gateway" }, { "listen", settings.listen_ }, { "platform", settings.platform_ },
+            { "incarnation", std::to_string(daemon.state_.incarnation_) } });
+    daemon.fileTime_ = changeTimeOf(file);
+    learnSeeds(daemon);
+    awaitSignal(daemon);
+    receiveUpdate(daemon);
+    daemon.follower_.name_ = settings.place_.name_;
+    daemon.follower_.peerAddress_ = settings.gateway_.peer_;
+    Platform::startFollowing(daemon.follower_);
+    keepHouse(daemon);
+    scheduleTick(daemon);
+    daemon.io_.run();
+    logLine(LogLevel::Info, "stopped", { { "calls", std::to_string(daemon.state_.calls_.size_) } });
+    return 0;
+}
+
+} // namespace Burdockfield::Gateway
--- /dev/null
+++ b/src/gateway_membership.cpp
@@ -0,0 +1,213 @@
+/**
+ * @file gateway_membership.cpp
+ * @brief Systems that keep the configuration and the list of upstreams up to date.
+ */
+#include "gateway_func.h"
+
+#include <algorithm>
+
+namespace Burdockfield::Gateway {
+
+namespace {
+
+void applyConfiguration(GatewayState &state, TimePoint now, ConfigurationReceived &event, GatewayOutbox &outbox)
+{
+    if (event.configuration_.version_ <= state.configuration_.version_) {
+        return;
+    }
+    outbox.decisions_.push_back({ "configuration",
+        { { "version", std::to_string(event.configuration_.version_) },
+            { "before", std::to_string(state.configuration_.version_) }, { "source", event.source_ },
+            { "routes", std::to_string(event.configuration_.routes_.size()) } } });
+    state.configuration_ = std::move(event.configuration_);
+    state.configurationText_ = std::move(event.text_);
+    state.configurationAt_ = now;
+    indexConfiguration(state.configuration_);
+    state.countsChanged_ = true;
+    outbox.limitsChanged_ = true;
+}
+
+void logUpstream(const UpstreamRow &row, const char *change, const std::string &source, GatewayOutbox &outbox)
+{
+    outbox.decisions_.push_back({ "upstream",
+        { { "upstream", row.id_ }, { "change", change }, { "service", row.service_ }, { "address", row.address_ },
+            { "source", source } } });
+}
+
+UpstreamRow rowOf(const Upstream &upstream)
+{
+    return { upstream.id_, upstream.service_, upstream.address_, upstream.zone_, upstream.slots_, upstream.bornMs_,
+        upstream.draining_, false };
+}
+
+void addUpstream(GatewayState &state, const UpstreamRow &row, const std::string &source, GatewayOutbox &outbox)
+{
+    Upstream upstream;
+    upstream.id_ = row.id_;
+    upstream.service_ = row.service_;
+    upstream.address_ = row.address_;
+    upstream.zone_ = row.zone_;
+    const auto region = state.regionByZone_.find(row.zone_);
+    upstream.region_ = region == state.regionByZone_.end() ? row.zone_ : region->second;
+    upstream.slots_ = std::max(1U, row.slots_);
+    upstream.bornMs_ = row.bornMs_;
+    upstream.draining_ = row.draining_;
+    forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) {
+        const auto count = peer.inFlight_.find(row.id_);
+        upstream.peerInFlight_ += count == peer.inFlight_.end() ? 0 : count->second;
+    });
+    state.upstreamById_[row.id_] = insertRow(state.upstreams_, std::move(upstream));
+    logUpstream(row, row.draining_ ? "listed-draining" : "listed", source, outbox);
+}
+
+void dropUpstream(GatewayState &state, const std::string &id, const std::string &source, GatewayOutbox &outbox)
+{
+    const auto found = state.upstreamById_.find(id);
+    if (found == state.upstreamById_.end()) {
+        return;
+    }
+    if (const Upstream *upstream = findRow(state.upstreams_, found->second); upstream != nullptr) {
+        logUpstream(rowOf(*upstream), "removed", source, outbox);
+    }
+    eraseRow(state.upstreams_, found->second);
+    state.upstreamById_.erase(found);
+}
+
+/// @return whether rows may be missing only because the store was away.
+bool isStoreUnsettled(const GatewayState &state, TimePoint now)
+{
+    return state.storeLostAt_ != noDeadline || now - state.storeBackAt_ < state.bounds_.rowReturn_;
+}
+
+void missUpstream(
+    GatewayState &state, TimePoint now, const std::string &id, const std::string &source, GatewayOutbox &outbox)
+{
+    const auto found = state.upstreamById_.find(id);
+    Upstream *upstream = found == state.upstreamById_.end() ? nullptr : findRow(state.upstreams_, found->second);
+    if (upstream == nullptr) {
+        return;
+    }
+    if (!upstream->draining_ && isStoreUnsettled(state, now)) {
+        upstream->missingSince_ = std::min(upstream->missingSince_, now);
+        logUpstream(rowOf(*upstream), "missing-after-outage", source, outbox);
+        return;
+    }
+    dropUpstream(state, id, source, outbox);
+}
+
+void applyRow(
+    GatewayState &state, TimePoint now, const UpstreamRow &row, const std::string &source, GatewayOutbox &outbox)
+{
+    if (row.removed_) {
+        missUpstream(state, now, row.id_, source, outbox);
+        return;
+    }
+    const auto found = state.upstreamById_.find(row.id_);
+    Upstream *upstream = found == state.upstreamById_.end() ? nullptr : findRow(state.upstreams_, found->second);
+    const bool reborn = upstream != nullptr
+        && (upstream->bornMs_ != row.bornMs_ || upstream->address_ != row.address_
+            || upstream->service_ != row.service_);
+    if (reborn) {
+        dropUpstream(state, row.id_, source, outbox);
+        upstream = nullptr;
+    }
+    if (upstream == nullptr) {
+        addUpstream(state, row, source, outbox);
+        return;
+    }
+    upstream->missingSince_ = noDeadline;
+    upstream->slots_ = std::max(1U, row.slots_);
+    if (upstream->draining_ != row.draining_) {
+        upstream->draining_ = row.draining_;
+        logUpstream(row, row.draining_ ? "draining" : "ready", source, outbox);
+    }
+}
+
+/// Treats upstreams that a whole list lacks as removed.
+void missUnlisted(GatewayState &state, TimePoint now, const UpstreamsReceived &event, GatewayOutbox &outbox)
+{
+    std::set<std::string> listed;
+    for (const UpstreamRow &row : event.rows_) {
+        listed.insert(row.id_);
+    }
+    std::vector<std::string> unlisted;
+    for (const auto &[id, place] : state.upstreamById_) {
+        if (!listed.contains(id)) {
+            unlisted.push_back(id);
+        }
+    }
+    for (const std::string &id : unlisted) {
+        missUpstream(state, now, id, event.source_, outbox);
+    }
+}
+
+void applyUpstreams(GatewayState &state, TimePoint now, const UpstreamsReceived &event, GatewayOutbox &outbox)
+{
+    for (const UpstreamRow &row : event.rows_) {
+        applyRow(state, now, row, event.source_, outbox);
+    }
+    if (event.whole_) {
+        missUnlisted(state, now, event, outbox);
+    }
+    if (event.version_ > state.upstreamsVersion_) {
+        state.upstreamsVersion_ = event.version_;
+        state.countsChanged_ = true;
+    }
+}
+
+void applyStoreChange(GatewayState &state, TimePoint now, const StoreReachable &event, GatewayOutbox &outbox)
+{
+    const bool known = state.storeLostAt_ == noDeadline;
+    if (event.reachable_ == known) {
+        return;
+    }
+    if (event.reachable_) {
+        const std::string outage = millisecondsText(now - state.storeLostAt_);
+        outbox.decisions_.push_back({ "store-regained", { { "outage_ms", outage } } });
+        state.storeLostAt_ = noDeadline;
+        state.storeBackAt_ = now;
+        return;
+    }
+    outbox.decisions_.push_back({ "store-lost", { { "error", event.error_.message() } }, true });
+    state.storeLostAt_ = now;
+}
+
+/// Removes upstreams whose row did not come back in time.
+void dropMissing(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
+{
+    if (state.storeLostAt_ != noDeadline) {
+        return;
+    }
+    std::vector<std::string> gone;
+    forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
+        const TimePoint since = std::max(upstream.missingSince_, state.storeBackAt_);
+        if (upstream.missingSince_ != noDeadline && now - since >= state.bounds_.rowReturn_) {
+            gone.push_back(upstream.id_);
+        }
+    });
+    for (const std::string &id : gone) {
+        dropUpstream(state, id, "outage-over", outbox);
+    }
+}
+
+} // namespace
+
+void runConfiguration(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
+{
+    for (ConfigurationReceived &event : inbox.configurations_) {
+        applyConfiguration(state, now, event, outbox);
+    }
+}
+
+void runMembership(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
+{
+    for (const StoreReachable &event : inbox.storeChanges_) {
+        applyStoreChange(state, now, event, outbox);
+    }
+    for (const UpstreamsReceived &event : inbox.upstreams_) {
+        applyUpstreams(state, now, event, outbox);
+    }
+    dropMissing(state, now, outbox);
+}
+
+} // namespace Burdockfield::Gateway
--- /dev/null
+++ b/src/gateway_peer_wire.cpp
@@ -0,0 +1,154 @@
+/**
+ * @file gateway_peer_wire.cpp
+ * @brief JSON of what gateways tell each other.
+ */
+#include "gateway_peer_wire.h"
+
+#include "json_func.h"
+
+#include <charconv>
+
+namespace Burdockfield::Gateway {
+
+namespace {
+
+template<typename Map>
+Json::object countsObject(const Map &counts)
+{
+    Json::object object;
+    for (const auto &[name, value] : counts) {
+        object[name] = value;
+    }
+    return object;
+}
+
+template<typename Map>
+void readCounts(JsonReader &reader, std::string_view field, Map &counts)
+{
+    const Json::value *value = readValue(reader, field, Presence::Optional);
+    if (value == nullptr) {
+        return;
+    }
+    JsonReader inner = readObject(*value);
+    if (!inner.error_) {
+        for (const auto &item : *inner.object_) {
+            const std::string name(item.key().data(), item.key().size());
+            read(inner, name, counts[name]);
+        }
+    }
+    fail(reader, inner.error_);
+}
+
+void readSuspects(JsonReader &reader, std::map<uint64_t, uint32_t> &suspects)
+{
+    std::unordered_map<std::string, uint32_t> named;
+    readCounts(reader, "suspects", named);
+    for (const auto &[name, crashes] : named) {
+        uint64_t fingerprint = 0;
+        const auto [rest, error] = std::from_chars(name.data(), name.data() + name.size(), fingerprint);
+        if (error != std::errc() || rest != name.data() + name.size()) {
+            fail(reader, WireErrc::WrongType);
+            return;
+        }
+        suspects[fingerprint] = crashes;
+    }
+}
+
+Json::object serializeRow(const UpstreamRow &row)
+{
+    return { { "id", row.id_ }, { "service", row.service_ }, { "address", row.address_ }, { "zone", row.zone_ },
+        { "slots", row.slots_ }, { "born_ms", row.bornMs_ }, { "draining", row.draining_ } };
+}
+
+std::error_code parseRow(const Json::value &value, UpstreamRow &row)
+{
+    JsonReader reader = readObject(value);
+    read(reader, "id", row.id_);
+    read(reader, "service", row.service_);
+    read(reader, "address", row.address_);
+    read(reader, "zone", row.zone_);
+    read(reader, "slots", row.slots_);
+    read(reader, "born_ms", row.bornMs_);
+    read(reader, "draining", row.draining_);
+    return reader.error_;
+}
+
+} // namespace
+
+std::string serializePeerUpdate(const PeerUpdate &update)
+{
+    Json::object object{ { "address", update.address_ }, { "name", update.name_ },
+        { "incarnation", update.incarnation_ }, { "sequence", update.sequence_ },
+        { "configuration", update.configurationVersion_ }, { "upstreams", update.upstreamsVersion_ },
+        { "in_flight", countsObject(update.inFlight_) }, { "used", countsObject(update.used_) } };
+    if (!update.suspects_.empty()) {
+        Json::object suspects;
+        for (const auto &[fingerprint, crashes] : update.suspects_) {
+            suspects[std::to_string(fingerprint)] = crashes;
+        }
+        object["suspects"] = std::move(suspects);
+    }
+    if (!update.peers_.empty()) {
+        object["peers"] = Json::value_from(update.peers_);
+    }
+    return Json::serialize(object);
+}
+
+std::error_code parsePeerUpdate(std::string_view text, PeerUpdate &update)
+{
+    Json::value document;
+    JsonReader reader = readJsonObject(text, document);
+    read(reader, "address", update.address_);
+    read(reader, "name", update.name_);
+    read(reader, "incarnation", update.incarnation_);
+    read(reader, "sequence", update.sequence_);
+    read(reader, "configuration", update.configurationVersion_);
+    read(reader, "upstreams", update.upstreamsVersion_);
+    readCounts(reader, "in_flight", update.inFlight_);
+    readCounts(reader, "used", update.used_);
+    readSuspects(reader, update.suspects_);
+    read(reader, "peers", update.peers_, Presence::Optional);
+    return reader.error_;
+}
+
+Snapshot makeSnapshot(const GatewayState &state)
+{
+    Snapshot snapshot;
+    snapshot.configurationText_ = state.configurationText_;
+    snapshot.upstreams_.whole_ = true;
+    snapshot.upstreams_.version_ = state.upstreamsVersion_;
+    forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
+        snapshot.upstreams_.rows_.push_back({ upstream.id_, upstream.service_, upstream.address_, upstream.zone_,
+            upstream.slots_, upstream.bornMs_, upstream.draining_, false });
+    });
+    return snapshot;
+}
+
+std::string serializeSnapshot(const Snapshot &snapshot)
+{
+    Json::array rows;
+    for (const UpstreamRow &row : snapshot.upstreams_.rows_) {
+        rows.push_back(serializeRow(row));
+    }
+    return Json::serialize(Json::object{ { "configuration", snapshot.configurationText_ },
+        { "version", snapshot.upstreams_.version_ }, { "upstreams", std::move(rows) } });
+}
+
+std::error_code parseSnapshot(std::string_view text, Snapshot &snapshot)
+{
+    Json::value document;
+    JsonReader reader = readJsonObject(text, document);
+    read(reader, "configuration", snapshot.configurationText_);
+    read(reader, "version", snapshot.upstreams_.version_);
+    snapshot.upstreams_.whole_ = true;
+    if (const Json::array *rows = readArray(reader, "upstreams"); rows != nullptr) {
+        for (const Json::value &value : *rows) {
+            UpstreamRow row;
+            fail(reader, parseRow(value, row));
+            snapshot.upstreams_.rows_.push_back(std::move(row));
+        }
+    }
+    return reader.error_;
+}
+
+} // namespace Burdockfield::Gateway
--- /dev/null
+++ b/src/gateway_peers.cpp
@@ -0,0 +1,228 @@
+/**
+ * @file gateway_peers.cpp
+ * @brief Systems that share counts, quota use and versions between gateways.
+ */
+#include "gateway_func.h"
+
+#include <algorithm>
+
+namespace Burdockfield::Gateway {
+
+namespace {
+
+constexpr Milliseconds countsExpiry{ 1000 }; ///< Counts of a peer silent for longer no longer hold; it may have died.
+constexpr std::chrono::seconds peerRetention{ 30 }; ///< A peer silent for longer is forgotten; restarts take seconds.
+constexpr Milliseconds updateInterval{ 15 }; ///< Least time between updates; two hops between regions.
+constexpr size_t peersAtFullRate = 5; ///< With more peers updates are as much rarer, so that their cost stays.
+constexpr Milliseconds heartbeat{ 250 }; ///< Longest time between updates.
+constexpr Milliseconds introductionInterval{ 1000 }; ///< Time between lists of peers.
+constexpr Milliseconds snapshotDelay{ 200 }; ///< Time that the store's own feed gets to bring what a peer has.
+constexpr Milliseconds snapshotInterval{ 400 }; ///< Least time between fetches of snapshots.
+
+void addPeerCounts(GatewayState &state, const Peer &peer, bool add)
+{
+    for (const auto &[id, count] : peer.inFlight_) {
+        const auto found = state.upstreamById_.find(id);
+        Upstream *upstream = found == state.upstreamById_.end() ? nullptr : findRow(state.upstreams_, found->second);
+        if (upstream != nullptr) {
+            upstream->peerInFlight_ = add ? upstream->peerInFlight_ + count
+                                          : upstream->peerInFlight_ - std::min(upstream->peerInFlight_, count);
+        }
+    }
+}
+
+void clearCounts(GatewayState &state, Peer &peer)
+{
+    addPeerCounts(state, peer, false);
+    peer.inFlight_.clear();
+}
+
+PeerId learnPeer(GatewayState &state, TimePoint now, const std::string &address, GatewayOutbox &outbox)
+{
+    if (const auto found = state.peerByAddress_.find(address); found != state.peerByAddress_.end()) {
+        return found->second;
+    }
+    Peer peer;
+    peer.address_ = address;
+    peer.addedAt_ = now;
+    const PeerId id = insertRow(state.peers_, std::move(peer));
+    state.peerByAddress_[address] = id;
+    outbox.decisions_.push_back({ "peer", { { "peer", address }, { "change", "learnt" } } });
+    return id;
+}
+
+void takeUse(GatewayState &state, TimePoint now, Peer &peer, const PeerUpdate &update, bool restarted)
+{
+    for (const auto &[workspace, used] : update.used_) {
+        const auto before = peer.used_.find(workspace);
+        // The first figure of a start says nothing of when it was used, so that only later differences are charged.
+        const uint64_t base = before == peer.used_.end() ? (restarted ? 0 : used) : before->second;
+        if (used != base) {
+            takePeerUse(state, now, workspace, static_cast<int64_t>(used) - static_cast<int64_t>(base));
+        }
+    }
+    peer.used_ = update.used_;
+}
+
+void takeSuspects(GatewayState &state, TimePoint now, const PeerUpdate &update)
+{
+    for (const auto &[fingerprint, crashes] : update.suspects_) {
+        CrashSuspect &suspect = state.suspects_[fingerprint];
+        suspect.crashes_ = std::max(suspect.crashes_, crashes);
+        suspect.lastAt_ = now;
+    }
+}
+
+void applyUpdate(GatewayState &state, TimePoint now, PeerUpdate &update, GatewayOutbox &outbox)
+{
+    if (update.address_ == state.peerAddress_) {
+        return;
+    }
+    Peer *peer = findRow(state.peers_, learnPeer(state, now, update.address_, outbox));
+    const bool restarted = peer->incarnation_ != 0 && peer->incarnation_ != update.incarnation_;
+    if (peer->incarnation_ == update.incarnation_ && update.sequence_ <= peer->sequence_) {
+        return;
+    }
+    if (restarted) {
+        peer->used_.clear();
+    }
+    if (now - peer->heardAt_ > countsExpiry) {
+        outbox.decisions_.push_back({ "peer",
+            { { "peer", update.address_ }, { "name", update.name_ }, { "change", "heard" },
+                { "configuration", std::to_string(update.configurationVersion_) } } });
+    }
+    takeUse(state, now, *peer, update, restarted);
+    clearCounts(state, *peer);
+    peer->inFlight_ = std::move(update.inFlight_);
+    addPeerCounts(state, *peer, true);
+    peer->name_ = update.name_;
+    peer->incarnation_ = update.incarnation_;
+    peer->sequence_ = update.sequence_;
+    peer->configurationVersion_ = update.configurationVersion_;
+    peer->upstreamsVersion_ = update.upstreamsVersion_;
+    peer->heardAt_ = now;
+    takeSuspects(state, now, update);
+    for (const std::string &address : update.peers_) {
+        if (address != state.peerAddress_) {
+            learnPeer(state, now, address, outbox);
+        }
+    }
+}
+
+void forgetSilentPeers(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
+{
+    std::vector<PeerId> forgotten;
+    forEachRow(state.peers_, [&](PeerId id, Peer &peer) {
+        if (!peer.inFlight_.empty() && now - peer.heardAt_ > countsExpiry) {
+            clearCounts(state, peer);
+            outbox.decisions_.push_back({ "peer", { { "peer", peer.address_ }, { "change", "silent" } }, true });
+        }
+        if (now - std::max(peer.heardAt_, peer.addedAt_) > peerRetention) {
+            forgotten.push_back(id);
+        }
+    });
+    for (const PeerId id : forgotten) {
+        const Peer &peer = *findRow(state.peers_, id);
+        outbox.decisions_.push_back({ "peer", { { "peer", peer.address_ }, { "change", "forgotten" } } });
+        state.peerByAddress_.erase(peer.address_);
+        eraseRow(state.peers_, id);
+    }
+}
+
+/// Asks a peer that holds something newer, once the store has had the time to bring it.
+void catchUp(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
+{
+    const Peer *ahead = nullptr;
+    forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) {
+        const bool newer = peer.configurationVersion_ > state.configuration_.version_
+            || peer.upstreamsVersion_ > state.upstreamsVersion_;
+        if (newer && now - peer.heardAt_ < countsExpiry) {
+            ahead = &peer;
+        }
+    });
+    if (ahead == nullptr) {
+        state.nextSnapshotAt_ = noDeadline;
+        return;
+    }
+    if (state.nextSnapshotAt_ == noDeadline) {
+        state.nextSnapshotAt_ = now + (state.configuration_.version_ == 0 ? Milliseconds(0) : snapshotDelay);
+    }
+    if (now >= state.nextSnapshotAt_) {
+        state.nextSnapshotAt_ = now + snapshotInterval;
+        outbox.snapshotFetches_.push_back({ ahead->address_ });
+    }
+}
+
+PeerUpdate describeState(GatewayState &state, TimePoint now)
+{
+    PeerUpdate update;
+    update.address_ = state.peerAddress_;
+    update.name_ = state.name_;
+    update.incarnation_ = state.incarnation_;
+    update.sequence_ = state.nextSequence_++;
+    update.configurationVersion_ = state.configuration_.version_;
+    update.upstreamsVersion_ = state.upstreamsVersion_;
+    forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
+        if (upstream.ownInFlight_ > 0) {
+            update.inFlight_[upstream.id_] = upstream.ownInFlight_;
+        }
+    });
+    for (const auto &[workspace, use] : state.workspaces_) {
+        update.used_[workspace] = use.usedHere_;
+    }
+    for (const auto &[fingerprint, suspect] : state.suspects_) {
+        if (isCrashSuspect(state, now, fingerprint)) {
+            update.suspects_[fingerprint] = suspect.crashes_;
+        }
+    }
+    return update;
+}
+
+Duration updateSpacing(const GatewayState &state)
+{
+    const size_t peers = std::max(state.peers_.size_, peersAtFullRate);
+    return updateInterval * static_cast<int64_t>(peers) / static_cast<int64_t>(peersAtFullRate);
+}
+
+} // namespace
+
+void runPeers(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
+{
+    for (const std::string &address : inbox.peerAddresses_) {
+        if (address != state.peerAddress_) {
+            learnPeer(state, now, address, outbox);
+        }
+    }
+    for (PeerUpdate &update : inbox.peerUpdates_) {
+        applyUpdate(state, now, update, outbox);
+    }
+    forgetSilentPeers(state, now, outbox);
+    catchUp(state, now, outbox);
+}
+
+void runPeerUpdates(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
+{
+    const Duration silence = now - state.lastUpdateAt_;
+    const bool due = silence >= heartbeat || (state.countsChanged_ && silence >= updateSpacing(state));
+    if (!due || state.peers_.size_ == 0) {
+        return;
+    }
+    SendUpdate command;
+    command.update_ = describeState(state, now);
+    forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) { command.addresses_.push_back(peer.address_); });
+    if (now - state.lastIntroductionAt_ >= introductionInterval) {
+        state.lastIntroductionAt_ = now;
+        command.update_.peers_ = command.addresses_;
+    }
+    state.lastUpdateAt_ = now;
+    state.countsChanged_ = false;
+    outbox.updates_.push_back(std::move(command));
+}
+
+TimePoint nextPeerDeadline(const GatewayState &state)
+{
+    const Duration spacing = state.countsChanged_ ? updateSpacing(state) : Duration(heartbeat);
+    return std::min(state.lastUpdateAt_ + spacing, state.nextSnapshotAt_);
+}
+
+} // namespace Burdockfield::Gateway
--- /dev/null
+++ b/src/gateway_quota.cpp
@@ -0,0 +1,117 @@
+/**
+ * @file gateway_quota.cpp
+ * @brief Quotas of workspaces and repeat budgets of services, shared by all gateways.
+ *
+ * Every gateway keeps the whole bucket of a workspace and charges it with its own calls and with what its peers tell.
+ * The bucket shrinks to the share of the gateways that are heard, so that parts that cannot hear each other
+ * stay within the quota together.
+ */
+#include "gateway_func.h"
+
+#include <algorithm>
+
+namespace Burdockfield::Gateway {
+
+namespace {
+
+constexpr Milliseconds heardWithin{ 1200 }; ///< A peer silent for longer may charge unseen; four updates and a loss.
+constexpr double freshLevelShare = 0.25; ///< Part of the burst that a fresh process may use before it hears of others.
+constexpr double repeatRatioShare = 0.75; ///< Part of the allowed ratio that is used; the rest covers counting lags.
+constexpr double repeatSlackShare = 0.6; ///< Part of the allowed slack that is used, likewise.
+
+const WorkspaceRule *findRule(const GatewayState &state, const std::string &workspace)
+{
+    const auto &rules = state.configuration_.workspaces_;
+    const auto named = [&workspace](const WorkspaceRule &rule) {
+        return rule.name_ == workspace;
+    };
+    const auto found = std::find_if(rules.begin(), rules.end(), named);
+    return found == rules.end() ? nullptr : &*found;
+}
+
+/// Brings the level up to date. @return the workspace's use
+WorkspaceUse &refill(GatewayState &state, TimePoint now, const WorkspaceRule &rule)
+{
+    const double share = heardShare(state, now);
+    const auto [place, added] = state.workspaces_.try_emplace(rule.name_);
+    WorkspaceUse &use = place->second;
+    if (added) {
+        use.level_ = rule.burst_ * freshLevelShare * share;
+        use.levelAt_ = now;
+    }
+    const double seconds = FractionalSeconds(now - use.levelAt_).count();
+    use.levelAt_ = now;
+    use.level_ = std::clamp(use.level_ + seconds * rule.ratePerSecond_ * share, -rule.burst_, rule.burst_ * share);
+    return use;
+}
+
+} // namespace
+
+double heardShare(const GatewayState &state, TimePoint now)
+{
+    size_t heard = 1;
+    size_t known = 1;
+    forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) {
+        ++known;
+        heard += now - peer.heardAt_ < heardWithin ? 1 : 0;
+    });
+    return static_cast<double>(heard) / static_cast<double>(known);
+}
+
+bool takeQuota(GatewayState &state, TimePoint now, const WorkspaceRule &rule, uint64_t units)
+{
+    if (rule.ratePerSecond_ <= 0) {
+        return true;
+    }
+    WorkspaceUse &use = refill(state, now, rule);
+    if (use.level_ < static_cast<double>(units)) {
+        return false;
+    }
+    use.level_ -= static_cast<double>(units);
+    use.usedHere_ += units;
+    state.countsChanged_ = true;
+    return true;
+}
+
+void returnQuota(GatewayState &state, const std::string &workspace, uint64_t units)
+{
+    const auto found = state.workspaces_.find(workspace);
+    if (found == state.workspaces_.end() || units == 0) {
+        return;
+    }
+    found->second.level_ += static_cast<double>(units);
+    found->second.usedHere_ -= std::min(units, found->second.usedHere_);
+    state.countsChanged_ = true;
+}
+
+void takePeerUse(GatewayState &state, TimePoint now, const std::string &workspace, int64_t units)
+{
+    const WorkspaceRule *rule = findRule(state, workspace);
+    if (rule == nullptr || rule->ratePerSecond_ <= 0) {
+        return;
+    }
+    refill(state, now, *rule).level_ -= static_cast<double>(units);
+}
+
+void creditRepeats(GatewayState &state, const std::string &service)
+{
+    RepeatBudget &budget = state.repeatBudgets_[service];
+    const double slack = state.bounds_.repeatSlack_ * repeatSlackShare / static_cast<double>(1 + state.peers_.size_);
+    if (!budget.started_) {
+        budget.started_ = true;
+        budget.level_ = slack;
+    }
+    budget.level_ = std::min(slack, budget.level_ + state.bounds_.repeatRatio_ * repeatRatioShare);
+}
+
+bool takeRepeat(GatewayState &state, const std::string &service)
+{
+    RepeatBudget &budget = state.repeatBudgets_[service];
+    if (budget.level_ < 1) {
+        return false;
+    }
+    budget.level_ -= 1;
+    return true;
+}
+
+} // namespace Burdockfield::Gateway
--- /dev/null
+++ b/src/gateway_status_wire.cpp
@@ -0,0 +1,59 @@
+/**
+ * @file gateway_status_wire.cpp
+ * @brief JSON of a gateway's view of upstreams, peers, quotas and versions.
+ */
+#include "gateway_status_wire.h"
+
+#include "gateway_func.h"
+#include "json_func.h"
+
+namespace Burdockfield::Gateway {
+
+namespace {
+
+int64_t ageMs(TimePoint since, TimePoint now)
+{
+    return std::chrono::duration_cast<Milliseconds>(now - since).count();
+}
+
+Json::object describe(const Upstream &upstream, TimePoint now)
+{
+    return { { "id", upstream.id_ }, { "service", upstream.service_ }, { "address", upstream.address_ },
+        { "zone", upstream.zone_ }, { "slots", upstream.slots_ }, { "draining", upstream.draining_ },
+        { "own_in_flight", upstream.ownInFlight_ }, { "peer_in_flight", upstream.peerInFlight_ },
+        { "failure_rate", failureRateAt(upstream, now) }, { "avoided", upstream.avoidUntil_ > now },
+        { "missing", upstream.missingSince_ != noDeadline } };
+}
+
+Json::object describe(const Peer &peer, TimePoint now)
+{
+    return { { "address", peer.address_ }, { "name", peer.name_ }, { "configuration", peer.configurationVersion_ },
+        { "upstreams", peer.upstreamsVersion_ },
+        { "heard_ms_ago", peer.name_.empty() ? Json::value(nullptr) : Json::value(ageMs(peer.heardAt_, now)) } };
+}
+
+} // namespace
+
+std::string serializeGatewayStatus(const GatewayState &state, TimePoint now)
+{
+    Json::array upstreams;
+    forEachRow(state.upstreams_,
+        [&](UpstreamId /*id*/, const Upstream &upstream) { upstreams.push_back(describe(upstream, now)); });
+    Json::array peers;
+    forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) { peers.push_back(describe(peer, now)); });
+    Json::array workspaces;
+    for (const auto &[name, use] : state.workspaces_) {
+        workspaces.push_back(
+            Json::object{ { "name", name }, { "units_left", use.level_ }, { "age_ms", ageMs(use.levelAt_, now) } });
+    }
+    const Json::object configuration{ { "version", state.configuration_.version_ },
+        { "age_ms", ageMs(state.configurationAt_, now) } };
+    const Json::object status{ { "name", state.name_ }, { "ready", isReady(state) }, { "stopping", state.stopping_ },
+        { "calls", state.calls_.size_ }, { "waiting", state.waiting_.size() }, { "configuration", configuration },
+        { "upstreams_version", state.upstreamsVersion_ }, { "store_reachable", state.storeLostAt_ == noDeadline },
+        { "heard_share", heardShare(state, now) }, { "upstreams", std::move(upstreams) }, { "peers", std::move(peers) },
+        { "workspaces", std::move(workspaces) } };
+    return Json::serialize(status);
+}
+
+} // namespace Burdockfield::Gateway
--- /dev/null
+++ b/src/gateway_tick.cpp
@@ -0,0 +1,250 @@
+/**
+ * @file gateway_tick.cpp
+ * @brief Tick of a gateway, deadlines of calls, and what several systems do alike.
+ */
+#include "gateway_func.h"
+
+#include <algorithm>
+
+namespace Burdockfield::Gateway {
+
+namespace {
+
+constexpr Milliseconds firstEventSilence{ 1300 }; ///< Callers leave a stream without an event after two seconds.
+constexpr Milliseconds streamSilence{ 900 }; ///< Silence within a stream after which it goes on elsewhere.
+constexpr Milliseconds answerSilence{ 900 }; ///< Silence of a repeatable call that is not streamed.
+constexpr uint32_t crashLimit = 3; ///< Crashes after which a request is not run again.
+constexpr std::chrono::seconds suspectRetention{ 60 }; ///< Time for which crashes are remembered.
+constexpr double retryLeftShare = 0.3; ///< Callers honour a time to come back up to a third of what they have left.
+constexpr Milliseconds shortestRetry{ 50 }; ///< Least time to come back.
+constexpr Milliseconds longestRetry{ 1500 }; ///< Bound that keeps the answer late rather than lost.
+
+Milliseconds silenceBound(const Call &call)
+{
+    if (call.kind_ != CallKind::Streaming) {
+        return std::max(answerSilence, 3 * call.objective_);
+    }
+    return call.streamBegun_ ? streamSilence : firstEventSilence;
+}
+
+bool mayGoElsewhere(const Call &call)
+{
+    return call.repeatable_ && call.attempts_ < call.attemptLimit_;
+}
+
+/// Callers come back spread over some time, not all at once.
+Milliseconds drawRetryAfter(GatewayState &state, TimePoint now, const Call &call)
+{
+    const auto left = std::chrono::duration_cast<Milliseconds>((call.deadline_ - now) * retryLeftShare);
+    const Milliseconds most = std::min(left, longestRetry);
+    if (most <= shortestRetry) {
+        return shortestRetry;
+    }
+    const auto range = static_cast<uint64_t>((most - shortestRetry).count());
+    return shortestRetry + Milliseconds(state.random_() % (range + 1));
+}
+
+bool invitesReturn(RefusalReason reason)
+{
+    return reason == RefusalReason::Overloaded || reason == RefusalReason::NoUpstream
+        || reason == RefusalReason::NotRunThere || reason == RefusalReason::OverQuota;
+}
+
+void expire(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    const bool sent = call.attempts_ > 0;
+    call.mayHaveRun_ = call.mayHaveRun_ || call.stage_ != CallStage::Waiting;
+    detachFromUpstream(state, call, true, outbox);
+    refuse(state, now, id, sent ? RefusalReason::Expired : RefusalReason::Overloaded, outbox);
+}
+
+/// Gives a silent upstream up so that the call can go elsewhere.
+void leaveSilent(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    if (!takeRepeat(state, call.service_)) {
+        pushDeadline(state.deadlines_, call.deadline_, id);
+        return;
+    }
+    Upstream *upstream = findRow(state.upstreams_, call.upstream_);
+    if (upstream != nullptr) {
+        noteOutcome(*upstream, now, true);
+    }
+    outbox.decisions_.push_back({ "upstream-silent",
+        { { "request", call.request_.id_ }, { "upstream", upstream == nullptr ? "gone" : upstream->id_ },
+            { "silent_ms", millisecondsText(now - call.heardAt_) }, { "events", std::to_string(call.events_) } },
+        true });
+    call.mayHaveRun_ = true;
+    detachFromUpstream(state, call, true, outbox);
+    call.waitUntil_ = std::min(call.deadline_, now + Milliseconds(call.objective_));
+    requeue(state, id);
+}
+
+void checkCall(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    if (now >= call.deadline_) {
+        expire(state, now, id, call, outbox);
+        return;
+    }
+    if (call.stage_ == CallStage::Waiting && now >= call.waitUntil_) {
+        refuse(state, now, id, call.mayHaveRun_ ? RefusalReason::UpstreamFailed : RefusalReason::Overloaded, outbox);
+        return;
+    }
+    const bool silent = call.stage_ != CallStage::Waiting && now - call.heardAt_ >= silenceBound(call);
+    if (silent && mayGoElsewhere(call)) {
+        leaveSilent(state, now, id, call, outbox);
+        return;
+    }
+    pushDeadline(state.deadlines_, std::max(nextCallCheck(call), now + Milliseconds(1)), id);
+}
+
+} // namespace
+
+TimePoint nextCallCheck(const Call &call)
+{
+    if (call.stage_ == CallStage::Waiting) {
+        return std::min(call.waitUntil_, call.deadline_);
+    }
+    return mayGoElsewhere(call) ? std::min(call.deadline_, call.heardAt_ + silenceBound(call)) : call.deadline_;
+}
+
+void runDeadlines(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
+{
+    for (const CallId id : takeDue(state.deadlines_, now)) {
+        if (Call *call = findRow(state.calls_, id); call != nullptr) {
+            checkCall(state, now, id, *call, outbox);
+        }
+    }
+}
+
+void detachFromUpstream(GatewayState &state, Call &call, bool cancel, GatewayOutbox &outbox)
+{
+    if (call.stage_ == CallStage::Waiting) {
+        return;
+    }
+    if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
+        --upstream->ownInFlight_;
+    }
+    state.countsChanged_ = true;
+    state.callBySend_.erase(call.send_);
+    if (cancel) {
+        outbox.cancels_.push_back(call.send_);
+    }
+    call.stage_ = CallStage::Waiting;
+}
+
+void eraseCall(GatewayState &state, CallId id)
+{
+    if (const Call *call = findRow(state.calls_, id); call != nullptr) {
+        state.bodyBytes_ -= call->request_.body_->size();
+        state.callByExchange_.erase(call->exchange_.value_);
+        eraseRow(state.calls_, id);
+    }
+}
+
+void requeue(GatewayState &state, CallId id)
+{
+    const Call &call = *findRow(state.calls_, id);
+    state.waiting_.push_back(id);
+    pushDeadline(state.deadlines_, nextCallCheck(call), id);
+}
+
+void refuse(GatewayState &state, TimePoint now, CallId id, RefusalReason reason, GatewayOutbox &outbox)
+{
+    const Call &call = *findRow(state.calls_, id);
+    RefuseCall refusal{ call.exchange_, reason, !call.mayHaveRun_, {}, call.request_.id_ };
+    if (refusal.notRun_ && invitesReturn(reason)) {
+        refusal.retryAfter_ = drawRetryAfter(state, now, call);
+    }
+    if (refusal.notRun_) {
+        returnQuota(state, call.workspace_, call.charge_);
+    }
+    outbox.decisions_.push_back({ "refused",
+        { { "request", call.request_.id_ }, { "route", call.routeName_ }, { "workspace", call.workspace_ },
+            { "reason", std::string(nameOf(reason)) }, { "not_run", refusal.notRun_ ? "yes" : "no" },
+            { "attempts", std::to_string(call.attempts_) }, { "events", std::to_string(call.events_) },
+            { "waited_ms", millisecondsText(now - call.arrivedAt_) },
+            { "retry_after_ms", std::to_string(refusal.retryAfter_.count()) },
+            { "configuration", std::to_string(state.configuration_.version_) } },
+        true });
+    count(state.metrics_, "calls_refused", std::string(nameOf(reason)));
+    if (call.streamBegun_) {
+        outbox.breaks_.push_back(call.exchange_);
+    } else {
+        outbox.refusals_.push_back(std::move(refusal));
+    }
+    eraseCall(state, id);
+}
+
+void noteCrash(GatewayState &state, TimePoint now, uint64_t fingerprint)
+{
+    CrashSuspect &suspect = state.suspects_[fingerprint];
+    ++suspect.crashes_;
+    suspect.lastAt_ = now;
+    std::erase_if(state.suspects_, [now](const auto &item) { return now - item.second.lastAt_ > suspectRetention; });
+}
+
+bool isCrashSuspect(const GatewayState &state, TimePoint now, uint64_t fingerprint)
+{
+    const auto found = state.suspects_.find(fingerprint);
+    return found != state.suspects_.end() && found->second.crashes_ >= crashLimit
+        && now - found->second.lastAt_ <= suspectRetention;
+}
+
+std::string_view nameOf(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::NoConfiguration:
+        return "no-configuration";
+    case RefusalReason::NoRoute:
+        return "no-route";
+    case RefusalReason::UnknownKey:
+        return "unknown-key";
+    case RefusalReason::Malformed:
+        return "malformed";
+    case RefusalReason::OverQuota:
+        return "over-quota";
+    case RefusalReason::Overloaded:
+        return "overloaded";
+    case RefusalReason::NoUpstream:
+        return "no-upstream";
+    case RefusalReason::NotRunThere:
+        return "not-run-there";
+    case RefusalReason::CrashSuspect:
+        return "crash-suspect";
+    case RefusalReason::Expired:
+        return "expired";
+    case RefusalReason::UpstreamFailed:
+        return "upstream-failed";
+    case RefusalReason::Stopping:
+        return "stopping";
+    }
+    return "unknown";
+}
+
+std::string millisecondsText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
+}
+
+GatewayOutbox tickGateway(GatewayState &state, TimePoint now, GatewayInbox inbox)
+{
+    GatewayOutbox outbox;
+    runStop(state, now, inbox, outbox);
+    runConfiguration(state, now, inbox, outbox);
+    runMembership(state, now, inbox, outbox);
+    runPeers(state, now, inbox, outbox);
+    runDepartures(state, now, inbox, outbox);
+    runIntake(state, now, inbox, outbox);
+    runAnswers(state, now, inbox, outbox);
+    runDeadlines(state, now, outbox);
+    runDispatch(state, now, outbox);
+    runPeerUpdates(state, now, outbox);
+    return outbox;
+}
+
+TimePoint nextGatewayDeadline(const GatewayState &state)
+{
+    return std::min({ nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state) });
+}
+
+} // namespace Burdockfield::Gateway
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -6,6 +6,7 @@
 
 #include "address_func.h"
 #include "error_type.h"
+#include "socket_func.h"
 
 #include <array>
 #include <boost/asio/detached.hpp>
@@ -82,8 +83,7 @@
     stream.expires_after(std::min(timeout, connectTimeout));
     stream.async_connect(*endpoint, yield[error]);
     if (!error) {
-        boost::system::error_code ignored;
-        stream.socket().set_option(Tcp::no_delay(true), ignored);
+        hardenSocket(stream.socket());
     }
     return !error;
 }
@@ -141,6 +141,9 @@
         if (!result.error_ && result.keepAlive_) {
             keepIdle(client, address, std::move(old));
         }
+        if (result.error_ == TransportErrc::TimedOut) {
+            client.idle_.erase(address); // others to the same peer may have fallen silent with it
+        }
         if (result.error_ != TransportErrc::Lost) {
             return result;
         }
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -6,6 +6,7 @@
 
 #include "address_func.h"
 #include "error_type.h"
+#include "socket_func.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
@@ -68,14 +69,35 @@
     return !error && !connection.timedOut_;
 }
 
-void takeRequest(Http::request<Http::string_body> &message, HttpRequest &request)
+/// Takes the header; trailers that follow the body are not part of it.
+void takeHeader(const Http::request<Http::string_body> &message, HttpRequest &request)
 {
     request.method_ = std::string(message.method_string());
     request.target_ = std::string(message.target());
     for (const auto &field : message) {
         request.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
     }
-    request.body_ = std::move(message.body());
+}
+
+/// @return whether the end of the body can be told in one way only.
+bool isFramedClearly(const Http::request<Http::string_body> &message)
+{
+    const auto codings = message.count(Http::field::transfer_encoding);
+    const bool chunked = Beast::iequals(message[Http::field::transfer_encoding], "chunked");
+    return codings == 0 || (codings == 1 && chunked && message.count(Http::field::content_length) == 0);
+}
+
+/// Reads the body, after telling a peer that waits for it to go on.
+void readRequestBody(ServerConnection &connection, Http::request_parser<Http::string_body> &parser,
+    boost::system::error_code &error, Asio::yield_context yield)
+{
+    if (Beast::iequals(parser.get()[Http::field::expect], "100-continue")) {
+        constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+        Asio::async_write(connection.stream_.socket(), Asio::buffer(goOn), yield[error]);
+    }
+    if (!error) {
+        Http::async_read(connection.stream_.socket(), connection.buffer_, parser, yield[error]);
+    }
 }
 
 ReadOutcome readRequest(const HttpServer &server, ServerConnection &connection, HttpRequest &request,
@@ -89,11 +111,18 @@
     parser.body_limit(server.limits_.bodyBytes_);
     boost::system::error_code error;
     startReadTimer(connection, server.limits_.readTimeout_);
-    Http::async_read(connection.stream_.socket(), connection.buffer_, parser, yield[error]);
+    Http::async_read_header(connection.stream_.socket(), connection.buffer_, parser, yield[error]);
+    if (!error && !isFramedClearly(parser.get())) {
+        error = Http::error::bad_transfer_encoding;
+    }
+    if (!error) {
+        takeHeader(parser.get(), request);
+        readRequestBody(connection, parser, error, yield);
+    }
     connection.readTimer_.cancel();
     if (!error) {
         connection.closeAfter_ = !parser.get().keep_alive();
-        takeRequest(parser.get(), request);
+        request.body_ = std::move(parser.get().body());
         return ReadOutcome::Request;
     }
     const bool protocolError = error.category() == Http::make_error_code(Http::error::body_limit).category();
@@ -130,7 +159,7 @@
     message.version(11); // HTTP/1.1
     message.result(static_cast<unsigned>(reply.status_));
     for (const auto &[name, value] : reply.headers_) {
-        message.set(name, value);
+        message.insert(name, value);
     }
 }
 
@@ -217,6 +246,7 @@
             continue;
         }
         ServerOutput output = takeOutput(connection);
+        connection.closeAfter_ = connection.closeAfter_ || server.closing_ || server.stopping_;
         connection.stream_.expires_after(server.limits_.writeTimeout_);
         const boost::system::error_code error = writeOutput(connection, output, yield);
         connection.stream_.expires_never();
@@ -305,8 +335,7 @@
             return;
         }
         if (!error) {
-            boost::system::error_code ignored;
-            socket.set_option(Tcp::no_delay(true), ignored);
+            hardenSocket(socket);
             auto connection = std::make_shared<ServerConnection>(std::move(socket));
             Asio::spawn(
                 server.io_,
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -100,6 +100,7 @@
     ServerHandlers handlers_; ///< What it calls.
     std::map<ExchangeId, std::shared_ptr<ServerConnection>> exchanges_; ///< Exchanges in progress.
     uint64_t nextExchange_ = 1; ///< Number of the next exchange.
+    bool closing_ = false; ///< Whether answers tell that their connection closes after them.
     bool stopping_ = false; ///< Whether connections close after their exchange.
 };
 
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -7,15 +7,26 @@
 #include "json_func.h"
 #include "table/decision_names.h"
 
+#include <algorithm>
 #include <array>
+#include <condition_variable>
 #include <ctime>
 #include <glog/logging.h>
+#include <mutex>
+#include <oneapi/tbb/concurrent_queue.h>
+#include <thread>
 
 namespace Burdockfield {
 
 namespace {
 
 constexpr int64_t microsecondsPerSecond = 1000000;
+constexpr std::chrono::milliseconds batchInterval{ 100 }; ///< Time in which lines gather for one write.
+constexpr size_t batchBytes = 20U << 10U; ///< Below glog's bound of 30,000 bytes a message.
+constexpr ptrdiff_t waitingLines = 4096; ///< Lines that may wait for the writer; about 1.5 MB.
+constexpr uint32_t linesPerSecond = 600; ///< Three lines a request at 200 requests a second.
+constexpr uint32_t failuresPerSecond = 300; ///< Failures have a budget of their own, so that they are told first.
+constexpr std::chrono::milliseconds stopTimeout{ 300 }; ///< Longest wait for the last lines.
 
 /// Node that the lines name.
 std::string &nodeName()
@@ -44,9 +55,42 @@
     return { { "time", timeText() }, { "node", nodeName() }, { "event", event } };
 }
 
-void writeLine(LogLevel level, const Json::object &line)
+/// Line that waits to be written.
+struct WaitingLine
+{
+    LogLevel level_ = LogLevel::Info; ///< Severity; lines of severity Error end a batch of their own.
+    std::string text_; ///< JSON.
+};
+
+/// Budget of lines in the present second.
+struct LineBudget
+{
+    int64_t second_ = 0; ///< Second that the counts belong to.
+    uint32_t lines_ = 0; ///< Lines taken of severity Info.
+    uint32_t failures_ = 0; ///< Lines taken of a higher severity.
+    uint64_t leftOut_ = 0; ///< Lines left out and not yet told of.
+};
+
+/// Writer of the log; one for the process.
+struct LogWriter
+{
+    tbb::concurrent_bounded_queue<WaitingLine> lines_; ///< Lines that wait.
+    std::mutex mutex_; ///< Guards budget_ and ended_.
+    std::condition_variable endedChanged_; ///< Signalled when the thread ends.
+    LineBudget budget_; ///< Budget of lines.
+    bool ended_ = false; ///< Whether the thread has written its last line.
+    std::thread thread_; ///< Writes.
+};
+
+/// @return the writer; never destroyed, since its thread may be held up by a reader that does not read.
+LogWriter &writer()
+{
+    static auto *instance = new LogWriter; // NOLINT(cppcoreguidelines-owning-memory)
+    return *instance;
+}
+
+void writeText(LogLevel level, const std::string &text)
 {
-    const std::string text = Json::serialize(line);
     switch (level) {
     case LogLevel::Info:
         LOG(INFO) << text;
@@ -60,6 +104,85 @@
     }
 }
 
+/// Writes the lines that wait, several with one call. @return whether the end was asked for
+bool writeWaiting(WaitingLine line)
+{
+    std::string batch;
+    LogLevel level = LogLevel::Info;
+    bool more = true;
+    bool end = false;
+    while (more) {
+        end = end || line.text_.empty();
+        level = std::max(level, line.level_);
+        if (!line.text_.empty()) {
+            batch += (batch.empty() ? "" : "\n") + line.text_;
+        }
+        if (batch.size() > batchBytes) {
+            writeText(level, batch);
+            batch.clear();
+            level = LogLevel::Info;
+        }
+        more = writer().lines_.try_pop(line);
+    }
+    if (!batch.empty()) {
+        writeText(level, batch);
+    }
+    return end;
+}
+
+void runWriter()
+{
+    bool end = false;
+    while (!end) {
+        WaitingLine line;
+        writer().lines_.pop(line);
+        if (!line.text_.empty()) {
+            std::this_thread::sleep_for(batchInterval);
+        }
+        end = writeWaiting(std::move(line));
+    }
+    const std::lock_guard lock(writer().mutex_);
+    writer().ended_ = true;
+    writer().endedChanged_.notify_all();
+}
+
+/// @return whether the budget of this second allows the line; tells of lines left out before.
+bool takeBudget(LogLevel level, uint64_t &leftOut)
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    const int64_t second = std::chrono::duration_cast<std::chrono::seconds>(now).count();
+    const std::lock_guard lock(writer().mutex_);
+    LineBudget &budget = writer().budget_;
+    if (budget.second_ != second) {
+        budget = { second, 0, 0, budget.leftOut_ };
+    }
+    uint32_t &taken = level == LogLevel::Info ? budget.lines_ : budget.failures_;
+    if (taken >= (level == LogLevel::Info ? linesPerSecond : failuresPerSecond)) {
+        ++budget.leftOut_;
+        return false;
+    }
+    ++taken;
+    leftOut = std::exchange(budget.leftOut_, 0);
+    return true;
+}
+
+void writeLine(LogLevel level, const Json::object &line)
+{
+    uint64_t leftOut = 0;
+    if (!takeBudget(level, leftOut)) {
+        return;
+    }
+    if (leftOut > 0) {
+        Json::object notice = startLine("lines-left-out");
+        notice["lines"] = leftOut;
+        writer().lines_.try_push({ LogLevel::Warning, Json::serialize(notice) });
+    }
+    if (!writer().lines_.try_push({ level, Json::serialize(line) })) {
+        const std::lock_guard lock(writer().mutex_);
+        ++writer().budget_.leftOut_;
+    }
+}
+
 bool decisionsLogged()
 {
     return FLAGS_minloglevel <= google::GLOG_INFO;
@@ -70,15 +193,28 @@
 void startLog(const std::string &program, const std::string &node, LogLevel level)
 {
     nodeName() = node;
-    FLAGS_logtostderr = true;
+    FLAGS_logtostdout = true;
     FLAGS_log_prefix = false;
     FLAGS_minloglevel = static_cast<int>(level);
     static const std::string name = program;
     google::InitGoogleLogging(name.c_str());
+    writer().lines_.set_capacity(waitingLines);
+    writer().thread_ = std::thread(runWriter);
+    writer().thread_.detach();
+}
+
+void stopLog()
+{
+    writer().lines_.try_push({});
+    std::unique_lock lock(writer().mutex_);
+    writer().endedChanged_.wait_for(lock, stopTimeout, [] { return writer().ended_; });
 }
 
 void logLine(LogLevel level, const std::string &event, const LogFields &fields)
 {
+    if (static_cast<int>(level) < FLAGS_minloglevel) {
+        return;
+    }
     Json::object line = startLine(event);
     for (const auto &[name, value] : fields) {
         line[name] = value;
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -17,9 +17,17 @@
 /// Further members of a log line.
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
-/// Starts the log; lines go to standard error. @param program name of the program @param node name of the node
+/**
+ * Starts the log; lines go to standard output from a thread of their own, so that a reader that does not read holds
+ * nothing up. Lines beyond the budget are left out and counted; failures have a budget of their own.
+ * @param program name of the program
+ * @param node name of the node
+ */
 void startLog(const std::string &program, const std::string &node, LogLevel level);
 
+/// Writes out what waits, for a short time at most, and ends the log.
+void stopLog();
+
 /// Writes a line. @param event what happened, a fixed word
 void logLine(LogLevel level, const std::string &event, const LogFields &fields = {});
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -11,6 +11,7 @@
 #include "table/wire_names.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fstream>
 #include <initializer_list>
 #include <sstream>
@@ -24,6 +25,9 @@
 constexpr uint64_t queueLimitBound = 1000000;
 constexpr size_t headerBytesBound = 1U << 20U;
 constexpr size_t bodyBytesBound = 32U << 20U;
+constexpr size_t memoryBytesBound = size_t{ 1 } << 40U;
+constexpr double repeatRatioBound = 10;
+constexpr double repeatSlackBound = 1e6;
 
 /// Level of a settings file that is being read; the first error is kept.
 struct SettingsReader
@@ -207,6 +211,24 @@
     target = found->second;
 }
 
+void readNumber(const SettingsReader &reader, const char *key, double &target, double most)
+{
+    const std::string accepted = "a number from 0 to " + std::to_string(static_cast<uint64_t>(most));
+    const auto text = readScalar(reader, key, false, accepted);
+    if (!text) {
+        return;
+    }
+    double number = 0;
+    const auto [rest, error] = std::from_chars(text->data(), text->data() + text->size(), number);
+    if (error != std::errc() || rest != text->data() + text->size()) {
+        fail(reader, reader.node_[key], SettingsErrc::WrongType, key, accepted);
+    } else if (!(number >= 0 && number <= most)) {
+        fail(reader, reader.node_[key], SettingsErrc::OutOfRange, key, accepted);
+    } else {
+        target = number;
+    }
+}
+
 void readNames(const SettingsReader &reader, const char *key, std::vector<std::string> &target)
 {
     const std::string accepted = "a list of one or more names";
@@ -350,9 +372,80 @@
     }
 }
 
+void readSeeds(const SettingsReader &reader, std::vector<std::string> &target)
+{
+    const std::string accepted = "a list of addresses IP:PORT";
+    if (reader.error_.error_ || !reader.node_["seeds"].IsDefined()) {
+        return;
+    }
+    const YAML::Node value = reader.node_["seeds"];
+    if (!value.IsSequence()) {
+        fail(reader, value, SettingsErrc::WrongType, "seeds", accepted);
+        return;
+    }
+    for (const auto &item : value) {
+        if (!item.IsScalar() || !parseEndpoint(item.Scalar())) {
+            fail(reader, item, SettingsErrc::BadAddress, "seeds", accepted);
+            return;
+        }
+        target.push_back(item.Scalar());
+    }
+}
+
+void readZones(const SettingsReader &reader, std::map<std::string, std::string> &target)
+{
+    const std::string accepted = "a mapping of availability zones to regions";
+    if (reader.error_.error_ || !reader.node_["zones"].IsDefined()) {
+        return;
+    }
+    const YAML::Node value = reader.node_["zones"];
+    if (!value.IsMap()) {
+        fail(reader, value, SettingsErrc::WrongType, "zones", accepted);
+        return;
+    }
+    for (const auto &item : value) {
+        if (!item.first.IsScalar() || !item.second.IsScalar()) {
+            fail(reader, item.first, SettingsErrc::WrongType, "zones", accepted);
+            return;
+        }
+        target[item.first.Scalar()] = item.second.Scalar();
+    }
+}
+
+void readBounds(const SettingsReader &reader, Gateway::Bounds &bounds)
+{
+    const auto inner = enter(reader, "bounds", false, { "repeat_ratio", "repeat_slack", "grace", "row_return" });
+    if (!inner) {
+        return;
+    }
+    readNumber(*inner, "repeat_ratio", bounds.repeatRatio_, repeatRatioBound);
+    readNumber(*inner, "repeat_slack", bounds.repeatSlack_, repeatSlackBound);
+    readDuration(*inner, "grace", bounds.grace_);
+    readDuration(*inner, "row_return", bounds.rowReturn_);
+}
+
+void readGateway(const SettingsReader &reader, Settings &settings)
+{
+    checkKeys(reader,
+        { "role", "name", "region", "zone", "listen", "ready", "peer", "metrics", "platform", "log", "seed", "seeds",
+            "zones", "memory", "bounds" });
+    readAddress(reader, "ready", settings.gateway_.ready_);
+    readAddress(reader, "peer", settings.gateway_.peer_);
+    readAddress(reader, "metrics", settings.gateway_.metrics_);
+    readSize(reader, "memory", settings.gateway_.memoryBytes_, memoryBytesBound);
+    readSeeds(reader, settings.gateway_.seeds_);
+    readZones(reader, settings.gateway_.regionByZone_);
+    readBounds(reader, settings.gateway_.bounds_);
+    settings.place_.address_ = settings.gateway_.peer_;
+}
+
 void readSettings(const SettingsReader &reader, Settings &settings)
 {
     readCommon(reader, settings);
+    if (settings.role_ == Role::Gateway) {
+        readGateway(reader, settings);
+        return;
+    }
     if (settings.role_ == Role::Entry) {
         checkKeys(reader,
             { "role", "name", "region", "zone", "listen", "control", "platform", "log", "seed", "limits", "policy" });
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "agent_base.h"
+#include "gateway_base.h"
 #include "http_server.h"
 #include "policy_type.h"
 
@@ -16,6 +17,7 @@
 
 /// What a daemon does.
 enum class Role : uint8_t {
+    Gateway, ///< Takes the platform's callers straight to upstreams.
     Entry, ///< Takes callers' requests.
     Agent, ///< Owns the runs of the upstream beside it.
 };
@@ -27,6 +29,18 @@
     Error, ///< Failures only.
 };
 
+/// Settings of a gateway.
+struct GatewaySettings
+{
+    std::string ready_; ///< IP:PORT at which the balancer asks.
+    std::string peer_; ///< IP:PORT for other gateways, the same port on all nodes.
+    std::string metrics_; ///< IP:PORT for operators.
+    std::vector<std::string> seeds_; ///< IP:PORT of nodes that may know others; only the IP counts.
+    std::map<std::string, std::string> regionByZone_; ///< Regions of all availability zones.
+    size_t memoryBytes_ = 128U << 20U; ///< Memory of the process.
+    Gateway::Bounds bounds_; ///< Figures that decisions use.
+};
+
 /// Settings of one process.
 struct Settings
 {
@@ -40,6 +54,7 @@
     ServerLimits limits_; ///< Bounds on callers' requests.
     EntryPolicy entryPolicy_; ///< Policy of an entry.
     AgentPolicy agentPolicy_; ///< Policy of an agent.
+    GatewaySettings gateway_; ///< Further settings of a gateway.
     UpstreamSettings upstream_; ///< Upstream beside an agent.
     std::string loadPath_ = "/load"; ///< Path by which the upstream tells of itself.
     Milliseconds upstreamSilence_{ 30000 }; ///< Longest silence of an engine's stream.
--- a/src/table/settings_names.h
+++ b/src/table/settings_names.h
@@ -12,7 +12,8 @@
 
 namespace Burdockfield {
 
-constexpr std::array<std::pair<std::string_view, Role>, 2> roleNames{ {
+constexpr std::array<std::pair<std::string_view, Role>, 3> roleNames{ {
+    { "gateway", Role::Gateway },
     { "entry", Role::Entry },
     { "agent", Role::Agent },
 } };
