Put calls that can still be on time first, and let quotas use part of their slack

Workspaces' own rank goes before the route's, and most workspaces have one, so that kinds of request were not told apart. Quotas were held to the bare bucket.

Change: fresh calls first, the route's rank within the same rank and for headroom, one bound on the wait for all; the bucket holds 0.6 of the overshoot that a window allows, and starts full when the whole system starts first.

--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -63,7 +63,8 @@
     bool repeatable_ = false; ///< Whether it may run more than once.
     bool resumable_ = false; ///< Whether its stream may go on elsewhere.
     bool returned_ = false; ///< Whether the caller came back with it after a refusal.
-    uint32_t rank_ = 0; ///< Urgency.
+    uint32_t rank_ = 0; ///< Urgency, 0 first: the workspace's, or else the route's.
+    uint32_t routeRank_ = 0; ///< Urgency of the route, which orders calls of the same rank.
     uint32_t attemptLimit_ = 1; ///< Upstreams that it may be sent to.
     Milliseconds objective_{ 0 }; ///< Time within which the answer earns its full credit.
     uint64_t charge_ = 0; ///< Units taken from the workspace's quota.
@@ -143,6 +144,9 @@
     double repeatRatio_ = 0.2; ///< Repeats allowed for each request of a service.
     double repeatSlack_ = 50; ///< Repeats allowed besides, in a window.
     std::chrono::seconds repeatWindow_{ 10 }; ///< Window of the repeat budget.
+    std::chrono::seconds quotaWindow_{ 8 }; ///< Window in which quotas are judged.
+    double quotaOvershoot_ = 0; ///< Part of a quota that may be used beyond it in a window.
+    double quotaTokenSlack_ = 0; ///< Tokens that may be used beyond it besides.
     Milliseconds grace_{ 8000 }; ///< Time from SIGTERM to SIGKILL.
     size_t bodyBytes_ = 32U << 20U; ///< Bodies that requests in progress may take together.
     Milliseconds rowReturn_{ 2000 }; ///< Time in which rows that lapsed in an outage come back.
@@ -165,6 +169,7 @@
     std::string peerAddress_; ///< IP:PORT that peers reach this node at.
     uint64_t incarnation_ = 0; ///< Names this start of the process.
     Bounds bounds_; ///< Figures of the settings.
+    bool firstStart_ = false; ///< Whether the whole system starts for the first time: nothing has been used yet.
     std::mt19937_64 random_; ///< Source of random choices.
 
     Configuration configuration_; ///< Configuration in force.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -431,6 +431,7 @@
     state.region_ = settings.place_.region_;
     state.regionByZone_ = settings.gateway_.regionByZone_;
     state.peerAddress_ = settings.gateway_.peer_;
+    state.firstStart_ = settings.gateway_.firstStart_;
     state.random_.seed(seedOf(settings));
     state.incarnation_ = state.random_() >> 1U; // JSON numbers of the peers' messages are signed
     applyBounds(daemon);
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -26,7 +26,7 @@
 constexpr std::chrono::duration<double> failureHalfLife{ 1.5 }; ///< Time in which a failure counts half.
 constexpr double failureWeight = 0.3; ///< Weight of the newest outcome.
 
-double capacityFor(const GatewayState &state, const Upstream &upstream, uint32_t rank)
+double capacityFor(const GatewayState &state, const Upstream &upstream, uint32_t routeRank)
 {
     const Service *service = findService(state.configuration_, upstream.service_);
     if (service != nullptr && !service->generates_) {
@@ -34,7 +34,7 @@
     }
     const auto top = state.configuration_.topRankByService_.find(upstream.service_);
     const uint32_t topRank = top == state.configuration_.topRankByService_.end() ? 0 : top->second;
-    const size_t below = rank > topRank ? rank - topRank : 0;
+    const size_t below = routeRank > topRank ? routeRank - topRank : 0;
     return upstream.slots_ * engineHeadroom[std::min(below, engineHeadroom.size() - 1)];
 }
 
@@ -43,9 +43,9 @@
     return !upstream.draining_ && upstream.avoidUntil_ <= now;
 }
 
-bool hasRoom(const GatewayState &state, const Upstream &upstream, uint32_t rank)
+bool hasRoom(const GatewayState &state, const Upstream &upstream, uint32_t routeRank)
 {
-    return upstream.ownInFlight_ + upstream.peerInFlight_ < capacityFor(state, upstream, rank);
+    return upstream.ownInFlight_ + upstream.peerInFlight_ < capacityFor(state, upstream, routeRank);
 }
 
 double costOf(const GatewayState &state, const Upstream &upstream, const Call &call, TimePoint now)
@@ -82,7 +82,7 @@
             return;
         }
         ++choice.usable_;
-        if (!hasRoom(state, upstream, call.rank_)) {
+        if (!hasRoom(state, upstream, call.routeRank_)) {
             return;
         }
         const double cost = costOf(state, upstream, call, now);
@@ -129,14 +129,17 @@
     pushDeadline(state.deadlines_, nextCallCheck(call), id);
 }
 
-/// More urgent calls first, then those that came back, then by arrival.
+/// More urgent calls first, then those that can still be on time, then by arrival.
 bool goesBefore(const Call &left, const Call &right)
 {
     if (left.rank_ != right.rank_) {
         return left.rank_ < right.rank_;
     }
+    if (left.routeRank_ != right.routeRank_) {
+        return left.routeRank_ < right.routeRank_;
+    }
     if (left.returned_ != right.returned_) {
-        return left.returned_;
+        return right.returned_;
     }
     return left.arrivedAt_ < right.arrivedAt_;
 }
@@ -155,14 +158,14 @@
     std::set<std::pair<std::string, uint32_t>> full; // services and ranks that found no room in this tick
     for (const CallId id : state.waiting_) {
         Call &call = *findRow(state.calls_, id);
-        if (full.contains({ call.service_, call.rank_ })) {
+        if (full.contains({ call.service_, call.routeRank_ })) {
             continue;
         }
         const Choice choice = chooseUpstream(state, now, call);
         if (choice.ties_ > 0) {
             send(state, now, id, call, choice.id_, outbox);
         } else {
-            full.emplace(call.service_, call.rank_);
+            full.emplace(call.service_, call.routeRank_);
         }
     }
     std::erase_if(
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr double waitShare = 0.6; ///< Part of the objective that a new call may wait for room.
-constexpr double returnedWaitShare = 0.6; ///< Part of the time left that a call may wait that had been refused.
 constexpr Milliseconds returnMargin{ 60 }; ///< A wait shorter than the longest by more belongs to a returned call.
 constexpr Milliseconds drainNotice{ 2600 }; ///< Time until the balancer has left off: two misses, a second apart.
 constexpr Milliseconds killMargin{ 400 }; ///< Time kept before SIGKILL for the last answers to go out.
@@ -103,6 +102,7 @@
     call.resumable_ = route.kind_ == CallKind::Streaming && route.resumable_;
     call.repeatable_ = route.kind_ == CallKind::Idempotent || call.resumable_;
     call.rank_ = found.workspace_ == nullptr ? route.rank_ : found.workspace_->rank_.value_or(route.rank_);
+    call.routeRank_ = route.rank_;
     call.attemptLimit_ = std::max(1U, route.attempts_);
     call.objective_ = route.objective_;
     call.lastEvent_ = call.request_.resumeAfter_;
@@ -111,8 +111,7 @@
     const Milliseconds wait = call.request_.wait_.value_or(route.timeout_);
     call.returned_ = hasReturned(state, route, wait);
     call.deadline_ = now + std::min(wait, route.timeout_);
-    const FractionalSeconds patience = call.returned_ ? FractionalSeconds(call.deadline_ - now) * returnedWaitShare
-                                                      : FractionalSeconds(route.objective_) * waitShare;
+    const FractionalSeconds patience = FractionalSeconds(route.objective_) * waitShare;
     call.waitUntil_ = std::min(call.deadline_, now + std::chrono::duration_cast<Milliseconds>(patience));
     return call;
 }
--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -16,6 +16,7 @@
 
 constexpr Milliseconds heardWithin{ 1200 }; ///< A peer silent for longer may charge unseen; four updates and a loss.
 constexpr double freshLevelShare = 0.25; ///< Part of the burst that a fresh process may use before it hears of others.
+constexpr double slackShare = 0.6; ///< Part of the allowed overshoot that the bucket holds; the rest covers lags.
 constexpr double repeatRatioShare = 0.75; ///< Part of the allowed ratio that is used; the rest covers counting lags.
 constexpr double repeatSlackShare = 0.6; ///< Part of the allowed slack that is used, likewise.
 
@@ -29,19 +30,29 @@
     return found == rules.end() ? nullptr : &*found;
 }
 
+/// @return the units that a full bucket holds.
+double bucketSize(const GatewayState &state, const WorkspaceRule &rule)
+{
+    const double window = FractionalSeconds(state.bounds_.quotaWindow_).count();
+    const double allowed = rule.burst_ + rule.ratePerSecond_ * window;
+    const double slack = rule.countsTokens_ ? state.bounds_.quotaTokenSlack_ : 0;
+    return rule.burst_ + slackShare * (allowed * state.bounds_.quotaOvershoot_ + slack);
+}
+
 /// Brings the level up to date. @return the workspace's use
 WorkspaceUse &refill(GatewayState &state, TimePoint now, const WorkspaceRule &rule)
 {
     const double share = heardShare(state, now);
+    const double size = bucketSize(state, rule);
     const auto [place, added] = state.workspaces_.try_emplace(rule.name_);
     WorkspaceUse &use = place->second;
     if (added) {
-        use.level_ = rule.burst_ * freshLevelShare * share;
+        use.level_ = size * share * (state.firstStart_ ? 1.0 : freshLevelShare);
         use.levelAt_ = now;
     }
     const double seconds = FractionalSeconds(now - use.levelAt_).count();
     use.levelAt_ = now;
-    use.level_ = std::clamp(use.level_ + seconds * rule.ratePerSecond_ * share, -rule.burst_, rule.burst_ * share);
+    use.level_ = std::clamp(use.level_ + seconds * rule.ratePerSecond_ * share, -size, size * share);
     return use;
 }
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -28,6 +28,8 @@
 constexpr size_t memoryBytesBound = size_t{ 1 } << 40U;
 constexpr double repeatRatioBound = 10;
 constexpr double repeatSlackBound = 1e6;
+constexpr double quotaOvershootBound = 10;
+constexpr double quotaSlackBound = 1e12;
 
 /// Level of a settings file that is being read; the first error is kept.
 struct SettingsReader
@@ -414,12 +416,17 @@
 
 void readBounds(const SettingsReader &reader, Gateway::Bounds &bounds)
 {
-    const auto inner = enter(reader, "bounds", false, { "repeat_ratio", "repeat_slack", "grace", "row_return" });
+    const auto inner = enter(reader, "bounds", false, { "repeat_ratio", "repeat_slack", "quota_window", "quota_overshoot", "quota_token_slack", "grace", "row_return" });
     if (!inner) {
         return;
     }
     readNumber(*inner, "repeat_ratio", bounds.repeatRatio_, repeatRatioBound);
     readNumber(*inner, "repeat_slack", bounds.repeatSlack_, repeatSlackBound);
+    Milliseconds window(bounds.quotaWindow_);
+    readDuration(*inner, "quota_window", window);
+    bounds.quotaWindow_ = std::chrono::duration_cast<std::chrono::seconds>(window);
+    readNumber(*inner, "quota_overshoot", bounds.quotaOvershoot_, quotaOvershootBound);
+    readNumber(*inner, "quota_token_slack", bounds.quotaTokenSlack_, quotaSlackBound);
     readDuration(*inner, "grace", bounds.grace_);
     readDuration(*inner, "row_return", bounds.rowReturn_);
 }
@@ -428,11 +435,12 @@
 {
     checkKeys(reader,
         { "role", "name", "region", "zone", "listen", "ready", "peer", "metrics", "platform", "log", "seed", "seeds",
-            "zones", "memory", "bounds" });
+            "zones", "memory", "first_start", "bounds" });
     readAddress(reader, "ready", settings.gateway_.ready_);
     readAddress(reader, "peer", settings.gateway_.peer_);
     readAddress(reader, "metrics", settings.gateway_.metrics_);
     readSize(reader, "memory", settings.gateway_.memoryBytes_, memoryBytesBound);
+    readFlag(reader, "first_start", settings.gateway_.firstStart_);
     readSeeds(reader, settings.gateway_.seeds_);
     readZones(reader, settings.gateway_.regionByZone_);
     readBounds(reader, settings.gateway_.bounds_);
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -37,6 +37,7 @@
     std::string metrics_; ///< IP:PORT for operators.
     std::vector<std::string> seeds_; ///< IP:PORT of nodes that may know others; only the IP counts.
     std::map<std::string, std::string> regionByZone_; ///< Regions of all availability zones.
+    bool firstStart_ = false; ///< Whether the whole system starts for the first time.
     size_t memoryBytes_ = 128U << 20U; ///< Memory of the process.
     Gateway::Bounds bounds_; ///< Figures that decisions use.
 };
