Close idle connections of a stopping gateway; take no older list from a peer

Change: idle connections are closed when listening ends; the version of a peer's list is compared when it is applied, not when it comes in. A whole 500 of an upstream is passed on also when its body is empty.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -149,10 +149,9 @@
     refuse(state, now, id, RefusalReason::NotRunThere, outbox);
 }
 
-/// The upstream failed the call, which may have run.
-void handleFailure(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+/// The upstream failed the call, which may have run. @param whole whether its answer came whole
+void handleFailure(GatewayState &state, TimePoint now, CallId id, Call &call, bool whole, GatewayOutbox &outbox)
 {
-    const bool genuine = call.headSeen_ && call.head_.genuine_;
     const int status = call.head_.reply_.status_;
     call.mayHaveRun_ = true;
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
@@ -168,7 +167,7 @@
         breakStream(state, now, id, "stream-broken", outbox);
         return;
     }
-    if (genuine && status >= serverErrorStatus && !call.body_.empty()) {
+    if (whole && call.head_.genuine_ && status >= serverErrorStatus) {
         HttpReply reply = call.head_.reply_;
         reply.body_ = std::move(call.body_);
         outbox.answers_.push_back({ call.exchange_, std::move(reply) });
@@ -194,7 +193,7 @@
     const bool torn = streamed && !call.body_.empty();
     const bool retryable = status >= serverErrorStatus && call.repeatable_;
     if (!call.head_.genuine_ || torn || retryable || (call.streamBegun_ && !streamed)) {
-        handleFailure(state, now, id, call, outbox);
+        handleFailure(state, now, id, call, true, outbox);
         return;
     }
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
@@ -247,7 +246,7 @@
     logFailedSend(*call, upstream, TransportErrc::Malformed, now, outbox);
     outbox.cancels_.push_back(call->send_);
     call->body_.clear();
-    handleFailure(state, now, id, *call, outbox);
+    handleFailure(state, now, id, *call, false, outbox);
 }
 
 void takeEnd(GatewayState &state, TimePoint now, const SendEnded &event, GatewayOutbox &outbox)
@@ -270,7 +269,7 @@
         handleUnreachable(state, now, id, *call, outbox);
     } else if (event.error_) {
         call->body_.clear();
-        handleFailure(state, now, id, *call, outbox);
+        handleFailure(state, now, id, *call, false, outbox);
     } else {
         handleWholeAnswer(state, now, id, *call, outbox);
     }
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -79,9 +79,8 @@
         return;
     }
     snapshot.upstreams_.source_ = address;
-    if (snapshot.upstreams_.version_ > daemon.state_.upstreamsVersion_) {
-        daemon.inbox_.upstreams_.push_back(std::move(snapshot.upstreams_));
-    }
+    snapshot.upstreams_.fromPeer_ = true;
+    daemon.inbox_.upstreams_.push_back(std::move(snapshot.upstreams_));
     scheduleTick(daemon);
 }
 
@@ -167,6 +166,7 @@
     daemon.callers_.closing_ = daemon.state_.stopping_;
     if (outbox.stopListening_) {
         stopListening(daemon.callers_);
+        closeIdle(daemon.callers_);
     }
     if (outbox.exit_) {
         exitSoon(daemon);
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -55,6 +55,7 @@
     bool whole_ = false; ///< Whether rows that are not listed are gone.
     uint64_t version_ = 0; ///< Version of the list.
     std::string source_; ///< Where it came from.
+    bool fromPeer_ = false; ///< Whether a peer sent it, which may know less than this gateway by now.
 };
 
 /// Whether the store answers.
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -143,6 +143,9 @@
 
 void applyUpstreams(GatewayState &state, TimePoint now, const UpstreamsReceived &event, GatewayOutbox &outbox)
 {
+    if (event.fromPeer_ && event.version_ <= state.upstreamsVersion_) {
+        return;
+    }
     for (const UpstreamRow &row : event.rows_) {
         applyRow(state, now, row, event.source_, outbox);
     }
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -57,14 +57,17 @@
 }
 
 /// Waits for the first byte of a request. @return false when the peer closed or stayed idle.
-bool awaitFirstByte(const HttpServer &server, ServerConnection &connection, Asio::yield_context yield)
+bool awaitFirstByte(HttpServer &server, const ConnectionPointer &pointer, Asio::yield_context yield)
 {
+    ServerConnection &connection = *pointer;
     if (connection.buffer_.size() > 0) {
         return true;
     }
     boost::system::error_code error;
     startReadTimer(connection, server.limits_.idleTimeout_);
+    server.idle_.insert(pointer);
     connection.stream_.socket().async_wait(Tcp::socket::wait_read, yield[error]);
+    server.idle_.erase(pointer);
     connection.readTimer_.cancel();
     return !error && !connection.timedOut_;
 }
@@ -100,10 +103,11 @@
     }
 }
 
-ReadOutcome readRequest(const HttpServer &server, ServerConnection &connection, HttpRequest &request,
+ReadOutcome readRequest(HttpServer &server, const ConnectionPointer &pointer, HttpRequest &request,
     std::error_code &failure, Asio::yield_context yield)
 {
-    if (!awaitFirstByte(server, connection, yield)) {
+    ServerConnection &connection = *pointer;
+    if (!awaitFirstByte(server, pointer, yield)) {
         return ReadOutcome::Closed;
     }
     Http::request_parser<Http::string_body> parser;
@@ -313,7 +317,7 @@
     while (open) {
         HttpRequest request;
         std::error_code failure;
-        const ReadOutcome outcome = readRequest(server, *connection, request, failure, yield);
+        const ReadOutcome outcome = readRequest(server, connection, request, failure, yield);
         if (outcome == ReadOutcome::Request) {
             open = serveExchange(server, connection, std::move(request), yield);
         } else {
@@ -389,6 +393,16 @@
     reportIdle(server);
 }
 
+void closeIdle(HttpServer &server)
+{
+    for (const ConnectionPointer &connection : server.idle_) {
+        boost::system::error_code error;
+        if (connection->stream_.socket().available(error) == 0) {
+            connection->stream_.socket().cancel(error);
+        }
+    }
+}
+
 void respond(HttpServer &server, ExchangeId exchange, HttpReply reply)
 {
     push(server, exchange, { ServerOutput::Kind::Whole, std::move(reply), {} });
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <system_error>
 #include <variant>
@@ -99,6 +100,7 @@
     ServerLimits limits_; ///< Bounds.
     ServerHandlers handlers_; ///< What it calls.
     std::map<ExchangeId, std::shared_ptr<ServerConnection>> exchanges_; ///< Exchanges in progress.
+    std::set<std::shared_ptr<ServerConnection>> idle_; ///< Connections that wait for a request.
     uint64_t nextExchange_ = 1; ///< Number of the next exchange.
     bool closing_ = false; ///< Whether answers tell that their connection closes after them.
     bool stopping_ = false; ///< Whether connections close after their exchange.
@@ -110,6 +112,9 @@
 /// Stops taking new connections; the open ones close after their exchange.
 void stopListening(HttpServer &server);
 
+/// Closes the connections that wait for a request, but for those whose next request has begun to come in.
+void closeIdle(HttpServer &server);
+
 /// Sends a whole answer.
 void respond(HttpServer &server, ExchangeId exchange, HttpReply reply);
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -416,7 +416,9 @@
 
 void readBounds(const SettingsReader &reader, Gateway::Bounds &bounds)
 {
-    const auto inner = enter(reader, "bounds", false, { "repeat_ratio", "repeat_slack", "quota_window", "quota_overshoot", "quota_token_slack", "grace", "row_return" });
+    const auto inner = enter(reader, "bounds", false,
+        { "repeat_ratio", "repeat_slack", "quota_window", "quota_overshoot", "quota_token_slack", "grace",
+            "row_return" });
     if (!inner) {
         return;
     }
