--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -113,6 +113,9 @@
 {
     std::string address_; ///< IP:PORT for datagrams and calls.
     std::string name_; ///< Name, empty until heard.
+    std::string region_; ///< Region, empty until heard.
+    bool stale_ = true; ///< Whether it has not been told of the present counts at its region's upstreams.
+    TimePoint toldAt_{}; ///< When it was last told anything.
     uint64_t incarnation_ = 0; ///< Start that the figures below belong to.
     uint64_t sequence_ = 0; ///< Last datagram.
     TimePoint heardAt_{}; ///< When it was last heard; the epoch if never.
@@ -198,10 +201,8 @@
     Pool<Peer> peers_; ///< Other gateways.
     std::map<std::string, PeerId> peerByAddress_; ///< Index by address.
     uint64_t nextSequence_ = 1; ///< Number of the next datagram.
-    TimePoint lastUpdateAt_{}; ///< When peers were last told.
     TimePoint lastIntroductionAt_{}; ///< When all peers were last told of each other.
     TimePoint nextSnapshotAt_{ noDeadline }; ///< When a peer may be asked for its snapshot again.
-    bool countsChanged_ = false; ///< Whether peers have not been told of the present counts.
 
     bool stopping_ = false; ///< Whether the process has been told to stop.
     TimePoint stopAt_{}; ///< When it was told to.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -338,6 +338,8 @@
             if (const std::error_code bad = parsePeerUpdate(text, update); bad) {
                 count(daemon.state_.metrics_, "peer_updates", "malformed");
             } else {
+                const auto &sender = daemon.datagramSender_;
+                update.address_ = sender.address().to_string() + ":" + std::to_string(sender.port());
                 daemon.inbox_.peerUpdates_.push_back(std::move(update));
                 scheduleTick(daemon);
             }
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -99,7 +99,7 @@
 {
     Upstream &upstream = *findRow(state.upstreams_, target);
     ++upstream.ownInFlight_;
-    state.countsChanged_ = true;
+    noteChange(state, upstream.region_);
     call.stage_ = call.streamBegun_ ? CallStage::Relaying : CallStage::Sent;
     call.send_ = state.nextSend_++;
     call.upstream_ = target;
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -68,8 +68,9 @@
 /// What one gateway tells another.
 struct PeerUpdate
 {
-    std::string address_; ///< IP:PORT of the sender.
-    std::string name_; ///< Name of the sender.
+    std::string address_; ///< IP:PORT of the sender, by the datagram's source.
+    std::string name_; ///< Name of the sender, in introductions.
+    std::string region_; ///< Region of the sender, in introductions.
     uint64_t incarnation_ = 0; ///< Start of the sender.
     uint64_t sequence_ = 0; ///< Number of this update.
     uint64_t configurationVersion_ = 0; ///< Configuration that it holds.
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -37,6 +37,9 @@
 /// Tells peers what has changed here.
 void runPeerUpdates(GatewayState &state, TimePoint now, GatewayOutbox &outbox);
 
+/// Notes that the calls at upstreams of a region have changed, or, for an empty region, that everybody has to know.
+void noteChange(GatewayState &state, const std::string &region);
+
 /// @return when peers have to be told something, or asked.
 TimePoint nextPeerDeadline(const GatewayState &state);
 
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -23,7 +23,7 @@
     state.configurationText_ = std::move(event.text_);
     state.configurationAt_ = now;
     indexConfiguration(state.configuration_);
-    state.countsChanged_ = true;
+    noteChange(state, {});
     outbox.limitsChanged_ = true;
 }
 
@@ -154,7 +154,7 @@
     }
     if (event.version_ > state.upstreamsVersion_) {
         state.upstreamsVersion_ = event.version_;
-        state.countsChanged_ = true;
+        noteChange(state, {});
     }
 }
 
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -12,6 +12,14 @@
 
 namespace {
 
+// Fields of every update; short, since updates between regions are paid for by their bytes.
+constexpr std::string_view incarnationField = "i";
+constexpr std::string_view sequenceField = "n";
+constexpr std::string_view configurationField = "c";
+constexpr std::string_view upstreamsField = "u";
+constexpr std::string_view inFlightField = "f";
+constexpr std::string_view usedField = "w";
+
 template<typename Map>
 Json::object countsObject(const Map &counts)
 {
@@ -77,10 +85,13 @@
 
 std::string serializePeerUpdate(const PeerUpdate &update)
 {
-    Json::object object{ { "address", update.address_ }, { "name", update.name_ },
-        { "incarnation", update.incarnation_ }, { "sequence", update.sequence_ },
-        { "configuration", update.configurationVersion_ }, { "upstreams", update.upstreamsVersion_ },
-        { "in_flight", countsObject(update.inFlight_) }, { "used", countsObject(update.used_) } };
+    Json::object object{ { incarnationField, update.incarnation_ }, { sequenceField, update.sequence_ },
+        { configurationField, update.configurationVersion_ }, { upstreamsField, update.upstreamsVersion_ },
+        { inFlightField, countsObject(update.inFlight_) }, { usedField, countsObject(update.used_) } };
+    if (!update.name_.empty()) {
+        object["name"] = update.name_;
+        object["region"] = update.region_;
+    }
     if (!update.suspects_.empty()) {
         Json::object suspects;
         for (const auto &[fingerprint, crashes] : update.suspects_) {
@@ -98,14 +109,14 @@
 {
     Json::value document;
     JsonReader reader = readJsonObject(text, document);
-    read(reader, "address", update.address_);
-    read(reader, "name", update.name_);
-    read(reader, "incarnation", update.incarnation_);
-    read(reader, "sequence", update.sequence_);
-    read(reader, "configuration", update.configurationVersion_);
-    read(reader, "upstreams", update.upstreamsVersion_);
-    readCounts(reader, "in_flight", update.inFlight_);
-    readCounts(reader, "used", update.used_);
+    read(reader, "name", update.name_, Presence::Optional);
+    read(reader, "region", update.region_, Presence::Optional);
+    read(reader, incarnationField, update.incarnation_);
+    read(reader, sequenceField, update.sequence_);
+    read(reader, configurationField, update.configurationVersion_);
+    read(reader, upstreamsField, update.upstreamsVersion_);
+    readCounts(reader, inFlightField, update.inFlight_);
+    readCounts(reader, usedField, update.used_);
     readSuspects(reader, update.suspects_);
     read(reader, "peers", update.peers_, Presence::Optional);
     return reader.error_;
--- a/src/gateway_peer_wire.h
+++ b/src/gateway_peer_wire.h
@@ -24,7 +24,7 @@
 /// @return JSON of an update.
 std::string serializePeerUpdate(const PeerUpdate &update);
 
-/// Parses an update. @return a WireErrc on bad input
+/// Parses an update, but for the address of its sender. @return a WireErrc on bad input
 std::error_code parsePeerUpdate(std::string_view text, PeerUpdate &update);
 
 /// @return the snapshot of a gateway's tables.
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -12,9 +12,10 @@
 
 constexpr Milliseconds countsExpiry{ 1000 }; ///< Counts of a peer silent for longer no longer hold; it may have died.
 constexpr std::chrono::seconds peerRetention{ 30 }; ///< A peer silent for longer is forgotten; restarts take seconds.
-constexpr Milliseconds updateInterval{ 15 }; ///< Least time between updates; two hops between regions.
+constexpr Milliseconds nearInterval{ 15 }; ///< Least time between updates in a region, for calls of some ten ms.
 constexpr size_t peersAtFullRate = 5; ///< With more peers updates are as much rarer, so that their cost stays.
-constexpr Milliseconds heartbeat{ 250 }; ///< Longest time between updates.
+constexpr Milliseconds farInterval{ 40 }; ///< Least time between updates to another region, whose bytes are dear.
+constexpr Milliseconds heartbeat{ 200 }; ///< Longest time between updates; bounds the lag of quotas.
 constexpr Milliseconds introductionInterval{ 1000 }; ///< Time between lists of peers.
 constexpr Milliseconds snapshotDelay{ 200 }; ///< Time that the store's own feed gets to bring what a peer has.
 constexpr Milliseconds snapshotInterval{ 400 }; ///< Least time between fetches of snapshots.
@@ -51,12 +52,12 @@
     return id;
 }
 
-void takeUse(GatewayState &state, TimePoint now, Peer &peer, const PeerUpdate &update, bool restarted)
+void takeUse(GatewayState &state, TimePoint now, Peer &peer, const PeerUpdate &update, bool firstHeard)
 {
     for (const auto &[workspace, used] : update.used_) {
         const auto before = peer.used_.find(workspace);
-        // The first figure of a start says nothing of when it was used, so that only later differences are charged.
-        const uint64_t base = before == peer.used_.end() ? (restarted ? 0 : used) : before->second;
+        // What a peer had used before it was first heard may be long ago, so that only differences are charged.
+        const uint64_t base = before == peer.used_.end() ? (firstHeard ? used : 0) : before->second;
         if (used != base) {
             takePeerUse(state, now, workspace, static_cast<int64_t>(used) - static_cast<int64_t>(base));
         }
@@ -88,14 +89,17 @@
     }
     if (now - peer->heardAt_ > countsExpiry) {
         outbox.decisions_.push_back({ "peer",
-            { { "peer", update.address_ }, { "name", update.name_ }, { "change", "heard" },
+            { { "peer", update.address_ }, { "name", peer->name_ }, { "change", "heard" },
                 { "configuration", std::to_string(update.configurationVersion_) } } });
     }
-    takeUse(state, now, *peer, update, restarted);
+    takeUse(state, now, *peer, update, peer->incarnation_ == 0);
     clearCounts(state, *peer);
     peer->inFlight_ = std::move(update.inFlight_);
     addPeerCounts(state, *peer, true);
-    peer->name_ = update.name_;
+    if (!update.name_.empty()) {
+        peer->name_ = update.name_;
+        peer->region_ = update.region_;
+    }
     peer->incarnation_ = update.incarnation_;
     peer->sequence_ = update.sequence_;
     peer->configurationVersion_ = update.configurationVersion_;
@@ -157,7 +161,6 @@
 {
     PeerUpdate update;
     update.address_ = state.peerAddress_;
-    update.name_ = state.name_;
     update.incarnation_ = state.incarnation_;
     update.sequence_ = state.nextSequence_++;
     update.configurationVersion_ = state.configuration_.version_;
@@ -168,7 +171,9 @@
         }
     });
     for (const auto &[workspace, use] : state.workspaces_) {
-        update.used_[workspace] = use.usedHere_;
+        if (use.usedHere_ > 0) {
+            update.used_[workspace] = use.usedHere_;
+        }
     }
     for (const auto &[fingerprint, suspect] : state.suspects_) {
         if (isCrashSuspect(state, now, fingerprint)) {
@@ -178,10 +183,18 @@
     return update;
 }
 
-Duration updateSpacing(const GatewayState &state)
+/// @return the least time between updates to a peer.
+Duration spacingFor(const GatewayState &state, const Peer &peer)
 {
     const size_t peers = std::max(state.peers_.size_, peersAtFullRate);
-    return updateInterval * static_cast<int64_t>(peers) / static_cast<int64_t>(peersAtFullRate);
+    const Duration spacing = peer.region_.empty() || peer.region_ == state.region_ ? nearInterval : farInterval;
+    return spacing * static_cast<int64_t>(peers) / static_cast<int64_t>(peersAtFullRate);
+}
+
+TimePoint nextUpdateFor(const GatewayState &state, const Peer &peer)
+{
+    const Duration silence = peer.stale_ ? spacingFor(state, peer) : Duration(heartbeat);
+    return peer.toldAt_ + std::min(silence, Duration(heartbeat));
 }
 
 } // namespace
@@ -202,27 +215,44 @@
 
 void runPeerUpdates(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
 {
-    const Duration silence = now - state.lastUpdateAt_;
-    const bool due = silence >= heartbeat || (state.countsChanged_ && silence >= updateSpacing(state));
-    if (!due || state.peers_.size_ == 0) {
+    const bool introduces = now - state.lastIntroductionAt_ >= introductionInterval;
+    SendUpdate command;
+    std::vector<std::string> all;
+    forEachRow(state.peers_, [&](PeerId /*id*/, Peer &peer) {
+        all.push_back(peer.address_);
+        if (introduces || now >= nextUpdateFor(state, peer)) {
+            command.addresses_.push_back(peer.address_);
+            peer.toldAt_ = now;
+            peer.stale_ = false;
+        }
+    });
+    if (command.addresses_.empty()) {
         return;
     }
-    SendUpdate command;
     command.update_ = describeState(state, now);
-    forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) { command.addresses_.push_back(peer.address_); });
-    if (now - state.lastIntroductionAt_ >= introductionInterval) {
+    if (introduces) {
         state.lastIntroductionAt_ = now;
-        command.update_.peers_ = command.addresses_;
+        command.update_.name_ = state.name_;
+        command.update_.region_ = state.region_;
+        command.update_.peers_ = std::move(all);
     }
-    state.lastUpdateAt_ = now;
-    state.countsChanged_ = false;
     outbox.updates_.push_back(std::move(command));
 }
 
+void noteChange(GatewayState &state, const std::string &region)
+{
+    forEachRow(state.peers_, [&region](PeerId /*id*/, Peer &peer) {
+        peer.stale_ = peer.stale_ || region.empty() || peer.region_.empty() || peer.region_ == region;
+    });
+}
+
 TimePoint nextPeerDeadline(const GatewayState &state)
 {
-    const Duration spacing = state.countsChanged_ ? updateSpacing(state) : Duration(heartbeat);
-    return std::min(state.lastUpdateAt_ + spacing, state.nextSnapshotAt_);
+    TimePoint next = state.nextSnapshotAt_;
+    forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) {
+        next = std::min(next, nextUpdateFor(state, peer));
+    });
+    return next;
 }
 
 } // namespace Burdockfield::Gateway
--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -80,7 +80,6 @@
     }
     use.level_ -= static_cast<double>(units);
     use.usedHere_ += units;
-    state.countsChanged_ = true;
     return true;
 }
 
@@ -92,7 +91,6 @@
     }
     found->second.level_ += static_cast<double>(units);
     found->second.usedHere_ -= std::min(units, found->second.usedHere_);
-    state.countsChanged_ = true;
 }
 
 void takePeerUse(GatewayState &state, TimePoint now, const std::string &workspace, int64_t units)
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -123,8 +123,8 @@
     }
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         --upstream->ownInFlight_;
+        noteChange(state, upstream->region_);
     }
-    state.countsChanged_ = true;
     state.callBySend_.erase(call.send_);
     if (cancel) {
         outbox.cancels_.push_back(call.send_);
