--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -93,11 +93,12 @@
 
 using CallId = PoolId<Call>; ///< Index of a call.
 
-/// Quota of a workspace across all gateways.
+/// Quota of a workspace across all gateways: a bucket that fills at a steady rate.
 struct WorkspaceUse
 {
     double level_ = 0; ///< Units left.
     TimePoint levelAt_{}; ///< When level_ was last brought up to date.
+    bool assumed_ = false; ///< Whether the level at this start is assumed, not learnt from a peer.
     uint64_t usedHere_ = 0; ///< Units charged by this gateway since its start.
 };
 
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -79,6 +79,7 @@
         return;
     }
     snapshot.upstreams_.source_ = address;
+    daemon.inbox_.quotaLevels_.push_back(std::move(snapshot.quotas_));
     snapshot.upstreams_.fromPeer_ = true;
     daemon.inbox_.upstreams_.push_back(std::move(snapshot.upstreams_));
     scheduleTick(daemon);
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -58,6 +58,9 @@
     bool fromPeer_ = false; ///< Whether a peer sent it, which may know less than this gateway by now.
 };
 
+/// Units left of each workspace's quota, as a peer knows it.
+using QuotaLevels = std::map<std::string, double>;
+
 /// Whether the store answers.
 struct StoreReachable
 {
@@ -88,6 +91,7 @@
     std::vector<UpstreamsReceived> upstreams_; ///< Upstream lists.
     std::vector<StoreReachable> storeChanges_; ///< State of the store.
     std::vector<std::string> peerAddresses_; ///< Gateways learnt of from settings or the store.
+    std::vector<QuotaLevels> quotaLevels_; ///< Levels of quotas as peers know them.
     std::vector<PeerUpdate> peerUpdates_; ///< Updates of peers.
     std::vector<CallArrived> arrivals_; ///< New calls.
     std::vector<ExchangeId> departures_; ///< Callers that have left.
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -64,6 +64,12 @@
 /// Takes units from a workspace's quota. @return whether there were enough
 bool takeQuota(GatewayState &state, TimePoint now, const WorkspaceRule &rule, uint64_t units);
 
+/// @return the level of each quota as this gateway knows it.
+QuotaLevels describeQuotas(const GatewayState &state);
+
+/// Takes the levels that a peer knows in place of those that were assumed at the start.
+void learnQuotas(GatewayState &state, TimePoint now, const QuotaLevels &levels);
+
 /// Gives back units of a call that has not run.
 void returnQuota(GatewayState &state, const std::string &workspace, uint64_t units);
 
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -4,6 +4,7 @@
  */
 #include "gateway_peer_wire.h"
 
+#include "gateway_func.h"
 #include "json_func.h"
 
 #include <charconv>
@@ -126,6 +127,7 @@
 {
     Snapshot snapshot;
     snapshot.configurationText_ = state.configurationText_;
+    snapshot.quotas_ = describeQuotas(state);
     snapshot.upstreams_.whole_ = true;
     snapshot.upstreams_.version_ = state.upstreamsVersion_;
     forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
@@ -141,8 +143,9 @@
     for (const UpstreamRow &row : snapshot.upstreams_.rows_) {
         rows.push_back(serializeRow(row));
     }
-    return Json::serialize(Json::object{ { "configuration", snapshot.configurationText_ },
-        { "version", snapshot.upstreams_.version_ }, { "upstreams", std::move(rows) } });
+    return Json::serialize(
+        Json::object{ { "configuration", snapshot.configurationText_ }, { "version", snapshot.upstreams_.version_ },
+            { "upstreams", std::move(rows) }, { "quotas", countsObject(snapshot.quotas_) } });
 }
 
 std::error_code parseSnapshot(std::string_view text, Snapshot &snapshot)
@@ -151,6 +154,7 @@
     JsonReader reader = readJsonObject(text, document);
     read(reader, "configuration", snapshot.configurationText_);
     read(reader, "version", snapshot.upstreams_.version_);
+    readCounts(reader, "quotas", snapshot.quotas_);
     snapshot.upstreams_.whole_ = true;
     if (const Json::array *rows = readArray(reader, "upstreams"); rows != nullptr) {
         for (const Json::value &value : *rows) {
--- a/src/gateway_peer_wire.h
+++ b/src/gateway_peer_wire.h
@@ -19,6 +19,7 @@
 {
     std::string configurationText_; ///< Configuration as the operator wrote it, or empty.
     UpstreamsReceived upstreams_; ///< Whole list of upstreams.
+    QuotaLevels quotas_; ///< Levels of quotas.
 };
 
 /// @return JSON of an update.
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -209,6 +209,9 @@
     for (PeerUpdate &update : inbox.peerUpdates_) {
         applyUpdate(state, now, update, outbox);
     }
+    for (const QuotaLevels &levels : inbox.quotaLevels_) {
+        learnQuotas(state, now, levels);
+    }
     forgetSilentPeers(state, now, outbox);
     catchUp(state, now, outbox);
 }
@@ -249,9 +252,8 @@
 TimePoint nextPeerDeadline(const GatewayState &state)
 {
     TimePoint next = state.nextSnapshotAt_;
-    forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) {
-        next = std::min(next, nextUpdateFor(state, peer));
-    });
+    forEachRow(
+        state.peers_, [&](PeerId /*id*/, const Peer &peer) { next = std::min(next, nextUpdateFor(state, peer)); });
     return next;
 }
 
--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -15,8 +15,9 @@
 namespace {
 
 constexpr Milliseconds heardWithin{ 1200 }; ///< A peer silent for longer may charge unseen; four updates and a loss.
-constexpr double freshLevelShare = 0.25; ///< Part of the burst that a fresh process may use before it hears of others.
-constexpr double slackShare = 0.6; ///< Part of the allowed overshoot that the bucket holds; the rest covers lags.
+constexpr double freshLevelShare = 0.25; ///< Part of the bucket that a restarted process takes for left.
+constexpr double sizeShare = 0.5; ///< Part of the excess over the rate that may be used at once.
+constexpr double slackShare = 0.6; ///< Part of the allowed overshoot that is used; the rest covers lags.
 constexpr double repeatRatioShare = 0.75; ///< Part of the allowed ratio that is used; the rest covers counting lags.
 constexpr double repeatSlackShare = 0.6; ///< Part of the allowed slack that is used, likewise.
 
@@ -30,29 +31,41 @@
     return found == rules.end() ? nullptr : &*found;
 }
 
-/// @return the units that a full bucket holds.
-double bucketSize(const GatewayState &state, const WorkspaceRule &rule)
+/// Bucket that keeps a workspace within its quota in every window.
+struct Bucket
+{
+    double size_ = 0; ///< Units that it holds when full.
+    double rate_ = 0; ///< Units that it gains a second.
+};
+
+/**
+ * A window allows the rate, the burst and an overshoot. What goes beyond the rate is divided between the bucket's size
+ * and its own rate, so that a workspace may use it both at once and steadily.
+ */
+Bucket bucketOf(const GatewayState &state, const WorkspaceRule &rule)
 {
     const double window = FractionalSeconds(state.bounds_.quotaWindow_).count();
     const double allowed = rule.burst_ + rule.ratePerSecond_ * window;
     const double slack = rule.countsTokens_ ? state.bounds_.quotaTokenSlack_ : 0;
-    return rule.burst_ + slackShare * (allowed * state.bounds_.quotaOvershoot_ + slack);
+    const double excess = rule.burst_ + slackShare * (allowed * state.bounds_.quotaOvershoot_ + slack);
+    return { excess * sizeShare, rule.ratePerSecond_ + excess * (1 - sizeShare) / window };
 }
 
 /// Brings the level up to date. @return the workspace's use
 WorkspaceUse &refill(GatewayState &state, TimePoint now, const WorkspaceRule &rule)
 {
     const double share = heardShare(state, now);
-    const double size = bucketSize(state, rule);
+    const auto [size, rate] = bucketOf(state, rule);
     const auto [place, added] = state.workspaces_.try_emplace(rule.name_);
     WorkspaceUse &use = place->second;
     if (added) {
-        use.level_ = size * share * (state.firstStart_ ? 1.0 : freshLevelShare);
+        use.level_ = size * share * (state.firstStart_ ? 1 : freshLevelShare);
         use.levelAt_ = now;
+        use.assumed_ = !state.firstStart_;
     }
     const double seconds = FractionalSeconds(now - use.levelAt_).count();
     use.levelAt_ = now;
-    use.level_ = std::clamp(use.level_ + seconds * rule.ratePerSecond_ * share, -size, size * share);
+    use.level_ = std::clamp(use.level_ + seconds * rate * share, -size, size * share);
     return use;
 }
 
@@ -83,6 +96,29 @@
     return true;
 }
 
+QuotaLevels describeQuotas(const GatewayState &state)
+{
+    QuotaLevels levels;
+    for (const auto &[workspace, use] : state.workspaces_) {
+        levels[workspace] = use.level_;
+    }
+    return levels;
+}
+
+void learnQuotas(GatewayState &state, TimePoint now, const QuotaLevels &levels)
+{
+    for (const WorkspaceRule &rule : state.configuration_.workspaces_) {
+        const auto learnt = levels.find(rule.name_);
+        if (rule.ratePerSecond_ <= 0 || learnt == levels.end()) {
+            continue;
+        }
+        if (WorkspaceUse &use = refill(state, now, rule); use.assumed_) {
+            use.assumed_ = false;
+            use.level_ = learnt->second - static_cast<double>(use.usedHere_);
+        }
+    }
+}
+
 void returnQuota(GatewayState &state, const std::string &workspace, uint64_t units)
 {
     const auto found = state.workspaces_.find(workspace);
@@ -96,10 +132,9 @@
 void takePeerUse(GatewayState &state, TimePoint now, const std::string &workspace, int64_t units)
 {
     const WorkspaceRule *rule = findRule(state, workspace);
-    if (rule == nullptr || rule->ratePerSecond_ <= 0) {
-        return;
+    if (rule != nullptr && rule->ratePerSecond_ > 0) {
+        refill(state, now, *rule).level_ -= static_cast<double>(units);
     }
-    refill(state, now, *rule).level_ -= static_cast<double>(units);
 }
 
 void creditRepeats(GatewayState &state, const std::string &service)
--- a/src/gateway_status_wire.cpp
+++ b/src/gateway_status_wire.cpp
@@ -43,8 +43,8 @@
     forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) { peers.push_back(describe(peer, now)); });
     Json::array workspaces;
     for (const auto &[name, use] : state.workspaces_) {
-        workspaces.push_back(
-            Json::object{ { "name", name }, { "units_left", use.level_ }, { "age_ms", ageMs(use.levelAt_, now) } });
+        workspaces.push_back(Json::object{ { "name", name }, { "units_left", use.level_ },
+            { "age_ms", ageMs(use.levelAt_, now) }, { "units_here", use.usedHere_ } });
     }
     const Json::object configuration{ { "version", state.configuration_.version_ },
         { "age_ms", ageMs(state.configurationAt_, now) } };
