Contain requests that crash upstreams; test a gateway's decisions and the platform's codecs

Cause: suspects were looked up but never recorded. A broken connection alone proves nothing (upstreams reset single calls), so calls that broke become suspects when their upstream is found down within 2 s; gateways add up what each saw.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -115,6 +115,7 @@
 {
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         avoidUnreachable(*upstream, now);
+        noteDown(state, now, *upstream, outbox);
     }
     --call.attempts_;
     ++call.connectFailures_;
@@ -268,6 +269,9 @@
     } else if (event.error_ == TransportErrc::NotSent) {
         handleUnreachable(state, now, id, *call, outbox);
     } else if (event.error_) {
+        if (Upstream *broken = findRow(state.upstreams_, call->upstream_); broken != nullptr) {
+            noteBroken(*broken, now, call->fingerprint_);
+        }
         call->body_.clear();
         handleFailure(state, now, id, *call, false, outbox);
     } else {
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -21,6 +21,13 @@
 
 namespace Burdockfield::Gateway {
 
+/// Call whose connection to an upstream broke.
+struct BrokenCall
+{
+    uint64_t fingerprint_ = 0; ///< Its request.
+    TimePoint at_{}; ///< When it broke.
+};
+
 /// Instance of a service's server, reached straight.
 struct Upstream
 {
@@ -39,6 +46,7 @@
     TimePoint failureAt_{}; ///< When failureRate_ was last brought up to date.
     TimePoint avoidUntil_{}; ///< Not used before, after a failure to connect.
     uint32_t connectFailures_ = 0; ///< Failures to connect in a row.
+    std::vector<BrokenCall> broken_; ///< Calls that broke lately; suspects if the upstream proves to be down.
     TimePoint missingSince_{ noDeadline }; ///< Since when the list lacks it, while that is not yet believed.
 };
 
@@ -125,6 +133,7 @@
     uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that it holds.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< Calls at each upstream.
     std::unordered_map<std::string, uint64_t> used_; ///< Units charged to each workspace.
+    std::map<uint64_t, uint32_t> suspects_; ///< Crashes that it has seen, by fingerprint.
 };
 
 using PeerId = PoolId<Peer>; ///< Index of a peer.
@@ -156,7 +165,7 @@
     Milliseconds rowReturn_{ 2000 }; ///< Time in which rows that lapsed in an outage come back.
 };
 
-/// Recent requests that broke off when an upstream went down.
+/// Request that broke off when upstreams went down, as seen by this gateway.
 struct CrashSuspect
 {
     uint32_t crashes_ = 0; ///< Upstreams that went down with it.
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -80,7 +80,7 @@
     uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that it holds.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< Its calls at each upstream.
     std::unordered_map<std::string, uint64_t> used_; ///< Units that it has charged to each workspace.
-    std::map<uint64_t, uint32_t> suspects_; ///< Crashes by fingerprint.
+    std::map<uint64_t, uint32_t> suspects_; ///< Crashes that it has seen, by fingerprint, in introductions.
     std::vector<std::string> peers_; ///< Addresses of peers, in introductions.
 };
 
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -103,8 +103,14 @@
 /// @return an upstream's failure rate as of @p now.
 double failureRateAt(const Upstream &upstream, TimePoint now);
 
-/// Adds a crash to a request's record.
-void noteCrash(GatewayState &state, TimePoint now, uint64_t fingerprint);
+/// Remembers that a call's connection broke.
+void noteBroken(Upstream &upstream, TimePoint now, uint64_t fingerprint);
+
+/// Makes suspects of the calls that broke at an upstream that has proved to be down.
+void noteDown(GatewayState &state, TimePoint now, Upstream &upstream, GatewayOutbox &outbox);
+
+/// @return crashes by fingerprint that this gateway has seen lately.
+std::map<uint64_t, uint32_t> recentSuspects(const GatewayState &state, TimePoint now);
 
 /// @return whether a request has crashed too many upstreams to be run again.
 bool isCrashSuspect(const GatewayState &state, TimePoint now, uint64_t fingerprint);
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -65,15 +65,6 @@
     peer.used_ = update.used_;
 }
 
-void takeSuspects(GatewayState &state, TimePoint now, const PeerUpdate &update)
-{
-    for (const auto &[fingerprint, crashes] : update.suspects_) {
-        CrashSuspect &suspect = state.suspects_[fingerprint];
-        suspect.crashes_ = std::max(suspect.crashes_, crashes);
-        suspect.lastAt_ = now;
-    }
-}
-
 void applyUpdate(GatewayState &state, TimePoint now, PeerUpdate &update, GatewayOutbox &outbox)
 {
     if (update.address_ == state.peerAddress_) {
@@ -99,13 +90,13 @@
     if (!update.name_.empty()) {
         peer->name_ = update.name_;
         peer->region_ = update.region_;
+        peer->suspects_ = std::move(update.suspects_);
     }
     peer->incarnation_ = update.incarnation_;
     peer->sequence_ = update.sequence_;
     peer->configurationVersion_ = update.configurationVersion_;
     peer->upstreamsVersion_ = update.upstreamsVersion_;
     peer->heardAt_ = now;
-    takeSuspects(state, now, update);
     for (const std::string &address : update.peers_) {
         if (address != state.peerAddress_) {
             learnPeer(state, now, address, outbox);
@@ -157,7 +148,7 @@
     }
 }
 
-PeerUpdate describeState(GatewayState &state, TimePoint now)
+PeerUpdate describeState(GatewayState &state)
 {
     PeerUpdate update;
     update.address_ = state.peerAddress_;
@@ -175,11 +166,6 @@
             update.used_[workspace] = use.usedHere_;
         }
     }
-    for (const auto &[fingerprint, suspect] : state.suspects_) {
-        if (isCrashSuspect(state, now, fingerprint)) {
-            update.suspects_[fingerprint] = suspect.crashes_;
-        }
-    }
     return update;
 }
 
@@ -232,12 +218,13 @@
     if (command.addresses_.empty()) {
         return;
     }
-    command.update_ = describeState(state, now);
+    command.update_ = describeState(state);
     if (introduces) {
         state.lastIntroductionAt_ = now;
         command.update_.name_ = state.name_;
         command.update_.region_ = state.region_;
         command.update_.peers_ = std::move(all);
+        command.update_.suspects_ = recentSuspects(state, now);
     }
     outbox.updates_.push_back(std::move(command));
 }
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -13,8 +13,6 @@
 constexpr Milliseconds firstEventSilence{ 1300 }; ///< Callers leave a stream without an event after two seconds.
 constexpr Milliseconds streamSilence{ 900 }; ///< Silence within a stream after which it goes on elsewhere.
 constexpr Milliseconds answerSilence{ 900 }; ///< Silence of a repeatable call that is not streamed.
-constexpr uint32_t crashLimit = 3; ///< Crashes after which a request is not run again.
-constexpr std::chrono::seconds suspectRetention{ 60 }; ///< Time for which crashes are remembered.
 constexpr double retryLeftShare = 0.3; ///< Callers honour a time to come back up to a third of what they have left.
 constexpr Milliseconds shortestRetry{ 50 }; ///< Least time to come back.
 constexpr Milliseconds longestRetry{ 1500 }; ///< Bound that keeps the answer late rather than lost.
@@ -175,21 +173,6 @@
     eraseCall(state, id);
 }
 
-void noteCrash(GatewayState &state, TimePoint now, uint64_t fingerprint)
-{
-    CrashSuspect &suspect = state.suspects_[fingerprint];
-    ++suspect.crashes_;
-    suspect.lastAt_ = now;
-    std::erase_if(state.suspects_, [now](const auto &item) { return now - item.second.lastAt_ > suspectRetention; });
-}
-
-bool isCrashSuspect(const GatewayState &state, TimePoint now, uint64_t fingerprint)
-{
-    const auto found = state.suspects_.find(fingerprint);
-    return found != state.suspects_.end() && found->second.crashes_ >= crashLimit
-        && now - found->second.lastAt_ <= suspectRetention;
-}
-
 std::string_view nameOf(RefusalReason reason)
 {
     switch (reason) {
--- /dev/null
+++ b/tests/gateway_membership_test.cpp
@@ -0,0 +1,117 @@
+/**
+ * @file gateway_membership_test.cpp
+ * @brief How a gateway keeps its configuration and its list of upstreams.
+ */
+#include "gateway_fixture.h"
+
+using namespace Burdockfield;
+using namespace Burdockfield::Testing;
+
+namespace {
+
+/// Gateway that hears of rows and of the store.
+struct MembershipFixture : GatewayFixture
+{
+    GatewayOutbox hearRows(std::vector<UpstreamRow> rows, bool whole = false, uint64_t version = 0, bool peer = false)
+    {
+        UpstreamsReceived event;
+        event.rows_ = std::move(rows);
+        event.whole_ = whole;
+        event.version_ = version;
+        event.fromPeer_ = peer;
+        GatewayInbox inbox;
+        inbox.upstreams_.push_back(event);
+        return tick(std::move(inbox));
+    }
+
+    GatewayOutbox hearStore(bool reachable)
+    {
+        GatewayInbox inbox;
+        inbox.storeChanges_.push_back({ reachable, {} });
+        return tick(std::move(inbox));
+    }
+
+    static UpstreamRow makeRemoved(const std::string &id)
+    {
+        UpstreamRow row;
+        row.id_ = id;
+        row.removed_ = true;
+        return row;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(MembershipFixture, "Configuration_WhenOlder_IsNotTaken")
+{
+    GatewayInbox inbox;
+    inbox.configurations_.push_back({ makeConfiguration(5), "text-5", "store" });
+    inbox.configurations_.push_back({ makeConfiguration(3), "text-3", "peer" });
+    tick(std::move(inbox));
+    CHECK(state_.configuration_.version_ == 5);
+    CHECK(state_.configurationText_ == "text-5");
+}
+
+TEST_CASE_FIXTURE(MembershipFixture, "Upstream_WhenRemovedInCalm_IsGoneAtOnce")
+{
+    hearRows({ makeRemoved("engine-1") });
+    CHECK_FALSE(state_.upstreamById_.contains("engine-1"));
+}
+
+TEST_CASE_FIXTURE(MembershipFixture, "Upstream_WhenMissingRightAfterAnOutage_IsKeptUntilItsRowCouldBeBack")
+{
+    hearStore(false);
+    now_ += std::chrono::seconds(5);
+    hearStore(true);
+    hearRows({ makeRow("engine-2", "engines"), makeRow("desk-1", "desk") }, true, 11);
+    CHECK(state_.upstreamById_.contains("engine-1"));
+    now_ += Milliseconds(2100);
+    tick();
+    CHECK_FALSE(state_.upstreamById_.contains("engine-1"));
+}
+
+TEST_CASE_FIXTURE(MembershipFixture, "Upstream_WhenItsRowCameBackAfterAnOutage_Stays")
+{
+    hearStore(false);
+    hearStore(true);
+    hearRows({ makeRemoved("engine-1") });
+    hearRows({ makeRow("engine-1", "engines") });
+    now_ += Milliseconds(2100);
+    tick();
+    CHECK(state_.upstreamById_.contains("engine-1"));
+}
+
+TEST_CASE_FIXTURE(MembershipFixture, "Upstream_WhenRebornUnderItsId_StartsAnew")
+{
+    noteOutcome(upstream("engine-1"), now_, true);
+    UpstreamRow row = makeRow("engine-1", "engines");
+    row.bornMs_ = 2;
+    hearRows({ row });
+    CHECK(upstream("engine-1").failureRate_ == 0);
+}
+
+TEST_CASE_FIXTURE(MembershipFixture, "PeerList_WhenOlderThanTheStoresInTheSameTick_IsNotTaken")
+{
+    UpstreamRow leaving = makeRow("engine-1", "engines");
+    leaving.draining_ = true;
+    GatewayInbox inbox;
+    UpstreamsReceived store;
+    store.rows_ = { leaving };
+    store.version_ = 12;
+    UpstreamsReceived peer;
+    peer.rows_ = { makeRow("engine-1", "engines") };
+    peer.whole_ = true;
+    peer.version_ = 11;
+    peer.fromPeer_ = true;
+    inbox.upstreams_ = { store, peer };
+    tick(std::move(inbox));
+    CHECK(upstream("engine-1").draining_);
+    CHECK(state_.upstreamById_.contains("desk-1"));
+}
+
+TEST_CASE_FIXTURE(MembershipFixture, "PeerList_WhenNewer_IsTakenWhole")
+{
+    hearRows({ makeRow("engine-1", "engines") }, true, 20, true);
+    CHECK(state_.upstreamById_.size() == 1);
+    CHECK(state_.upstreamsVersion_ == 20);
+}
--- /dev/null
+++ b/tests/platform_wire_test.cpp
@@ -0,0 +1,189 @@
+/**
+ * @file platform_wire_test.cpp
+ * @brief Decoding of what the users' platform speaks.
+ */
+#include "call_wire.h"
+#include "error_type.h"
+#include "gateway_event_stream_func.h"
+#include "http_func.h"
+#include "store_wire.h"
+
+#include <doctest/doctest.h>
+
+using namespace Burdockfield;
+using namespace Burdockfield::Platform;
+
+namespace {
+
+/// Request of a caller with the platform's headers.
+struct CallWireFixture
+{
+    HttpRequest request_{ "POST", "/a/b?c=d",
+        { { "Host", "Name.example:80" }, { "Request-Id", "r1" }, { "Deadline-Ms", "6000" },
+            { "Authorization", "Bearer k1" }, { "Token-Usage", "1460,80" }, { "Model", "m" }, { "Tenant-Id", "forged" },
+            { "Hold", "forged" }, { "Connection", "keep-alive" } },
+        "body" }; ///< The request.
+    Gateway::CallRequest call_; ///< What was decoded.
+
+    HttpHeaders sendHeaders()
+    {
+        REQUIRE_FALSE(parseCall(request_, call_));
+        return makeSend(call_, { "i-1", "w1", Milliseconds(500), std::nullopt }).headers_;
+    }
+};
+
+/// Answer of an upstream.
+struct AnswerWireFixture
+{
+    HttpReply reply_{ 200, { { "Request-Id", "r1" }, { "Response-Signature", "s" } }, {} }; ///< The answer.
+};
+
+const char *const configurationText
+    = R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","kind":"streaming","timeoutMs":4000,
+      "targetLatencyMs":300,"priority":1,"backends":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+      "attempts":2,"allowAnonymous":false,"resumable":true,"gapTargetMs":200.5}],
+      "services":[{"name":"s1","maxConns":310,"engine":{"slots":8}},{"name":"s2","maxConns":110}],
+      "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+      "tenants":[{"name":"w1","apiKeys":["k1","k2"],"priority":1,"unit":"tokens","plainTokens":200,
+      "ratePerS":260720,"burst":260720}]})"; ///< Configuration as the operator writes it.
+
+} // namespace
+
+TEST_CASE_FIXTURE(CallWireFixture, "Call_WhenDecoded_HoldsWhatWasSent")
+{
+    REQUIRE_FALSE(parseCall(request_, call_));
+    CHECK(call_.id_ == "r1");
+    CHECK(call_.host_ == "name.example");
+    CHECK(call_.path_ == "/a/b");
+    CHECK(call_.target_ == "/a/b?c=d");
+    CHECK(call_.key_ == "k1");
+    CHECK(call_.wait_ == Milliseconds(6000));
+    CHECK(call_.tokens_ == 1540);
+    CHECK(call_.promptTokens_ == 1460);
+}
+
+TEST_CASE_FIXTURE(CallWireFixture, "Send_WhenMade_HoldsNoKeyAndNothingForged")
+{
+    const HttpHeaders headers = sendHeaders();
+    CHECK(findHeader(headers, "Authorization").empty());
+    CHECK(findHeader(headers, "Hold").empty());
+    CHECK(findHeader(headers, "Connection").empty());
+    CHECK(findHeader(headers, "Tenant-Id") == "w1");
+    CHECK(findHeader(headers, "Expect-Instance") == "i-1");
+    CHECK(findHeader(headers, "Deadline-Ms") == "500");
+    CHECK(findHeader(headers, "Model") == "m");
+}
+
+TEST_CASE_FIXTURE(CallWireFixture, "Call_WhenItNamesTwoHosts_IsRefused")
+{
+    request_.headers_.emplace_back("host", "other");
+    CHECK(parseCall(request_, call_) == WireErrc::UnknownValue);
+}
+
+TEST_CASE_FIXTURE(CallWireFixture, "Call_WhenItsWaitIsNoNumber_HasNone")
+{
+    request_.headers_[2].second = "soon";
+    REQUIRE_FALSE(parseCall(request_, call_));
+    CHECK_FALSE(call_.wait_);
+}
+
+TEST_CASE_FIXTURE(AnswerWireFixture, "Answer_WhenSignedForTheRequest_IsGenuine")
+{
+    CHECK(parseAnswerHead(reply_, "r1").genuine_);
+    CHECK_FALSE(isCrossed(reply_, "r1"));
+}
+
+TEST_CASE_FIXTURE(AnswerWireFixture, "Answer_WhenItNamesAnotherRequest_IsCrossed")
+{
+    CHECK(isCrossed(reply_, "r2"));
+    CHECK_FALSE(parseAnswerHead(reply_, "r2").genuine_);
+}
+
+TEST_CASE_FIXTURE(AnswerWireFixture, "Answer_WhenEncoded_IsNotGenuine")
+{
+    reply_.headers_.emplace_back("Content-Encoding", "gzip");
+    CHECK_FALSE(parseAnswerHead(reply_, "r1").genuine_);
+}
+
+TEST_CASE_FIXTURE(AnswerWireFixture, "Answer_WhenItsStatusWouldPromiseNotRunWithoutSayingSo_IsNotGenuine")
+{
+    reply_.status_ = 503;
+    CHECK_FALSE(parseAnswerHead(reply_, "r1").genuine_);
+    CHECK_FALSE(parseAnswerHead(reply_, "r1").notRun_);
+    reply_.headers_.emplace_back("Not-Executed", "1");
+    CHECK(parseAnswerHead(reply_, "r1").notRun_);
+}
+
+TEST_CASE_FIXTURE(AnswerWireFixture, "Refusal_WhenTheRequestMayHaveRun_PromisesNothing")
+{
+    Gateway::RefuseCall refusal;
+    refusal.reason_ = Gateway::RefusalReason::Overloaded;
+    refusal.notRun_ = false;
+    CHECK(makeRefusal(refusal).status_ == 502);
+    refusal.notRun_ = true;
+    refusal.retryAfter_ = Milliseconds(250);
+    const HttpReply reply = makeRefusal(refusal);
+    CHECK(reply.status_ == 503);
+    CHECK(findHeader(reply.headers_, "Retry-After") == "0.250");
+}
+
+TEST_CASE("Configuration_WhenDecoded_HoldsRoutesServicesAndWorkspaces")
+{
+    Gateway::Configuration configuration;
+    REQUIRE_FALSE(parseConfiguration(configurationText, configuration));
+    CHECK(configuration.version_ == 7);
+    REQUIRE(configuration.routes_.size() == 1);
+    CHECK(configuration.routes_[0].kind_ == Gateway::CallKind::Streaming);
+    CHECK(configuration.routes_[0].targets_.size() == 2);
+    CHECK(configuration.routes_[0].resumable_);
+    CHECK(configuration.services_[0].generates_);
+    CHECK_FALSE(configuration.services_[1].generates_);
+    CHECK(configuration.workspaces_[0].keys_.size() == 2);
+    CHECK(configuration.workspaces_[0].rank_ == 1);
+    CHECK(configuration.limits_.idleTimeout_ == Milliseconds(15000));
+}
+
+TEST_CASE("Configuration_WhenAFieldIsMissing_IsRefusedWithAType")
+{
+    Gateway::Configuration configuration;
+    CHECK(parseConfiguration("{}", configuration) == WireErrc::MissingField);
+    CHECK(parseConfiguration("[", configuration) == WireErrc::MalformedJson);
+    CHECK(parseConfiguration(R"({"version":"x"})", configuration) == WireErrc::WrongType);
+}
+
+TEST_CASE("TableRead_WhenRowsAreMixed_KeepsTheReadableOnes")
+{
+    TableRead read;
+    const std::string text = R"({"rows":[{"table":"servers","part":"","key":"i-1","value":"e30=","ver":3},
+        {"table":"servers","key":"i-2","value":"?","ver":4},{"table":"servers","key":"i-3","ver":5,"deleted":true},
+        {"table":7}],"ver":9,"nowMs":1})";
+    REQUIRE_FALSE(parseTableRead(text, read));
+    REQUIRE(read.rows_.size() == 3);
+    CHECK(read.rows_[0].value_ == "{}");
+    CHECK_FALSE(read.rows_[1].readable_);
+    CHECK(read.rows_[2].removed_);
+    CHECK(read.version_ == 9);
+}
+
+TEST_CASE("UpstreamRow_WhenAnotherWriterLeftItHalf_NamesNoUpstream")
+{
+    Gateway::UpstreamRow upstream;
+    TableRow row{ "servers", "i-1",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":5})" };
+    REQUIRE_FALSE(parseUpstream(row, upstream));
+    CHECK(upstream.bornMs_ == 5);
+    row.value_ = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"elsewhere"})";
+    CHECK(parseUpstream(row, upstream) == WireErrc::UnknownValue);
+    row.value_ = R"({"service":"s"})";
+    CHECK(parseUpstream(row, upstream) == WireErrc::MissingField);
+    row.readable_ = false;
+    CHECK(parseUpstream(row, upstream) == WireErrc::MalformedJson);
+}
+
+TEST_CASE("EventScan_WhenAnEventWasRelayedBefore_LeavesItOut")
+{
+    const Gateway::EventScan scan = Gateway::scanEvents("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 1);
+    CHECK(scan.bytes_ == "id: 2\ndata: b\n\n");
+    CHECK(scan.events_ == 1);
+    CHECK_FALSE(scan.outOfOrder_);
+}
