--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -14,10 +14,10 @@
 
 namespace {
 
-constexpr Milliseconds heardWithin{ 1200 }; ///< A peer silent for longer may charge unseen; four updates and a loss.
+constexpr Milliseconds heardWithin{ 500 }; ///< A peer silent for longer may charge unseen; two heartbeats.
 constexpr double freshLevelShare = 0.25; ///< Part of the bucket that a restarted process takes for left.
 constexpr double sizeShare = 0.5; ///< Part of the excess over the rate that may be used at once.
-constexpr double slackShare = 0.6; ///< Part of the allowed overshoot that is used; the rest covers lags.
+constexpr double slackShare = 0.5; ///< Part of the allowed overshoot that is used; the rest covers lags.
 constexpr double repeatRatioShare = 0.75; ///< Part of the allowed ratio that is used; the rest covers counting lags.
 constexpr double repeatSlackShare = 0.6; ///< Part of the allowed slack that is used, likewise.
 
--- a/tests/gateway_dispatch_test.cpp
+++ b/tests/gateway_dispatch_test.cpp
@@ -131,7 +131,7 @@
 TEST_CASE_FIXTURE(GatewayFixture, "Quota_WhenAPeerIsNotHeard_ShrinksToTheOwnShare")
 {
     hearPeer("10.0.0.2:7000", {});
-    now_ += std::chrono::seconds(3);
+    now_ += Milliseconds(600);
     tick();
     CallArrived large = makeCall("read", 1);
     large.request_.tokens_ = 2500;
