--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -7,8 +7,10 @@
 #include "caller_wire.h"
 #include "error_type.h"
 #include "http_func.h"
-#include "platform_wire.h"
+#include "log_func.h"
 #include "run_wire.h"
+#include "store_wire.h"
+#include "vm_wire.h"
 
 #include <random>
 
@@ -30,27 +32,63 @@
     return (static_cast<uint64_t>(device()) << 32U) | device();
 }
 
-void callStore(HttpClient &client, const std::string &platform, HttpRequest request, bool write,
+void readStore(HttpClient &client, const std::string &platform, const StoreKey &key,
     std::function<void(StoreResult)> done)
 {
-    const auto judge = [write, done = std::move(done)](std::error_code error, const HttpReply &reply) {
-        done(judgeStoreReply(error, reply, write));
+    const auto judge = [key, done = std::move(done)](std::error_code error, const HttpReply &reply) {
+        done(Platform::judgeRow(error, reply, key));
     };
-    fetch(client, platform, std::move(request), storeTimeout, ConnectionUse::Reuse, judge);
+    fetch(client, platform, Platform::makeRowCall(key), storeTimeout, ConnectionUse::Reuse, judge);
 }
 
-void fetchVms(HttpClient &client, const std::string &platform, std::function<void(VmsListed)> done)
+void writeStore(HttpClient &client, const std::string &platform, const StoreTransaction &transaction,
+    std::function<void(StoreResult)> done)
 {
-    const auto parse = [done = std::move(done)](std::error_code error, const HttpReply &reply) {
-        VmsListed event{ error, {}, reply.body_.size() };
-        if (!error && (reply.status_ != 200 || parseVms(reply.body_, event.vms_))) {
-            event = { TransportErrc::Malformed, {}, 0 };
+    const auto judge = [transaction, done = std::move(done)](std::error_code error, const HttpReply &reply) {
+        done(Platform::judgeTransaction(error, reply, transaction));
+    };
+    fetch(client, platform, Platform::makeTransactionCall(transaction), storeTimeout, ConnectionUse::Reuse, judge);
+}
+
+namespace {
+
+/// Reads a page of the VM list, and the pages after it.
+void fetchVmPage(HttpClient &client, const std::string &platform, const std::string &fromKey, VmsListed list,
+    std::function<void(VmsListed)> done)
+{
+    const auto take = [&client, platform, list = std::move(list), done = std::move(done)](
+                          std::error_code error, const HttpReply &reply) mutable {
+        Platform::TableRead read;
+        if (!error && (reply.status_ != 200 || Platform::parseTableRead(reply.body_, read))) {
+            error = TransportErrc::Malformed;
+        }
+        if (error) {
+            done({ error, {}, 0 });
+            return;
         }
-        done(std::move(event));
+        list.bytes_ += reply.body_.size();
+        for (const Platform::TableRow &row : read.rows_) {
+            Vm vm;
+            if (const std::error_code bad = parseVm(row.value_, vm); bad) {
+                logLine(LogLevel::Warning, "bad-row", { { "key", row.key_ }, { "error", bad.message() } });
+                continue;
+            }
+            list.vms_.push_back(std::move(vm));
+        }
+        if (read.more_ && !read.rows_.empty()) {
+            fetchVmPage(client, platform, Platform::keyAfter(read.rows_.back().key_), std::move(list), std::move(done));
+            return;
+        }
+        done(std::move(list));
     };
-    HttpRequest request;
-    request.target_ = vmsPath;
-    fetch(client, platform, std::move(request), vmListTimeout, ConnectionUse::Reuse, parse);
+    fetch(client, platform, Platform::makeReadCall(vmTable, fromKey), vmListTimeout, ConnectionUse::Reuse, take);
+}
+
+} // namespace
+
+void fetchVms(HttpClient &client, const std::string &platform, std::function<void(VmsListed)> done)
+{
+    fetchVmPage(client, platform, {}, {}, std::move(done));
 }
 
 std::optional<StatusRequested> parseStatusRequest(const HttpRequest &request)
--- a/src/daemon_func.h
+++ b/src/daemon_func.h
@@ -39,8 +39,12 @@
 /// @return the seed of the settings, or one drawn from the system.
 uint64_t seedOf(const Settings &settings);
 
-/// Calls the table service. @param write whether the call is a transaction
-void callStore(HttpClient &client, const std::string &platform, HttpRequest request, bool write,
+/// Reads a row of the store.
+void readStore(HttpClient &client, const std::string &platform, const StoreKey &key,
+    std::function<void(StoreResult)> done);
+
+/// Runs a transaction of the store.
+void writeStore(HttpClient &client, const std::string &platform, const StoreTransaction &transaction,
     std::function<void(StoreResult)> done);
 
 /// Asks the platform for the VM list.
--- a/src/node_daemon_type.h
+++ b/src/node_daemon_type.h
@@ -10,7 +10,6 @@
 #include "entry_command_type.h"
 #include "log_func.h"
 #include "node_loop_type.h"
-#include "platform_wire.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <thread>
@@ -31,15 +30,13 @@
 template<typename Daemon>
 void execute(Daemon &daemon, const StoreRead &command)
 {
-    callStore(daemon.client_, daemon.settings_.platform_, makeRowCall(command.key_), false,
-        postStoreReply(daemon, command.call_));
+    readStore(daemon.client_, daemon.settings_.platform_, command.key_, postStoreReply(daemon, command.call_));
 }
 
 template<typename Daemon>
 void execute(Daemon &daemon, const StoreWrite &command)
 {
-    callStore(daemon.client_, daemon.settings_.platform_, makeTransactionCall(command.transaction_), true,
-        postStoreReply(daemon, command.call_));
+    writeStore(daemon.client_, daemon.settings_.platform_, command.transaction_, postStoreReply(daemon, command.call_));
 }
 
 template<typename Daemon>
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -3,12 +3,13 @@
  * @brief Local fleet of real daemons and stand-ins on loopback.
  */
 #include "fleet_func.h"
+#include "fleet_parts_func.h"
 
 #include "configuration_wire.h"
 #include "digest_func.h"
 #include "http_call.h"
 #include "json_func.h"
-#include "platform_wire.h"
+#include "vm_wire.h"
 
 #include <algorithm>
 #include <array>
@@ -35,7 +36,18 @@
 constexpr Milliseconds stopTimeout{ 5000 }; ///< Time that a process gets to end by itself.
 constexpr const char *platformName = "platform";
 
-/// Ports that were free when they were asked for, all at once so that they differ.
+std::string binary(const std::string &name)
+{
+    return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / name).string();
+}
+
+void writeText(const std::string &file, const std::string &text)
+{
+    std::ofstream(file) << text;
+}
+
+} // namespace
+
 std::vector<std::string> takeAddresses(size_t count)
 {
     using Tcp = boost::asio::ip::tcp;
@@ -49,21 +61,10 @@
     return addresses;
 }
 
-std::string binary(const std::string &name)
-{
-    return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / name).string();
-}
-
-void writeText(const std::string &file, const std::string &text)
-{
-    std::ofstream(file) << text;
-}
-
-std::string commonSettings(
-    const std::string &role, const std::string &name, const std::string &region, const std::string &platform)
+void makeFolder(Fleet &fleet)
 {
-    return "role: " + role + "\nname: " + name + "\nregion: " + region + "\nzone: " + region + "\nplatform: " + platform
-        + "\n";
+    std::string pattern = (std::filesystem::temp_directory_path() / "burdockfield-fleet-XXXXXX").string();
+    fleet.folder_ = mkdtemp(pattern.data());
 }
 
 void addStandin(Fleet &fleet, const std::string &name, const std::string &address, std::vector<std::string> options)
@@ -94,6 +95,26 @@
     fleet.processes_[name] = std::move(process);
 }
 
+void addLink(Fleet &fleet, const std::string &agent, const std::string &listen, const std::string &control)
+{
+    FleetProcess process;
+    process.name_ = agent + "-link";
+    process.address_ = listen;
+    process.control_ = control;
+    process.command_ = { binary("burdockfield-standin"), "link", "--listen", listen, "--target",
+        fleet.processes_.at(agent).address_, "--control", control };
+    fleet.processes_[process.name_] = std::move(process);
+}
+
+namespace {
+
+std::string commonSettings(
+    const std::string &role, const std::string &name, const std::string &region, const std::string &platform)
+{
+    return "role: " + role + "\nname: " + name + "\nregion: " + region + "\nzone: " + region + "\nplatform: " + platform
+        + "\n";
+}
+
 void addEntry(Fleet &fleet, uint32_t index, const std::string &listen, const std::string &control)
 {
     const std::string name = "entry-" + std::to_string(index + 1);
@@ -136,23 +157,6 @@
     return fleet.processes_.at(fleet.spec_.linked_ ? agent + "-link" : agent).address_;
 }
 
-void addLink(Fleet &fleet, const std::string &agent, const std::string &listen, const std::string &control)
-{
-    FleetProcess process;
-    process.name_ = agent + "-link";
-    process.address_ = listen;
-    process.control_ = control;
-    process.command_ = { binary("burdockfield-standin"), "link", "--listen", listen, "--target",
-        fleet.processes_.at(agent).address_, "--control", control };
-    fleet.processes_[process.name_] = std::move(process);
-}
-
-void makeFolder(Fleet &fleet)
-{
-    std::string pattern = (std::filesystem::temp_directory_path() / "burdockfield-fleet-XXXXXX").string();
-    fleet.folder_ = mkdtemp(pattern.data());
-}
-
 void addProcesses(Fleet &fleet)
 {
     const size_t upstreams = fleet.spec_.upstreams_.size();
@@ -284,7 +288,7 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn(&process.pid_, process.command_[0].c_str(), &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
 }
@@ -327,7 +331,11 @@
         vms.push_back(
             { name, VmRole::Entry, fleet.processes_.at(name).control_, "norte-a", "norte-a", {}, isLeaving(name) });
     }
-    callNode(fleet.processes_.at(platformName).address_, "POST", "/control/vms", serializeVms(vms));
+    std::string list;
+    for (const Vm &vm : vms) {
+        list += (list.empty() ? "" : ",") + serializeVm(vm);
+    }
+    callNode(fleet.processes_.at(platformName).address_, "POST", "/control/vms", R"({"vms":[)" + list + "]}");
 }
 
 bool startFleet(Fleet &fleet, FleetSpec spec)
@@ -339,7 +347,7 @@
         startProcess(fleet, name);
     }
     const std::string &platform = fleet.processes_[platformName].address_;
-    if (!waitUntil([&platform] { return answers(platform, "/v1/vms"); })) {
+    if (!waitUntil([&platform] { return answers(platform, "/burdockfield/rows-get?table=vms&part="); })) {
         return false;
     }
     publishVms(fleet);
--- /dev/null
+++ b/tests/gateway_fleet.cpp
@@ -0,0 +1,154 @@
+/**
+ * @file gateway_fleet.cpp
+ * @brief Fleet of real gateways before stand-ins of the users' platform and its upstreams.
+ */
+#include "gateway_fleet.h"
+
+#include "fleet_parts_func.h"
+#include "json_func.h"
+#include "store_wire.h"
+
+#include <array>
+
+namespace Burdockfield::Testing {
+
+namespace {
+
+constexpr const char *platform = "platform";
+
+std::string readyAddress(const Fleet &fleet, const std::string &gateway)
+{
+    return fleet.processes_.at(gateway + "-ready").address_;
+}
+
+/// Adds a gateway; its further addresses are kept as processes that are never started.
+void addGateway(Fleet &fleet, const std::string &name, uint64_t seed, const std::vector<std::string> &addresses)
+{
+    const std::string &listen = addresses[0];
+    const std::string &store = addresses[4];
+    addLink(fleet, platform, store, addresses[5]);
+    auto link = fleet.processes_.extract(std::string(platform) + "-link");
+    link.key() = name + "-store";
+    link.mapped().name_ = name + "-store";
+    fleet.processes_.insert(std::move(link));
+    const std::string settings = "role: gateway\nname: " + name + "\nregion: region-1\nzone: zone-1\nlisten: " + listen
+        + "\nready: " + addresses[1] + "\npeer: " + addresses[2] + "\nmetrics: " + addresses[3] + "\nplatform: " + store
+        + "\nseed: " + std::to_string(seed)
+        + "\nzones: { zone-1: region-1 }\nfirst_start: true\nbounds: { repeat_slack: 1000, grace: 5s }\n";
+    addDaemon(fleet, name, listen, addresses[3], settings);
+    fleet.processes_[name + "-ready"].address_ = addresses[1];
+    fleet.entries_.push_back(name);
+}
+
+void addUpstreams(
+    Fleet &fleet, const std::string &service, uint32_t count, const std::vector<std::string> &addresses, size_t &next)
+{
+    for (uint32_t index = 1; index <= count; ++index) {
+        const std::string name = service + "-" + std::to_string(index);
+        addStandin(fleet, name, addresses[next++], { "upstream", "--instance", name });
+        fleet.upstreams_.push_back(name);
+    }
+}
+
+Json::object makeRoute(const std::string &name, const std::string &kind, const std::string &service)
+{
+    return { { "name", name }, { "host", gatewayHost }, { "pathPrefix", "/" + name + "/" }, { "kind", kind },
+        { "timeoutMs", 4000 }, { "targetLatencyMs", 1000 }, { "priority", 0 }, { "service", service },
+        { "attempts", 3 }, { "allowAnonymous", false }, { "resumable", true }, { "gapTargetMs", 200 } };
+}
+
+void writeRow(const Fleet &fleet, const Json::object &row)
+{
+    callNode(fleet.processes_.at(platform).address_, "POST", "/control/row", Json::serialize(row));
+}
+
+} // namespace
+
+void writeConfiguration(const Fleet &fleet, uint64_t version, const std::vector<std::string> &keys)
+{
+    const Json::array routes{ makeRoute("stream", "streaming", "engines"), makeRoute("read", "idempotent", "engines"),
+        makeRoute("once", "non_idempotent", "desk") };
+    const Json::array services{ Json::object{ { "name", "engines" }, { "engine", Json::object() } },
+        Json::object{ { "name", "desk" } } };
+    const Json::array workspaces{ Json::object{
+        { "name", "workspace-1" }, { "apiKeys", Json::array(keys.begin(), keys.end()) } } };
+    const Json::object configuration{ { "version", version }, { "routes", routes }, { "services", services },
+        { "tenants", workspaces } };
+    writeRow(fleet,
+        { { "table", Platform::operatorTable }, { "key", Platform::configurationKey },
+            { "value", Json::serialize(configuration) } });
+}
+
+void writeUpstreamRow(
+    const Fleet &fleet, const std::string &upstream, const std::string &state, uint32_t slots, bool remove)
+{
+    const std::string service = upstream.substr(0, upstream.find('-'));
+    const Json::object value{ { "service", service }, { "address", fleet.processes_.at(upstream).address_ },
+        { "zone", "zone-1" }, { "slots", slots }, { "state", state }, { "born", 1 } };
+    writeRow(fleet,
+        { { "table", Platform::upstreamTable }, { "key", upstream }, { "value", Json::serialize(value) },
+            { "remove", remove } });
+}
+
+bool startGatewayFleet(Fleet &fleet, const GatewayFleetSpec &spec)
+{
+    constexpr size_t gatewayAddresses = 6;
+    makeFolder(fleet);
+    const auto addresses
+        = takeAddresses(1 + spec.engines_ + spec.desks_ + gatewayAddresses * static_cast<size_t>(spec.gateways_));
+    size_t next = 0;
+    addStandin(fleet, platform, addresses[next++], { "platform" });
+    addUpstreams(fleet, "engines", spec.engines_, addresses, next);
+    addUpstreams(fleet, "desk", spec.desks_, addresses, next);
+    for (uint32_t index = 1; index <= spec.gateways_; ++index) {
+        const auto first = addresses.begin() + static_cast<ptrdiff_t>(next);
+        addGateway(fleet, "gateway-" + std::to_string(index), spec.seed_ + index, { first, first + gatewayAddresses });
+        next += gatewayAddresses;
+    }
+    for (auto &[name, process] : fleet.processes_) {
+        if (!process.command_.empty()) {
+            startProcess(fleet, name);
+        }
+    }
+    const std::string &store = fleet.processes_[platform].address_;
+    if (!waitUntil([&] { return callNode(store, "POST", "/control", "{}").status_ == 200; })) {
+        return false;
+    }
+    for (const std::string &upstream : fleet.upstreams_) {
+        writeUpstreamRow(fleet, upstream, "ready", spec.slots_);
+    }
+    writeConfiguration(fleet, 1, { "key-1" });
+    return waitUntil([&] {
+        return std::all_of(fleet.entries_.begin(), fleet.entries_.end(),
+            [&](const std::string &gateway) { return isGatewayReady(fleet, gateway); });
+    });
+}
+
+void controlStoreLink(const Fleet &fleet, const std::string &gateway, const std::string &order)
+{
+    callNode(fleet.processes_.at(gateway + "-store").control_, "POST", order);
+}
+
+HttpReply callGateway(const Fleet &fleet, const std::string &gateway, const GatewayCall &call)
+{
+    const HttpHeaders headers{ { "Host", gatewayHost }, { "Request-Id", call.id_ },
+        { "Authorization", "Bearer " + call.key_ }, { "Deadline-Ms", std::to_string(call.wait_.count()) } };
+    return callNode(
+        fleet.processes_.at(gateway).address_, "POST", call.target_, call.body_, headers, call.wait_ + call.wait_ / 4);
+}
+
+bool isGatewayReady(const Fleet &fleet, const std::string &gateway)
+{
+    return callNode(readyAddress(fleet, gateway), "GET", "/readyz", {}, {}, Milliseconds(500)).status_ == 200;
+}
+
+std::string statusOf(const Fleet &fleet, const std::string &gateway, const std::string &key)
+{
+    const HttpReply reply = callNode(fleet.processes_.at(gateway).control_, "GET", "/v1/status");
+    Json::value document;
+    JsonReader reader = readJsonObject(reply.body_, document);
+    const Json::value *value = readValue(reader, key, Presence::Optional);
+    return value == nullptr ? std::string() : Json::serialize(*value);
+}
+
+} // namespace Burdockfield::Testing
--- /dev/null
+++ b/tests/gateway_process_test.cpp
@@ -0,0 +1,188 @@
+/**
+ * @file gateway_process_test.cpp
+ * @brief Real gateways before stand-ins of the users' platform.
+ */
+#include "gateway_fleet.h"
+#include "http_func.h"
+#include "process_fixture.h"
+#include "platform_upstream_base.h"
+
+#include <fcntl.h>
+#include <future>
+#include <unistd.h>
+
+using namespace Burdockfield;
+using namespace Burdockfield::Testing;
+
+namespace {
+
+/// Two gateways, two engines, two desks.
+struct GatewayProcessFixture : ProcessFixture
+{
+    GatewayProcessFixture()
+    {
+        GatewayFleetSpec spec;
+        spec.desks_ = 2;
+        REQUIRE(startGatewayFleet(fleet_, spec));
+    }
+
+    HttpReply call(const std::string &target, const std::string &id, const std::string &gateway = "gateway-1",
+        const std::string &key = "key-1")
+    {
+        return callGateway(fleet_, gateway, { id, target, "body", key, Milliseconds(4000) });
+    }
+
+    /// @return how often upstreams have begun to run a request.
+    size_t runsOf(const std::string &id)
+    {
+        size_t runs = 0;
+        for (const LedgerLine &line : readLedgers(fleet_)) {
+            runs += line.event_ == "started" && line.request_ == id ? 1 : 0;
+        }
+        return runs;
+    }
+
+    std::string wholeStream(const std::string &target)
+    {
+        std::string text;
+        for (uint64_t number = 1; number <= 5; ++number) {
+            text += Standin::eventOf(target, "body", number);
+        }
+        return text;
+    }
+
+    void setMode(const std::string &upstream, const std::string &mode)
+    {
+        controlStandin(fleet_, upstream, R"({"mode":")" + mode + "\"}");
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenAllIsWell_ServesEachKindOfCall")
+{
+    CHECK(call("/once/x", "r1").body_ == Standin::echoOf("/once/x", "body"));
+    CHECK(call("/read/x", "r2", "gateway-2").body_ == Standin::echoOf("/read/x", "body"));
+    const HttpReply stream = call("/stream/x", "r3");
+    CHECK(stream.body_ == wholeStream("/stream/x"));
+    CHECK(findHeader(stream.headers_, "Request-Id") == "r3");
+    CHECK(call("/nowhere/x", "r4").status_ == 404);
+    CHECK(call("/once/x", "r5", "gateway-1", "key-2").status_ == 401);
+    CHECK(runsOf("r1") == 1);
+    CHECK(runsOf("r5") == 0);
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenAnUpstreamResets_ResumesStreamsAndNeverRepeatsNonIdempotentCalls")
+{
+    setMode("engines-1", "reset");
+    setMode("desk-1", "reset");
+    setMode("desk-2", "reset");
+    for (int index = 0; index < 4; ++index) {
+        const std::string id = "stream-" + std::to_string(index);
+        CHECK(call("/stream/x", id).body_ == wholeStream("/stream/x"));
+    }
+    CHECK(call("/once/x", "once-1").status_ == 502);
+    CHECK(runsOf("once-1") == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenAnUpstreamIsMuteOrCrossed_GivesNobodyAnothersAnswer")
+{
+    setMode("desk-1", "crossed");
+    setMode("desk-2", "crossed");
+    setMode("engines-1", "mute");
+    CHECK(call("/once/x", "r1").status_ >= 500);
+    CHECK(call("/read/x", "r2").body_ == Standin::echoOf("/read/x", "body"));
+    CHECK(call("/stream/x", "r3").body_ == wholeStream("/stream/x"));
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenUpstreamsAreFull_RefusesAsNotRunWithATimeToComeBack")
+{
+    setMode("desk-1", "full");
+    setMode("desk-2", "full");
+    const HttpReply reply = call("/once/x", "r1");
+    CHECK(reply.status_ == 503);
+    CHECK_FALSE(findHeader(reply.headers_, "Retry-After").empty());
+    CHECK(runsOf("r1") == 0);
+}
+
+TEST_CASE_FIXTURE(
+    GatewayProcessFixture, "Gateway_WhenItsStoreIsSilent_LearnsConfigurationsAndLeavingUpstreamsFromPeers")
+{
+    controlStoreLink(fleet_, "gateway-1", "/silence");
+    writeConfiguration(fleet_, 2, { "key-2" });
+    writeUpstreamRow(fleet_, "engines-1", "draining", 4);
+    const bool known = waitUntil(
+        [&] { return statusOf(fleet_, "gateway-1", "configuration").find("\"version\":2") != std::string::npos; },
+        Milliseconds(2500));
+    CHECK(known);
+    CHECK(call("/once/x", "r1", "gateway-1", "key-1").status_ == 401);
+    CHECK(call("/once/x", "r2", "gateway-1", "key-2").status_ == 200);
+    const bool leaving = waitUntil(
+        [&] { return statusOf(fleet_, "gateway-1", "upstreams").find("\"draining\":true") != std::string::npos; },
+        Milliseconds(2500));
+    CHECK(leaving);
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenStartedWhileItsStoreIsDown_TakesEverythingFromAPeer")
+{
+    signalProcess(fleet_, "gateway-2", SIGKILL);
+    controlStoreLink(fleet_, "gateway-2", "/cut");
+    startProcess(fleet_, "gateway-2");
+    CHECK(waitUntil([&] { return isGatewayReady(fleet_, "gateway-2"); }, Milliseconds(5000)));
+    CHECK(call("/read/x", "r1", "gateway-2").status_ == 200);
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenTheStoreForgetsItsHistory_ReadsAllAgain")
+{
+    controlStandin(fleet_, "platform", R"({"forget_history":true})");
+    writeConfiguration(fleet_, 3, { "key-1", "key-3" });
+    CHECK(waitUntil([&] { return call("/once/x", "r1", "gateway-1", "key-3").status_ == 200; }, Milliseconds(6000)));
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenTheStoreRefusesOrLosesAnswers_GoesOnServing")
+{
+    for (const char *mode : { "down", "busy", "silent", "lose-answers", "up" }) {
+        controlStandin(fleet_, "platform", std::string(R"({"mode":")") + mode + "\"}");
+        CHECK(call("/once/x", std::string("r-") + mode).status_ == 200);
+    }
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenToldToStop_FinishesItsCallsAndEndsWell")
+{
+    controlStandin(fleet_, "engines-1", R"({"step_ms":300})");
+    controlStandin(fleet_, "engines-2", R"({"step_ms":300})");
+    auto running = std::async(std::launch::async, [&] { return call("/stream/x", "r1"); });
+    REQUIRE(waitUntil([&] { return runsOf("r1") == 1; }));
+    signalProcess(fleet_, "gateway-1", SIGTERM);
+    CHECK(waitUntil([&] { return !isGatewayReady(fleet_, "gateway-1"); }, Milliseconds(500)));
+    CHECK(running.get().body_ == wholeStream("/stream/x"));
+    CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(5000)) == 0);
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenSettingsChangeOrAreSpoilt_ReloadsOrKeepsThem")
+{
+    const std::string file = fleet_.folder_ + "/gateway-1.yaml";
+    const int handle = open(file.c_str(), O_WRONLY | O_APPEND);
+    REQUIRE(write(handle, "unknown: 1\n", 11) == 11);
+    close(handle);
+    signalProcess(fleet_, "gateway-1", SIGHUP);
+    std::this_thread::sleep_for(Milliseconds(300));
+    CHECK(call("/once/x", "r1").status_ == 200);
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenARowIsUnreadable_KeepsTheOthers")
+{
+    callNode(fleet_.processes_.at("platform").address_, "POST", "/control/row",
+        R"({"table":"servers","key":"engines-1","value":"not json"})");
+    CHECK(waitUntil([&] { return statusOf(fleet_, "gateway-1", "upstreams").find("engines-1") == std::string::npos; },
+        Milliseconds(3000)));
+    CHECK(call("/read/x", "r1").status_ == 200);
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Metrics_WhenAsked_CountCalls")
+{
+    call("/once/x", "r1");
+    const HttpReply reply = callNode(fleet_.processes_.at("gateway-1").control_, "GET", "/metrics");
+    CHECK(reply.status_ == 200);
+    CHECK(reply.body_.find("burdockfield_calls{kind=\"once\"} 1") != std::string::npos);
+}
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -1,12 +1,15 @@
 /**
  * @file platform.cpp
- * @brief Platform stand-in.
+ * @brief Stand-in of the users' platform: rows, transactions, feeds and objects of its metadata store.
  */
+#include "base64_func.h"
 #include "http_func.h"
 #include "json_func.h"
 #include "platform_base.h"
-#include "platform_wire.h"
+#include "table/wire_names.h"
+#include "vm_wire.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -14,14 +17,18 @@
 
 namespace {
 
-constexpr std::array<std::pair<std::string_view, StoreMode>, 4> storeModeNames{ {
+constexpr std::array<std::pair<std::string_view, StoreMode>, 5> storeModeNames{ {
     { "up", StoreMode::Up },
     { "down", StoreMode::Down },
+    { "busy", StoreMode::Busy },
     { "silent", StoreMode::Silent },
     { "lose-answers", StoreMode::LoseAnswers },
 } };
 
-constexpr std::string_view objectsPrefix = "/v1/objects/";
+constexpr std::string_view putObjectPath = "/burdockfield/blob-put/";
+constexpr std::string_view getObjectPath = "/burdockfield/blob-get/";
+constexpr size_t pageRows = 500; ///< Rows of one answer.
+constexpr size_t historyLength = 2000; ///< Changes kept for feeds.
 
 void send(PlatformState &state, StandinOutput output, TimePoint now, StandinOutbox &outbox)
 {
@@ -38,35 +45,22 @@
     return { exchange, ServerOutput::Kind::Whole, jsonReply(status, std::move(body)), {} };
 }
 
-StoreRow rowAt(const PlatformState &state, const StoreKey &key)
+Json::object rowObject(const StoreRow &row, bool removed)
 {
-    const auto found = state.rows_.find(key);
-    return found != state.rows_.end() ? found->second : StoreRow{ key, {}, 0 };
+    Json::object object{ { "table", row.key_.table_ }, { "part", "" }, { "key", row.key_.key_ },
+        { "ver", row.version_ } };
+    if (removed) {
+        object["deleted"] = true;
+    } else {
+        object["value"] = encodeBase64(row.value_);
+    }
+    return object;
 }
 
-/// Runs a transaction. @return the answer's status, and its rows in @p rows
-int transact(PlatformState &state, const StoreTransaction &transaction, std::vector<StoreRow> &rows)
+std::string rowsAnswer(const PlatformState &state, Json::array rows, bool more = false)
 {
-    for (const StoreCheck &check : transaction.checks_) {
-        if (const StoreRow row = rowAt(state, check.key_); row.version_ != check.version_) {
-            rows.push_back(row);
-        }
-    }
-    if (!rows.empty()) {
-        return storeConflictStatus;
-    }
-    for (const StorePut &put : transaction.puts_) {
-        StoreRow row = rowAt(state, put.key_);
-        row.value_ = put.value_;
-        ++row.version_;
-        if (put.erase_) {
-            state.rows_.erase(put.key_);
-        } else {
-            state.rows_[put.key_] = row;
-            rows.push_back(row);
-        }
-    }
-    return 200;
+    return Json::serialize(
+        Json::object{ { "rows", std::move(rows) }, { "hasMore", more }, { "ver", state.version_ }, { "nowMs", 0 } });
 }
 
 std::string decodeQuery(std::string_view text)
@@ -86,77 +80,235 @@
     return decoded;
 }
 
+/// Answers the feeds that a change concerns.
+void answerFeeds(PlatformState &state, const std::string &table, TimePoint now, StandinOutbox &outbox)
+{
+    forEachRow(state.feeds_, [&](PoolId<WaitingFeed> id, const WaitingFeed &feed) {
+        if (feed.table_ != table) {
+            return;
+        }
+        Json::array rows;
+        for (const RowChange &change : state.history_) {
+            if (change.row_.key_.table_ == table && change.row_.version_ > feed.after_) {
+                rows.push_back(rowObject(change.row_, change.removed_));
+            }
+        }
+        send(state, whole(feed.exchange_, 200, rowsAnswer(state, std::move(rows))), now, outbox);
+        eraseRow(state.feeds_, id);
+    });
+}
+
+void writeRow(PlatformState &state, const StoreKey &key, const std::string &value, bool remove)
+{
+    StoreRow row{ key, value, state.version_ };
+    if (remove) {
+        state.rows_.erase(key);
+    } else {
+        state.rows_[key] = row;
+    }
+    state.history_.push_back({ std::move(row), remove });
+    if (state.history_.size() > historyLength) {
+        state.forgottenUpTo_ = state.history_.front().row_.version_;
+        state.history_.pop_front();
+    }
+}
+
+StoreKey readKey(JsonReader &reader)
+{
+    StoreKey key;
+    read(reader, "table", key.table_);
+    read(reader, "key", key.key_);
+    return key;
+}
+
+/// @return the rows whose condition does not hold; parse errors go to @p reader.
+Json::array findConflicts(const PlatformState &state, JsonReader &reader)
+{
+    Json::array conflicts;
+    const Json::array *expected = readArray(reader, "expect");
+    for (const Json::value &item : expected == nullptr ? Json::array() : *expected) {
+        JsonReader row = readObject(item);
+        const StoreKey key = readKey(row);
+        uint64_t version = 0;
+        read(row, "ver", version);
+        fail(reader, row.error_);
+        const auto found = state.rows_.find(key);
+        if ((found == state.rows_.end() ? 0 : found->second.version_) != version && found != state.rows_.end()) {
+            conflicts.push_back(rowObject(found->second, false));
+        } else if (found == state.rows_.end() && version != 0) {
+            conflicts.push_back(rowObject({ key, {}, 0 }, true));
+        }
+    }
+    return conflicts;
+}
+
+void writeAll(PlatformState &state, JsonReader &reader, const char *field, bool remove, std::set<std::string> &tables)
+{
+    const Json::array *rows = readArray(reader, field);
+    for (const Json::value &item : rows == nullptr ? Json::array() : *rows) {
+        JsonReader row = readObject(item);
+        const StoreKey key = readKey(row);
+        std::string text;
+        std::string value;
+        read(row, "value", text, Presence::Optional);
+        if (!row.error_ && decodeBase64(text, value)) {
+            writeRow(state, key, value, remove);
+            tables.insert(key.table_);
+        }
+    }
+}
+
 void takeTransaction(PlatformState &state, const Arrival &arrival, TimePoint now, StandinOutbox &outbox)
 {
-    StoreTransaction transaction;
-    if (parseTransaction(arrival.request_.body_, transaction)) {
+    Json::value document;
+    JsonReader reader = readJsonObject(arrival.request_.body_, document);
+    Json::array conflicts = findConflicts(state, reader);
+    if (reader.error_) {
         send(state, whole(arrival.exchange_, 400, "{}"), now, outbox);
         return;
     }
     ++state.writes_;
-    std::vector<StoreRow> rows;
-    const int status = transact(state, transaction, rows);
-    StandinOutput output = whole(arrival.exchange_, status, serializeRows(rows));
+    std::set<std::string> tables;
+    StandinOutput output = whole(arrival.exchange_, 412, rowsAnswer(state, conflicts));
+    if (conflicts.empty()) {
+        ++state.version_;
+        writeAll(state, reader, "puts", false, tables);
+        writeAll(state, reader, "remove", true, tables);
+        output = whole(arrival.exchange_, 200, Json::serialize(Json::object{ { "ver", state.version_ } }));
+    }
     if (state.mode_ == StoreMode::LoseAnswers) {
         output.kind_ = ServerOutput::Kind::Break;
     }
     send(state, std::move(output), now, outbox);
+    for (const std::string &table : tables) {
+        answerFeeds(state, table, now, outbox);
+    }
 }
 
 void takeRead(PlatformState &state, const Arrival &arrival, HttpTarget &target, TimePoint now, StandinOutbox &outbox)
 {
     ++state.reads_;
-    const StoreKey key{ decodeQuery(target.query_["table"]), decodeQuery(target.query_["key"]) };
-    send(state, whole(arrival.exchange_, 200, serializeRows({ rowAt(state, key) })), now, outbox);
+    const std::string table = decodeQuery(target.query_["table"]);
+    const std::string from = decodeQuery(target.query_["from"]);
+    const std::string to = decodeQuery(target.query_["to"]);
+    const size_t limit = std::min<size_t>(numberOr(target.query_["limit"], pageRows), pageRows);
+    Json::array rows;
+    bool more = false;
+    for (auto place = state.rows_.lower_bound({ table, from }); place != state.rows_.end(); ++place) {
+        const auto &[key, row] = *place;
+        if (key.table_ != table || (!to.empty() && key.key_ >= to)) {
+            break;
+        }
+        if (rows.size() == limit) {
+            more = true;
+            break;
+        }
+        rows.push_back(rowObject(row, false));
+    }
+    send(state, whole(arrival.exchange_, 200, rowsAnswer(state, std::move(rows), more)), now, outbox);
 }
 
-void takeStoreCall(
-    PlatformState &state, const Arrival &arrival, HttpTarget &target, TimePoint now, StandinOutbox &outbox)
+void takeFeed(PlatformState &state, const Arrival &arrival, HttpTarget &target, TimePoint now, StandinOutbox &outbox)
 {
-    if (state.mode_ == StoreMode::Silent) {
+    ++state.reads_;
+    WaitingFeed feed;
+    feed.exchange_ = arrival.exchange_;
+    feed.table_ = decodeQuery(target.query_["table"]);
+    feed.after_ = numberOr(target.query_["after"], 0);
+    feed.until_ = now + Milliseconds(numberOr(target.query_["waitMs"], 0));
+    if (feed.after_ < state.forgottenUpTo_) {
+        send(state, whole(arrival.exchange_, 410, "{}"), now, outbox);
         return;
     }
-    if (state.mode_ == StoreMode::Down) {
-        send(state, whole(arrival.exchange_, storeUnavailableStatus, "{}"), now, outbox);
-    } else if (target.path_ == transactionsPath) {
-        takeTransaction(state, arrival, now, outbox);
-    } else {
-        takeRead(state, arrival, target, now, outbox);
+    const auto concerns = [&feed](const RowChange &change) {
+        return change.row_.key_.table_ == feed.table_ && change.row_.version_ > feed.after_;
+    };
+    const bool changed = std::any_of(state.history_.begin(), state.history_.end(), concerns);
+    insertRow(state.feeds_, std::move(feed));
+    if (changed) {
+        answerFeeds(state, decodeQuery(target.query_["table"]), now, outbox);
     }
 }
 
-void takeObjectCall(PlatformState &state, const Arrival &arrival, const std::string &key, StandinOutbox &outbox)
+void takeObjectCall(PlatformState &state, const Arrival &arrival, const std::string &path, StandinOutbox &outbox)
 {
-    if (arrival.request_.method_ == "PUT") {
-        state.objects_[key] = arrival.request_.body_;
+    if (path.starts_with(putObjectPath)) {
+        state.objects_[path.substr(putObjectPath.size())] = arrival.request_.body_;
         outbox.outputs_.push_back(whole(arrival.exchange_, 200, "{}"));
         return;
     }
-    const auto found = state.objects_.find(key);
+    const auto found = state.objects_.find(path.substr(std::min(path.size(), getObjectPath.size())));
     const bool known = found != state.objects_.end();
     outbox.outputs_.push_back(whole(arrival.exchange_, known ? 200 : 404, known ? found->second : "{}"));
 }
 
-void listVms(PlatformState &state, ExchangeId exchange, TimePoint now, StandinOutbox &outbox)
+void takeStoreCall(
+    PlatformState &state, const Arrival &arrival, HttpTarget &target, TimePoint now, StandinOutbox &outbox)
 {
-    while (state.listings_.size() > 1 && state.listings_[1].from_ <= now) {
+    if (state.mode_ == StoreMode::Silent) {
+        return;
+    }
+    if (state.mode_ == StoreMode::Down || state.mode_ == StoreMode::Busy) {
+        send(state, whole(arrival.exchange_, state.mode_ == StoreMode::Down ? 503 : 429, "{}"), now, outbox);
+    } else if (target.path_ == "/burdockfield/rows-tx") {
+        takeTransaction(state, arrival, now, outbox);
+    } else if (target.path_ == "/burdockfield/rows-get") {
+        takeRead(state, arrival, target, now, outbox);
+    } else if (target.path_ == "/burdockfield/rows-feed") {
+        takeFeed(state, arrival, target, now, outbox);
+    } else {
+        takeObjectCall(state, arrival, target.path_, outbox);
+    }
+}
+
+/// Shows the VM lists whose time has come.
+void showListings(PlatformState &state, TimePoint now, StandinOutbox &outbox)
+{
+    while (!state.listings_.empty() && state.listings_.front().from_ <= now) {
+        ++state.version_;
+        std::erase_if(state.rows_, [](const auto &item) { return item.first.table_ == vmTable; });
+        for (const Vm &vm : state.listings_.front().vms_) {
+            writeRow(state, { std::string(vmTable), vm.name_ }, serializeVm(vm), false);
+        }
         state.listings_.pop_front();
+        answerFeeds(state, std::string(vmTable), now, outbox);
     }
-    const bool shown = !state.listings_.empty() && state.listings_.front().from_ <= now;
-    outbox.outputs_.push_back(
-        whole(exchange, 200, serializeVms(shown ? state.listings_.front().vms_ : std::vector<Vm>{})));
 }
 
 void setVms(PlatformState &state, const Arrival &arrival, TimePoint now, StandinOutbox &outbox)
 {
+    Json::value document;
+    JsonReader reader = readJsonObject(arrival.request_.body_, document);
     VmListing listing;
-    const bool first = state.listings_.empty();
-    listing.from_ = first ? now : now + state.vmListLag_;
-    const std::error_code error = parseVms(arrival.request_.body_, listing.vms_);
-    if (!error) {
+    listing.from_ = state.version_ == 0 ? now : now + state.vmListLag_;
+    const Json::array *vms = readArray(reader, "vms");
+    for (const Json::value &item : vms == nullptr ? Json::array() : *vms) {
+        fail(reader, parseVm(Json::serialize(item), listing.vms_.emplace_back()));
+    }
+    if (!reader.error_) {
+        pushDeadline(state.deadlines_, listing.from_, {});
         state.listings_.push_back(std::move(listing));
     }
-    outbox.outputs_.push_back(whole(arrival.exchange_, error ? 400 : 200, "{}"));
+    outbox.outputs_.push_back(whole(arrival.exchange_, reader.error_ ? 400 : 200, "{}"));
+    showListings(state, now, outbox);
+}
+
+/// Writes or removes a row as the operator or an upstream would; the value is plain text.
+void setRow(PlatformState &state, const Arrival &arrival, TimePoint now, StandinOutbox &outbox)
+{
+    Json::value document;
+    JsonReader reader = readJsonObject(arrival.request_.body_, document);
+    const StoreKey key = readKey(reader);
+    std::string value;
+    bool remove = false;
+    read(reader, "value", value, Presence::Optional);
+    read(reader, "remove", remove, Presence::Optional);
+    if (!reader.error_) {
+        ++state.version_;
+        writeRow(state, key, value, remove);
+        answerFeeds(state, key.table_, now, outbox);
+    }
+    outbox.outputs_.push_back(whole(arrival.exchange_, reader.error_ ? 400 : 200, "{}"));
 }
 
 void takeControl(PlatformState &state, const Arrival &arrival, StandinOutbox &outbox)
@@ -166,6 +318,12 @@
     readName(reader, "mode", state.mode_, storeModeNames, Presence::Optional);
     read(reader, "delay_ms", state.delay_, Presence::Optional);
     read(reader, "vm_list_lag_ms", state.vmListLag_, Presence::Optional);
+    bool forget = false;
+    read(reader, "forget_history", forget, Presence::Optional);
+    if (forget) {
+        state.history_.clear();
+        state.forgottenUpTo_ = ++state.version_;
+    }
     const Json::object counts{ { "reads", state.reads_ }, { "writes", state.writes_ }, { "rows", state.rows_.size() } };
     outbox.outputs_.push_back(whole(arrival.exchange_, reader.error_ ? 400 : 200, Json::serialize(counts)));
 }
@@ -177,25 +335,33 @@
         takeControl(state, arrival, outbox);
     } else if (target.path_ == "/control/vms") {
         setVms(state, arrival, now, outbox);
-    } else if (target.path_ == vmsPath) {
-        listVms(state, arrival.exchange_, now, outbox);
-    } else if (target.path_ == transactionsPath || target.path_ == rowPath) {
-        takeStoreCall(state, arrival, target, now, outbox);
-    } else if (target.path_.starts_with(objectsPrefix)) {
-        takeObjectCall(state, arrival, target.path_.substr(objectsPrefix.size()), outbox);
+    } else if (target.path_ == "/control/row") {
+        setRow(state, arrival, now, outbox);
     } else {
-        outbox.outputs_.push_back(whole(arrival.exchange_, 404, "{}"));
+        takeStoreCall(state, arrival, target, now, outbox);
     }
 }
 
+void expireFeeds(PlatformState &state, TimePoint now, StandinOutbox &outbox)
+{
+    forEachRow(state.feeds_, [&](PoolId<WaitingFeed> id, const WaitingFeed &feed) {
+        if (feed.until_ <= now) {
+            send(state, whole(feed.exchange_, 200, rowsAnswer(state, {})), now, outbox);
+            eraseRow(state.feeds_, id);
+        }
+    });
+}
+
 } // namespace
 
 StandinOutbox tickPlatform(PlatformState &state, TimePoint now, StandinInbox inbox)
 {
     StandinOutbox outbox;
+    showListings(state, now, outbox);
     for (const Arrival &arrival : inbox.arrivals_) {
         takeArrival(state, arrival, now, outbox);
     }
+    expireFeeds(state, now, outbox);
     for (const PoolId<HeldAnswer> id : takeDue(state.deadlines_, now)) {
         if (HeldAnswer *held = findRow(state.held_, id); held != nullptr) {
             outbox.outputs_.push_back(std::move(held->output_));
@@ -207,7 +373,10 @@
 
 TimePoint nextPlatformDeadline(const PlatformState &state)
 {
-    return nextDeadline(state.deadlines_);
+    TimePoint next = nextDeadline(state.deadlines_);
+    forEachRow(state.feeds_,
+        [&next](PoolId<WaitingFeed> /*id*/, const WaitingFeed &feed) { next = std::min(next, feed.until_); });
+    return next;
 }
 
 } // namespace Burdockfield::Standin
--- /dev/null
+++ b/tests/standins/platform_upstream.cpp
@@ -0,0 +1,194 @@
+/**
+ * @file platform_upstream.cpp
+ * @brief Stand-in of an upstream of the users' platform.
+ */
+#include "platform_upstream_base.h"
+
+#include "digest_func.h"
+#include "header_names.h"
+#include "http_func.h"
+#include "json_func.h"
+
+#include <array>
+
+namespace Burdockfield::Standin {
+
+namespace {
+
+constexpr std::array<std::pair<std::string_view, UpstreamMode>, 6> upstreamModeNames{ {
+    { "good", UpstreamMode::Good },
+    { "mute", UpstreamMode::Mute },
+    { "reset", UpstreamMode::Reset },
+    { "failing", UpstreamMode::Failing },
+    { "full", UpstreamMode::Full },
+    { "crossed", UpstreamMode::Crossed },
+} };
+
+constexpr std::string_view streamMark = "/stream/"; ///< Targets with it are answered by events.
+
+void writeLedger(StandinOutbox &outbox, const UpstreamRun &run, const char *event)
+{
+    outbox.ledger_.push_back(
+        Json::serialize(Json::object{ { "event", event }, { "request", run.id_ }, { "prompt", run.text_ } }));
+}
+
+HttpReply makeReply(int status, const UpstreamRun &run)
+{
+    HttpReply reply;
+    reply.status_ = status;
+    const std::string id = run.mode_ == UpstreamMode::Crossed ? run.id_ + "-other" : run.id_;
+    reply.headers_.emplace_back(Platform::requestIdHeader, id);
+    reply.headers_.emplace_back(Platform::signatureHeader, hexText(fastHash(id)));
+    return reply;
+}
+
+HttpReply makePromise(int status)
+{
+    HttpReply reply;
+    reply.status_ = status;
+    reply.headers_.emplace_back(Platform::notRunHeader, "1");
+    return reply;
+}
+
+void takeRun(UpstreamStandinState &state, const Arrival &arrival, TimePoint now, StandinOutbox &outbox)
+{
+    const HttpRequest &request = arrival.request_;
+    const std::string_view expected = findHeader(request.headers_, Platform::instanceHeader);
+    if (!expected.empty() && expected != state.instance_) {
+        outbox.outputs_.push_back({ arrival.exchange_, ServerOutput::Kind::Whole, makePromise(421), {} });
+        return;
+    }
+    if (state.mode_ == UpstreamMode::Full) {
+        outbox.outputs_.push_back({ arrival.exchange_, ServerOutput::Kind::Whole, makePromise(503), {} });
+        return;
+    }
+    UpstreamRun run;
+    run.exchange_ = arrival.exchange_;
+    run.id_ = findHeader(request.headers_, Platform::requestIdHeader);
+    run.streamed_ = request.target_.find(streamMark) != std::string::npos;
+    run.text_ = echoOf(request.target_, request.body_);
+    run.mode_ = state.mode_;
+    run.nextEvent_ = numberOr(findHeader(request.headers_, Platform::resumeHeader), 0) + 1;
+    run.dueAt_ = now + state.step_;
+    writeLedger(outbox, run, "started");
+    const TimePoint due = run.dueAt_;
+    pushDeadline(state.deadlines_, due, insertRow(state.runs_, std::move(run)));
+}
+
+std::string eventText(const std::string &text, uint64_t number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + text + "-" + std::to_string(number) + "\n\n";
+}
+
+void finish(UpstreamStandinState &state, PoolId<UpstreamRun> id, StandinOutbox &outbox)
+{
+    writeLedger(outbox, *findRow(state.runs_, id), "finished");
+    eraseRow(state.runs_, id);
+}
+
+void stepStream(
+    UpstreamStandinState &state, TimePoint now, PoolId<UpstreamRun> id, UpstreamRun &run, StandinOutbox &outbox)
+{
+    if (run.nextEvent_ > state.events_) {
+        outbox.outputs_.push_back({ run.exchange_, ServerOutput::Kind::End, {}, {} });
+        finish(state, id, outbox);
+        return;
+    }
+    if (run.dueAt_ != TimePoint{}) {
+        HttpReply head = makeReply(200, run);
+        head.headers_.emplace_back("Content-Type", "text/event-stream");
+        outbox.outputs_.push_back({ run.exchange_, ServerOutput::Kind::Head, std::move(head), {} });
+        run.dueAt_ = {};
+    }
+    const std::string event = eventText(run.text_, run.nextEvent_);
+    const bool breaks = run.mode_ == UpstreamMode::Reset && run.nextEvent_ == state.events_ / 2 + 1;
+    outbox.outputs_.push_back(
+        { run.exchange_, ServerOutput::Kind::Piece, {}, breaks ? event.substr(0, event.size() / 2) : event });
+    if (breaks) {
+        outbox.outputs_.push_back({ run.exchange_, ServerOutput::Kind::Break, {}, {} });
+        eraseRow(state.runs_, id);
+        return;
+    }
+    ++run.nextEvent_;
+    pushDeadline(state.deadlines_, now + state.step_, id);
+}
+
+void stepRun(UpstreamStandinState &state, TimePoint now, PoolId<UpstreamRun> id, StandinOutbox &outbox)
+{
+    UpstreamRun *run = findRow(state.runs_, id);
+    if (run == nullptr || run->mode_ == UpstreamMode::Mute) {
+        return;
+    }
+    if (run->mode_ == UpstreamMode::Failing) {
+        outbox.outputs_.push_back({ run->exchange_, ServerOutput::Kind::Whole, makeReply(500, *run), {} });
+        finish(state, id, outbox);
+    } else if (run->streamed_) {
+        stepStream(state, now, id, *run, outbox);
+    } else if (run->mode_ == UpstreamMode::Reset) {
+        outbox.outputs_.push_back({ run->exchange_, ServerOutput::Kind::Break, {}, {} });
+        finish(state, id, outbox);
+    } else {
+        HttpReply reply = makeReply(200, *run);
+        reply.body_ = run->text_;
+        outbox.outputs_.push_back({ run->exchange_, ServerOutput::Kind::Whole, std::move(reply), {} });
+        finish(state, id, outbox);
+    }
+}
+
+void takeControl(UpstreamStandinState &state, const Arrival &arrival, StandinOutbox &outbox)
+{
+    Json::value document;
+    JsonReader reader = readJsonObject(arrival.request_.body_, document);
+    readName(reader, "mode", state.mode_, upstreamModeNames, Presence::Optional);
+    read(reader, "step_ms", state.step_, Presence::Optional);
+    read(reader, "events", state.events_, Presence::Optional);
+    outbox.outputs_.push_back(
+        { arrival.exchange_, ServerOutput::Kind::Whole, jsonReply(reader.error_ ? 400 : 200, "{}"), {} });
+}
+
+void dropDeparted(UpstreamStandinState &state, const StandinInbox &inbox)
+{
+    for (const Departure &departure : inbox.departures_) {
+        forEachRow(state.runs_, [&](PoolId<UpstreamRun> id, const UpstreamRun &run) {
+            if (run.exchange_ == departure.exchange_) {
+                eraseRow(state.runs_, id);
+            }
+        });
+    }
+}
+
+} // namespace
+
+std::string echoOf(const std::string &target, const std::string &body)
+{
+    return hexText(fastHash(target + "\n" + body));
+}
+
+std::string eventOf(const std::string &target, const std::string &body, uint64_t number)
+{
+    return eventText(echoOf(target, body), number);
+}
+
+StandinOutbox tickUpstream(UpstreamStandinState &state, TimePoint now, StandinInbox inbox)
+{
+    StandinOutbox outbox;
+    dropDeparted(state, inbox);
+    for (const Arrival &arrival : inbox.arrivals_) {
+        if (arrival.request_.target_ == "/control") {
+            takeControl(state, arrival, outbox);
+        } else {
+            takeRun(state, arrival, now, outbox);
+        }
+    }
+    for (const PoolId<UpstreamRun> id : takeDue(state.deadlines_, now)) {
+        stepRun(state, now, id, outbox);
+    }
+    return outbox;
+}
+
+TimePoint nextUpstreamDeadline(const UpstreamStandinState &state)
+{
+    return nextDeadline(state.deadlines_);
+}
+
+} // namespace Burdockfield::Standin
--- a/tests/standins/standin_main.cpp
+++ b/tests/standins/standin_main.cpp
@@ -1,11 +1,12 @@
 /**
  * @file standin_main.cpp
- * @brief Program burdockfield-standin: a model engine, a plain service or the platform, for tests.
+ * @brief Program burdockfield-standin: a model engine, a service, an upstream or the platform, for tests.
  */
 #include "engine_base.h"
 #include "link_func.h"
 #include "platform_base.h"
 #include "service_base.h"
+#include "platform_upstream_base.h"
 
 #include <CLI/CLI.hpp>
 
@@ -39,10 +40,14 @@
     EngineState engine;
     ServiceState service;
     PlatformState platform;
+    UpstreamStandinState upstream;
     int64_t durationMs = service.duration_.count();
     CLI::App *engineCommand = app.add_subcommand("engine", "Model engine");
     CLI::App *serviceCommand = app.add_subcommand("service", "Plain service");
     CLI::App *platformCommand = app.add_subcommand("platform", "Table service, object store and VM list");
+    CLI::App *upstreamCommand = app.add_subcommand("upstream", "Upstream of the users' platform");
+    addPlace(*upstreamCommand, place);
+    upstreamCommand->add_option("--instance", upstream.instance_, "Name of this start");
     addPlace(*engineCommand, place);
     addPlace(*serviceCommand, place);
     addPlace(*platformCommand, place);
@@ -61,6 +66,9 @@
     if (serviceCommand->parsed()) {
         return runStandin(place, std::move(service), tickService, nextServiceDeadline);
     }
+    if (upstreamCommand->parsed()) {
+        return runStandin(place, std::move(upstream), tickUpstream, nextUpstreamDeadline);
+    }
     if (linkCommand->parsed()) {
         return runLink(link);
     }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -10,11 +10,12 @@
 #include "engine_wire.h"
 #include "error_type.h"
 #include "fleet_func.h"
-#include "platform_wire.h"
 #include "run_wire.h"
 #include "settings_func.h"
 #include "status_wire.h"
+#include "store_wire.h"
 #include "trace_wire.h"
+#include "vm_wire.h"
 
 #include <array>
 #include <doctest/doctest.h>
@@ -98,7 +99,6 @@
     applyChanges(configuration, changes);
     const Plan plan = makePlan(Configuration{}, "p", changes).plan_;
     const ConfirmedChange confirmed{ 1, "p", changes, "d" };
-    const StoreTransaction transaction{ { { { "t", "k" }, 1 } }, { { { "t", "k" }, "v", false } } };
     const std::string chat
         = R"({"model":"m","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"hi"}]})";
     std::vector<Sample> samples;
@@ -112,10 +112,9 @@
     samples.push_back(textSample(serializePlan(plan), parsePlan));
     samples.push_back(textSample(serializeConfirmedChange(confirmed), parseConfirmedChange));
     samples.push_back(textSample(serializeConfirmedChanges({ confirmed }), parseConfirmedChanges));
-    samples.push_back(textSample(serializeTransaction(transaction), parseTransaction));
-    samples.push_back(textSample(serializeRows({ { { "t", "k" }, "v", 3 } }), parseRows));
     samples.push_back(
-        textSample(serializeVms({ { "n", VmRole::Upstream, "a:1", "r", "z", { "m" }, true } }), parseVms));
+        textSample(R"({"rows":[{"table":"t","key":"k","value":"dg==","ver":3}],"ver":3})", Platform::parseTableRead));
+    samples.push_back(textSample(serializeVm({ "n", VmRole::Upstream, "a:1", "r", "z", { "m" }, true }), parseVm));
     samples.push_back(textSample(serializeClaim({ { "r", 1 }, "a:1", 5, "d" }), parseClaim));
     samples.push_back(textSample(serializeTraceRecord(TraceRecord{}), parseTraceRecord));
     samples.push_back(textSample(R"({"slots":4,"models":["m"]})", parseLoad));
