Tell a request's way and its cause from the logs of several processes

burdockfield explain ID FILE... merges the lines that name the request, shows what changed at its nodes and upstreams, and names the cause.

--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -3,9 +3,11 @@
  * @brief Commands of the operators' program.
  */
 #include "cli_func.h"
+#include "explain_func.h"
 
 #include "changes_file.h"
 #include "configuration_wire.h"
+#include "error_type.h"
 #include "http_call.h"
 #include "settings_func.h"
 #include "trace_wire.h"
@@ -102,6 +104,27 @@
     return ExitStatus::Done;
 }
 
+ExitStatus explainCommand(const std::string &request, const std::vector<std::string> &files)
+{
+    std::vector<ExplainedLine> lines;
+    for (const std::string &file : files) {
+        std::ifstream stream(file);
+        if (!stream) {
+            std::cerr << file << ": " << make_error_code(SettingsErrc::CannotRead).message() << '\n';
+            return ExitStatus::Usage;
+        }
+        std::vector<ExplainedLine> read = readLog(stream);
+        std::move(read.begin(), read.end(), std::back_inserter(lines));
+    }
+    const Explanation explanation = explainRequest(request, lines);
+    if (explanation.cause_.empty()) {
+        std::cerr << "no line names " << request << '\n';
+        return ExitStatus::Refused;
+    }
+    std::cout << describe(explanation);
+    return ExitStatus::Done;
+}
+
 ExitStatus statusCommand(const std::string &address)
 {
     std::string body;
--- a/src/cli_func.h
+++ b/src/cli_func.h
@@ -26,6 +26,9 @@
 /// Prints the status of a node.
 ExitStatus statusCommand(const std::string &address);
 
+/// Explains a request by the logs of several processes.
+ExitStatus explainCommand(const std::string &request, const std::vector<std::string> &files);
+
 /// Prints the configuration in force at an entry.
 ExitStatus configurationCommand(const std::string &control);
 
--- a/src/cli_main.cpp
+++ b/src/cli_main.cpp
@@ -21,6 +21,7 @@
     std::string file_; ///< Settings, changes or plan file.
     std::string address_ = "127.0.0.1:8081"; ///< Node.
     std::string out_ = "plan.json"; ///< Where a plan is written.
+    std::vector<std::string> files_; ///< Logs to explain a request by.
     std::string name_; ///< Subject of a change.
     std::string kind_; ///< Kind of the subject.
     std::string rule_ = "repeatable"; ///< Dispatch rule of a route.
@@ -188,6 +189,10 @@
     CLI::App *check = addCommand(app, "check-settings", "Check a settings file");
     check->add_option("file", arguments.file_, "Settings file")->required();
     check->callback([&arguments] { arguments.status_ = checkSettingsCommand(arguments.file_); });
+    CLI::App *explain = addCommand(app, "explain", "Tell from logs what happened to a request, and why");
+    explain->add_option("request", arguments.name_, "Id of the request")->required();
+    explain->add_option("files", arguments.files_, "Logs of any processes")->required();
+    explain->callback([&arguments] { arguments.status_ = explainCommand(arguments.name_, arguments.files_); });
     CLI::App *status = addCommand(app, "status", "Print the status of a node");
     status->add_option("address", arguments.address_, "Control IP:PORT of an entry, or IP:PORT of an agent");
     status->callback([&arguments] { arguments.status_ = statusCommand(arguments.address_); });
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -32,8 +32,8 @@
     return (static_cast<uint64_t>(device()) << 32U) | device();
 }
 
-void readStore(HttpClient &client, const std::string &platform, const StoreKey &key,
-    std::function<void(StoreResult)> done)
+void readStore(
+    HttpClient &client, const std::string &platform, const StoreKey &key, std::function<void(StoreResult)> done)
 {
     const auto judge = [key, done = std::move(done)](std::error_code error, const HttpReply &reply) {
         done(Platform::judgeRow(error, reply, key));
--- a/src/daemon_func.h
+++ b/src/daemon_func.h
@@ -40,8 +40,8 @@
 uint64_t seedOf(const Settings &settings);
 
 /// Reads a row of the store.
-void readStore(HttpClient &client, const std::string &platform, const StoreKey &key,
-    std::function<void(StoreResult)> done);
+void readStore(
+    HttpClient &client, const std::string &platform, const StoreKey &key, std::function<void(StoreResult)> done);
 
 /// Runs a transaction of the store.
 void writeStore(HttpClient &client, const std::string &platform, const StoreTransaction &transaction,
--- /dev/null
+++ b/tests/explain_test.cpp
@@ -0,0 +1,63 @@
+/**
+ * @file explain_test.cpp
+ * @brief From a request's id to its cause.
+ */
+#include "explain_func.h"
+
+#include <doctest/doctest.h>
+#include <sstream>
+
+using namespace Burdockfield;
+
+namespace {
+
+/// Logs of two nodes, out of order and between lines of other programs.
+struct ExplainFixture
+{
+    Explanation explain(const std::string &request)
+    {
+        std::istringstream stream(text_);
+        return explainRequest(request, readLog(stream));
+    }
+
+    std::string text_
+        = R"(22.1 node-1 {"time":"2026-01-01T00:00:02.5Z","node":"n1","event":"send-failed","request":"r1","upstream":"u1","attempt":"1","error":"lost","status":"none","after_ms":"40"}
+not a line of the log
+{"time":"2026-01-01T00:00:03.0Z","node":"n1","event":"refused","request":"r1","reason":"upstream-failed","workspace":"w"}
+{"time":"2026-01-01T00:00:01.0Z","node":"n1","event":"store-lost","error":"timed-out"}
+{"time":"2026-01-01T00:00:02.0Z","node":"n1","event":"sent","request":"r1","upstream":"u1"}
+{"time":"2026-01-01T00:00:02.2Z","node":"n2","event":"upstream","upstream":"u1","change":"removed"}
+{"time":"2026-01-01T00:00:02.2Z","node":"n2","event":"upstream","upstream":"u2","change":"removed"}
+{"time":"2026-01-01T00:00:09.0Z","node":"n1","event":"store-regained"}
+{"time":"2026-01-01T00:00:04.0Z","node":"n2","event":"refused","request":"r2","reason":"over-quota","workspace":"w"}
+)"; ///< The logs.
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(ExplainFixture, "Explanation_WhenAnUpstreamFailed_NamesItAndTheError")
+{
+    const Explanation explanation = explain("r1");
+    REQUIRE(explanation.lines_.size() == 3);
+    CHECK(explanation.lines_[0].event_ == "sent");
+    CHECK(explanation.cause_.find("might not be repeated") != std::string::npos);
+    CHECK(explanation.cause_.find("attempt 1 at u1 failed after 40 ms: lost") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(ExplainFixture, "Explanation_WhenThingsChangedBefore_ShowsThoseOfItsNodesAndUpstreams")
+{
+    const Explanation explanation = explain("r1");
+    REQUIRE(explanation.around_.size() == 2);
+    CHECK(explanation.around_[0].event_ == "store-lost");
+    CHECK(explanation.around_[1].event_ == "upstream");
+}
+
+TEST_CASE_FIXTURE(ExplainFixture, "Explanation_WhenOverQuota_NamesTheWorkspace")
+{
+    CHECK(explain("r2").cause_ == "workspace w had used up its quota; the request has not run");
+}
+
+TEST_CASE_FIXTURE(ExplainFixture, "Explanation_WhenNoLineNamesTheRequest_HasNoCause")
+{
+    CHECK(explain("r3").cause_.empty());
+}
--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -4,8 +4,8 @@
  */
 #include "gateway_fleet.h"
 #include "http_func.h"
-#include "process_fixture.h"
 #include "platform_upstream_base.h"
+#include "process_fixture.h"
 
 #include <fcntl.h>
 #include <future>
