Keep a call that comes before the first configuration for 200 ms; leave more headroom to urgent calls

A failed answer that is sent again left no log line.

Change: such calls wait for the configuration; headroom of the least urgent rank 0.8 -> 0.65 of an engine's slots.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -259,7 +259,8 @@
     }
     const Upstream *upstream = findRow(state.upstreams_, call->upstream_);
     const bool notRun = call->headSeen_ && (call->head_.notRun_ || call->head_.wrongInstance_);
-    const bool failed = event.error_ || notRun || !call->head_.genuine_;
+    const bool failed = event.error_ || notRun || !call->head_.genuine_
+        || (call->repeatable_ && call->head_.reply_.status_ >= serverErrorStatus);
     if (failed) {
         logFailedSend(*call, upstream, event.error_, now, outbox);
         count(state.metrics_, "sends_failed", event.error_ ? event.error_.message() : "answer-refused");
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -101,6 +101,14 @@
 
 using CallId = PoolId<Call>; ///< Index of a call.
 
+/// Call that came before a configuration was known.
+struct ParkedArrival
+{
+    ExchangeId exchange_; ///< Where the answer goes.
+    CallRequest request_; ///< What was asked.
+    TimePoint arrivedAt_{}; ///< When it came.
+};
+
 /// Quota of a workspace across all gateways: a bucket that fills at a steady rate.
 struct WorkspaceUse
 {
@@ -199,6 +207,7 @@
     std::unordered_map<uint64_t, CallId> callByExchange_; ///< Index by exchange.
     std::unordered_map<uint64_t, CallId> callBySend_; ///< Index by send.
     size_t bodyBytes_ = 0; ///< Bytes of the bodies of all calls.
+    std::vector<ParkedArrival> parked_; ///< Calls that came before the first configuration.
     std::vector<CallId> waiting_; ///< Calls that wait for room.
     DeadlineQueue<Call> deadlines_; ///< When calls have to be looked at.
     uint64_t nextSend_ = 1; ///< Number of the next send.
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// Part of an engine's slots that calls may fill, by ranks below the most urgent one of the service.
-constexpr std::array<double, 3> engineHeadroom{ 1.1, 1.0, 0.8 };
+constexpr std::array<double, 3> engineHeadroom{ 1.1, 1.0, 0.65 };
 constexpr double plainHeadroom = 1.34; ///< The same for plain services, whose short queues cost little.
 constexpr double otherRegionCost = 0.15; ///< Load difference that a way to another region is worth.
 constexpr double otherZoneCost = 0.03; ///< The same for another availability zone of the region.
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -19,6 +19,9 @@
 /// @return when a stopping node has to go on with its stop.
 TimePoint nextStopDeadline(const GatewayState &state);
 
+/// @return when calls that wait for the first configuration have to be refused.
+TimePoint nextParkedDeadline(const GatewayState &state);
+
 /// @return when a call has to be looked at again.
 TimePoint nextCallCheck(const Call &call);
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -7,6 +7,7 @@
 #include "digest_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Burdockfield::Gateway {
 
@@ -14,6 +15,8 @@
 
 constexpr double waitShare = 0.6; ///< Part of the objective that a new call may wait for room.
 constexpr Milliseconds returnMargin{ 60 }; ///< A wait shorter than the longest by more belongs to a returned call.
+constexpr Milliseconds parkedTime{ 200 }; ///< A fresh process has its configuration after some ten ms.
+constexpr size_t parkedLimit = 200; ///< Calls that may wait for the first configuration.
 constexpr Milliseconds drainNotice{ 2600 }; ///< Time until the balancer has left off: two misses, a second apart.
 constexpr Milliseconds killMargin{ 400 }; ///< Time kept before SIGKILL for the last answers to go out.
 
@@ -158,18 +161,42 @@
     pushDeadline(state.deadlines_, row.waitUntil_, id);
 }
 
+/// Admits what came before the configuration, or refuses it if that does not come soon.
+void admitParked(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
+{
+    std::vector<ParkedArrival> parked = std::exchange(state.parked_, {});
+    for (ParkedArrival &item : parked) {
+        if (state.configuration_.version_ == 0 && now - item.arrivedAt_ < parkedTime) {
+            state.parked_.push_back(std::move(item));
+            continue;
+        }
+        const auto waited = std::chrono::duration_cast<Milliseconds>(now - item.arrivedAt_);
+        if (item.request_.wait_) {
+            item.request_.wait_ = std::max(Milliseconds(1), *item.request_.wait_ - waited);
+        }
+        CallArrived arrival{ item.exchange_, std::move(item.request_) };
+        admit(state, now, arrival, outbox);
+    }
+}
+
 } // namespace
 
 void runIntake(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
 {
+    admitParked(state, now, outbox);
     for (CallArrived &arrival : inbox.arrivals_) {
-        admit(state, now, arrival, outbox);
+        if (state.configuration_.version_ == 0 && state.parked_.size() < parkedLimit) {
+            state.parked_.push_back({ arrival.exchange_, std::move(arrival.request_), now });
+        } else {
+            admit(state, now, arrival, outbox);
+        }
     }
 }
 
 void runDepartures(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
 {
     for (const ExchangeId exchange : inbox.departures_) {
+        std::erase_if(state.parked_, [exchange](const auto &item) { return item.exchange_ == exchange; });
         const auto found = state.callByExchange_.find(exchange.value_);
         Call *call = found == state.callByExchange_.end() ? nullptr : findRow(state.calls_, found->second);
         if (call == nullptr) {
@@ -214,6 +241,11 @@
     return state.stopAt_ + (state.listening_ ? drainNotice : state.bounds_.grace_ - killMargin);
 }
 
+TimePoint nextParkedDeadline(const GatewayState &state)
+{
+    return state.parked_.empty() ? noDeadline : state.parked_.front().arrivedAt_ + parkedTime;
+}
+
 bool isReady(const GatewayState &state)
 {
     return !state.stopping_ && state.configuration_.version_ != 0 && state.upstreams_.size_ > 0;
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -227,7 +227,8 @@
 
 TimePoint nextGatewayDeadline(const GatewayState &state)
 {
-    return std::min({ nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state) });
+    return std::min({ nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state),
+        nextParkedDeadline(state) });
 }
 
 } // namespace Burdockfield::Gateway
