Let entries be told of other entries by settings

Change: the setting seeds names other entries' control addresses; they stand until the VM list comes.

--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -406,6 +406,8 @@
 {
     const Settings &settings = daemon.settings_;
     daemon.loop_.state_ = makeEntryState(settings.place_, settings.entryPolicy_, seedOf(settings));
+    daemon.loop_.state_.peers_ = settings.seeds_; // until the VM list tells of the others
+    std::erase(daemon.loop_.state_.peers_, settings.control_);
     daemon.loop_.tick_ = tickEntry;
     daemon.loop_.nextDeadline_ = nextEntryDeadline;
     connectLoop(daemon, executeOutbox);
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -444,7 +444,7 @@
 void learnSeeds(GatewayDaemon &daemon)
 {
     const auto own = parseEndpoint(daemon.settings_.gateway_.peer_);
-    for (const std::string &seed : daemon.settings_.gateway_.seeds_) {
+    for (const std::string &seed : daemon.settings_.seeds_) {
         if (const auto endpoint = parseEndpoint(seed); endpoint && own) {
             daemon.inbox_.peerAddresses_.push_back(endpoint->address().to_string() + ":" + std::to_string(own->port()));
         }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -443,7 +443,7 @@
     readAddress(reader, "metrics", settings.gateway_.metrics_);
     readSize(reader, "memory", settings.gateway_.memoryBytes_, memoryBytesBound);
     readFlag(reader, "first_start", settings.gateway_.firstStart_);
-    readSeeds(reader, settings.gateway_.seeds_);
+    readSeeds(reader, settings.seeds_);
     readZones(reader, settings.gateway_.regionByZone_);
     readBounds(reader, settings.gateway_.bounds_);
     settings.place_.address_ = settings.gateway_.peer_;
@@ -458,8 +458,10 @@
     }
     if (settings.role_ == Role::Entry) {
         checkKeys(reader,
-            { "role", "name", "region", "zone", "listen", "control", "platform", "log", "seed", "limits", "policy" });
+            { "role", "name", "region", "zone", "listen", "control", "platform", "log", "seed", "seeds", "limits",
+                "policy" });
         readAddress(reader, "control", settings.control_);
+        readSeeds(reader, settings.seeds_);
         readLimits(reader, settings);
         readEntryPolicy(reader, settings);
         settings.place_.address_ = settings.control_;
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -35,7 +35,6 @@
     std::string ready_; ///< IP:PORT at which the balancer asks.
     std::string peer_; ///< IP:PORT for other gateways, the same port on all nodes.
     std::string metrics_; ///< IP:PORT for operators.
-    std::vector<std::string> seeds_; ///< IP:PORT of nodes that may know others; only the IP counts.
     std::map<std::string, std::string> regionByZone_; ///< Regions of all availability zones.
     bool firstStart_ = false; ///< Whether the whole system starts for the first time.
     size_t memoryBytes_ = 128U << 20U; ///< Memory of the process.
@@ -49,7 +48,8 @@
     NodePlace place_; ///< Where it stands; its address is that for peers.
     std::string listen_; ///< IP:PORT for callers (entry) or for entries (agent).
     std::string control_; ///< IP:PORT for operators and peers; entry only.
-    std::string platform_; ///< IP:PORT of the platform's services.
+    std::string platform_; ///< IP:PORT of the platform's store.
+    std::vector<std::string> seeds_; ///< IP:PORT of nodes of the same role that may be asked for others.
     LogLevel logLevel_ = LogLevel::Info; ///< Least severe log line.
     std::optional<uint64_t> seed_; ///< Seed of random numbers; drawn when absent.
     ServerLimits limits_; ///< Bounds on callers' requests.
