Add a fault soak of real gateways

Real processes on loopback; callers that keep their connections; upstreams and the store behind links that silence, deafen, reset, slow and cut; gateways paused, killed, stopped and restarted; upstreams killed or set to mute, reset, failing, full or crossed; the store down, busy, silent, losing answers or history; configurations and drains in between. It checks whole answers, at most once, not run, planned stops, removed keys and service after recovery.

--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr const char *platform = "platform";
+constexpr size_t addressesPerUpstream = 3; ///< The upstream's, its link's and the link's control.
 
 std::string readyAddress(const Fleet &fleet, const std::string &gateway)
 {
@@ -40,12 +41,16 @@
     fleet.entries_.push_back(name);
 }
 
-void addUpstreams(
-    Fleet &fleet, const std::string &service, uint32_t count, const std::vector<std::string> &addresses, size_t &next)
+void addUpstreams(Fleet &fleet, const std::string &service, uint32_t count, bool linked,
+    const std::vector<std::string> &addresses, size_t &next)
 {
     for (uint32_t index = 1; index <= count; ++index) {
         const std::string name = service + "-" + std::to_string(index);
-        addStandin(fleet, name, addresses[next++], { "upstream", "--instance", name });
+        addStandin(fleet, name, addresses[next], { "upstream", "--instance", name });
+        if (linked) {
+            addLink(fleet, name, addresses[next + 1], addresses[next + 2]);
+        }
+        next += addressesPerUpstream;
         fleet.upstreams_.push_back(name);
     }
 }
@@ -83,8 +88,11 @@
     const Fleet &fleet, const std::string &upstream, const std::string &state, uint32_t slots, bool remove)
 {
     const std::string service = upstream.substr(0, upstream.find('-'));
-    const Json::object value{ { "service", service }, { "address", fleet.processes_.at(upstream).address_ },
-        { "zone", "zone-1" }, { "slots", slots }, { "state", state }, { "born", 1 } };
+    const auto link = fleet.processes_.find(upstream + "-link");
+    const std::string &address
+        = link == fleet.processes_.end() ? fleet.processes_.at(upstream).address_ : link->second.address_;
+    const Json::object value{ { "service", service }, { "address", address }, { "zone", "zone-1" }, { "slots", slots },
+        { "state", state }, { "born", 1 } };
     writeRow(fleet,
         { { "table", Platform::upstreamTable }, { "key", upstream }, { "value", Json::serialize(value) },
             { "remove", remove } });
@@ -94,12 +102,12 @@
 {
     constexpr size_t gatewayAddresses = 6;
     makeFolder(fleet);
-    const auto addresses
-        = takeAddresses(1 + spec.engines_ + spec.desks_ + gatewayAddresses * static_cast<size_t>(spec.gateways_));
+    const auto addresses = takeAddresses(1 + addressesPerUpstream * (spec.engines_ + spec.desks_)
+        + gatewayAddresses * static_cast<size_t>(spec.gateways_));
     size_t next = 0;
     addStandin(fleet, platform, addresses[next++], { "platform" });
-    addUpstreams(fleet, "engines", spec.engines_, addresses, next);
-    addUpstreams(fleet, "desk", spec.desks_, addresses, next);
+    addUpstreams(fleet, "engines", spec.engines_, spec.linked_, addresses, next);
+    addUpstreams(fleet, "desk", spec.desks_, spec.linked_, addresses, next);
     for (uint32_t index = 1; index <= spec.gateways_; ++index) {
         const auto first = addresses.begin() + static_cast<ptrdiff_t>(next);
         addGateway(fleet, "gateway-" + std::to_string(index), spec.seed_ + index, { first, first + gatewayAddresses });
@@ -124,6 +132,11 @@
     });
 }
 
+void controlUpstreamLink(const Fleet &fleet, const std::string &upstream, const std::string &order)
+{
+    callNode(fleet.processes_.at(upstream + "-link").control_, "POST", order);
+}
+
 void controlStoreLink(const Fleet &fleet, const std::string &gateway, const std::string &order)
 {
     callNode(fleet.processes_.at(gateway + "-store").control_, "POST", order);
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -21,6 +21,7 @@
     uint32_t desks_ = 1; ///< Upstreams of the service "desk".
     uint32_t slots_ = 4; ///< Slots of each upstream.
     uint64_t seed_ = 1; ///< Seed of the gateways' random numbers.
+    bool linked_ = false; ///< Whether upstreams are reached through links.
 };
 
 /// What a caller of a gateway asks for.
@@ -43,7 +44,10 @@
 void writeUpstreamRow(
     const Fleet &fleet, const std::string &upstream, const std::string &state, uint32_t slots, bool remove = false);
 
-/// Tells the link between a gateway and the store what to do: "/silence", "/cut" or "/mend".
+/// Tells the link before an upstream, of a linked fleet, what to do.
+void controlUpstreamLink(const Fleet &fleet, const std::string &upstream, const std::string &order);
+
+/// Tells the link between a gateway and the store what to do, see runLink().
 void controlStoreLink(const Fleet &fleet, const std::string &gateway, const std::string &order);
 
 /// Makes a call to a gateway and waits for its end; status 0 when the answer was not whole.
--- /dev/null
+++ b/tests/soak_fixture.h
@@ -0,0 +1,59 @@
+/**
+ * @file soak_fixture.h
+ * @brief Randomized soak of real gateways under faults from outside, and the promises that it checks.
+ */
+#pragma once
+
+#include "gateway_fleet.h"
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Burdockfield::Testing {
+
+/// What a soak consists of.
+struct SoakSpec
+{
+    uint64_t seed_ = 1; ///< Seed of the schedule.
+    std::chrono::seconds length_{ 12 }; ///< Time under faults.
+    uint32_t gateways_ = 3; ///< Gateways.
+    uint32_t engines_ = 3; ///< Engines.
+    uint32_t desks_ = 2; ///< Plain servers.
+    uint32_t callers_ = 8; ///< Callers, each with a connection of its own.
+};
+
+/// What a caller saw of one call.
+struct SoakCall
+{
+    std::string id_; ///< Name of the request.
+    std::string target_; ///< Path.
+    int status_ = 0; ///< Status; 0 when none came.
+    bool whole_ = false; ///< Whether the answer came to its end.
+    std::string body_; ///< What came of the body.
+};
+
+/// Broken promise.
+struct SoakBreach
+{
+    std::string promise_; ///< Which.
+    std::string request_; ///< Request, or what else it befell.
+    std::string seen_; ///< What was seen.
+};
+
+/// Outcome of a soak.
+struct SoakReport
+{
+    std::vector<SoakCall> calls_; ///< Calls under faults.
+    std::vector<std::string> faults_; ///< What was done, in order.
+    std::vector<SoakBreach> breaches_; ///< Promises that were broken.
+};
+
+/// Runs a soak with a fleet of its own, and ends all that it started.
+SoakReport runSoak(const SoakSpec &spec);
+
+/// Checks what callers saw against what upstreams ran. @return the breaches
+std::vector<SoakBreach> judgeCalls(const std::vector<SoakCall> &calls, const std::vector<LedgerLine> &ledger);
+
+} // namespace Burdockfield::Testing
--- /dev/null
+++ b/tests/soak_test.cpp
@@ -0,0 +1,35 @@
+/**
+ * @file soak_test.cpp
+ * @brief Short seeded soak for CI, and the seeds that ever failed.
+ */
+#include "soak_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace Burdockfield;
+using namespace Burdockfield::Testing;
+
+namespace {
+
+/// Runs a seed and tells what it broke.
+struct SoakTestFixture
+{
+    void run(uint64_t seed, std::chrono::seconds length)
+    {
+        SoakSpec spec;
+        spec.seed_ = seed;
+        spec.length_ = length;
+        const SoakReport report = runSoak(spec);
+        for (const SoakBreach &breach : report.breaches_) {
+            FAIL_CHECK("seed " << seed << ": " << breach.promise_ << ": " << breach.request_ << ": " << breach.seen_);
+        }
+        CHECK(report.calls_.size() > 50);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(SoakTestFixture, "Promises_UnderAShortSoak_Hold")
+{
+    run(20261204, std::chrono::seconds(8));
+}
--- a/tests/standins/link.cpp
+++ b/tests/standins/link.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <list>
 
@@ -20,6 +21,7 @@
 using Tcp = Asio::ip::tcp;
 
 constexpr size_t relayBytes = 16384; ///< Bytes relayed at once.
+constexpr Milliseconds slowDelay{ 80 }; ///< Delay of each piece over a slow link.
 
 /// Pair of connections that are relayed to each other.
 struct LinkPair
@@ -27,6 +29,7 @@
     Tcp::socket near_; ///< From the caller.
     Tcp::socket far_; ///< To the target.
     bool silent_ = false; ///< Whether nothing more is relayed.
+    bool deaf_ = false; ///< Whether nothing more is relayed back to the caller.
 };
 
 using LinkPairPointer = std::shared_ptr<LinkPair>;
@@ -39,6 +42,7 @@
     Tcp::endpoint target_; ///< Where they lead.
     std::list<std::weak_ptr<LinkPair>> pairs_; ///< Open connections.
     bool cut_ = false; ///< Whether everything is closed.
+    bool slow_ = false; ///< Whether everything takes slowDelay longer.
 };
 
 void closePair(LinkPair &pair)
@@ -48,17 +52,33 @@
     pair.far_.close(ignored);
 }
 
-void relay(const LinkPairPointer &pair, Tcp::socket &from, Tcp::socket &to, Asio::yield_context yield)
+/// Closes both connections by a reset.
+void resetPair(LinkPair &pair)
 {
+    boost::system::error_code ignored;
+    pair.near_.set_option(Asio::socket_base::linger(true, 0), ignored);
+    pair.far_.set_option(Asio::socket_base::linger(true, 0), ignored);
+    closePair(pair);
+}
+
+void relay(const Link &link, const LinkPairPointer &pair, bool back, Asio::yield_context yield)
+{
+    Tcp::socket &from = back ? pair->far_ : pair->near_;
+    Tcp::socket &to = back ? pair->near_ : pair->far_;
+    Asio::steady_timer timer(from.get_executor());
     std::array<char, relayBytes> bytes{};
     boost::system::error_code error;
     while (!error) {
         const size_t count = from.async_read_some(Asio::buffer(bytes), yield[error]);
-        if (!error && !pair->silent_) {
+        if (!error && link.slow_) {
+            timer.expires_after(slowDelay);
+            timer.async_wait(yield[error]);
+        }
+        if (!error && !pair->silent_ && !(back && pair->deaf_)) {
             Asio::async_write(to, Asio::buffer(bytes, count), yield[error]);
         }
     }
-    if (!pair->silent_) {
+    if (!pair->silent_ && !pair->deaf_) {
         closePair(*pair);
     }
 }
@@ -76,11 +96,11 @@
         }
         pair->near_.set_option(Tcp::no_delay(true), error);
         pair->far_.set_option(Tcp::no_delay(true), error);
-        const auto back = [pair](Asio::yield_context inner) {
-            relay(pair, pair->far_, pair->near_, inner);
+        const auto back = [&link, pair](Asio::yield_context inner) {
+            relay(link, pair, true, inner);
         };
         Asio::spawn(link.io_, back, Asio::detached);
-        relay(pair, pair->near_, pair->far_, yield);
+        relay(link, pair, false, yield);
     };
     Asio::spawn(link.io_, body, Asio::detached);
 }
@@ -101,6 +121,7 @@
 void takeControl(Link &link, const std::string &target)
 {
     link.cut_ = target == "/cut";
+    link.slow_ = target == "/slow";
     for (const auto &weak : link.pairs_) {
         const LinkPairPointer pair = weak.lock();
         if (pair == nullptr) {
@@ -108,6 +129,10 @@
         }
         if (target == "/silence") {
             pair->silent_ = true;
+        } else if (target == "/deafen") {
+            pair->deaf_ = true;
+        } else if (target == "/reset") {
+            resetPair(*pair);
         } else if (target == "/cut") {
             closePair(*pair);
         }
