--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -75,6 +75,7 @@
     uint32_t routeRank_ = 0; ///< Urgency of the route, which orders calls of the same rank.
     uint32_t attemptLimit_ = 1; ///< Upstreams that it may be sent to.
     Milliseconds objective_{ 0 }; ///< Time within which the answer earns its full credit.
+    Milliseconds pauseObjective_{ 0 }; ///< Longest pause between events that is on time.
     uint64_t charge_ = 0; ///< Units taken from the workspace's quota.
     uint64_t fingerprint_ = 0; ///< Hash of path, workspace and body, the same for each return of the request.
     TimePoint arrivedAt_{}; ///< When it came.
--- a/src/gateway_call_type.h
+++ b/src/gateway_call_type.h
@@ -27,7 +27,6 @@
     std::string key_; ///< Key of the caller, or empty.
     std::optional<Milliseconds> wait_; ///< How long the caller waits, from now.
     std::optional<uint64_t> tokens_; ///< Prompt tokens and the bound on output tokens, together.
-    uint64_t promptTokens_ = 0; ///< Prompt tokens.
     std::optional<uint64_t> resumeAfter_; ///< Last event that the caller has, when it resumes a stream.
     HttpHeaders passedHeaders_; ///< Headers that go to the upstream as they came.
     std::shared_ptr<const std::string> body_; ///< Body.
@@ -42,14 +41,6 @@
     std::optional<uint64_t> resumeAfter_; ///< Event after which a stream goes on.
 };
 
-/// Load that an upstream told with an answer.
-struct LoadReport
-{
-    uint32_t running_ = 0; ///< Requests that run.
-    uint32_t waiting_ = 0; ///< Requests that wait there.
-    uint32_t slots_ = 0; ///< Requests that may run at once.
-};
-
 /// Header of an upstream's answer, decoded.
 struct AnswerHead
 {
@@ -58,7 +49,6 @@
     bool wrongInstance_ = false; ///< Another instance has the address; it has not run the request.
     bool genuine_ = false; ///< Signed by the upstream for this request, in a form that may be passed on.
     bool eventStream_ = false; ///< Whether the body is a stream of events.
-    std::optional<LoadReport> load_; ///< Load, if told.
 };
 
 /// Why a request was answered by the gateway itself.
@@ -74,7 +64,6 @@
     CrashSuspect, ///< The request has crashed upstreams.
     Expired, ///< The time ran out; the request may have run.
     UpstreamFailed, ///< The upstream failed; the request may have run.
-    Stopping, ///< The node is shutting down.
 };
 
 } // namespace Burdockfield::Gateway
--- a/src/gateway_command_type.h
+++ b/src/gateway_command_type.h
@@ -20,6 +20,7 @@
     CallRequest request_; ///< The caller's request.
     SendTerms terms_; ///< What is added to it.
     bool repeatable_ = false; ///< Whether it may run again elsewhere.
+    uint32_t connectionShare_ = 0; ///< Connections of the upstream that this gateway may hold; 0 if not bounded.
 };
 
 /// Answers a caller with the whole answer of an upstream.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -41,6 +41,9 @@
     call.head_ = Platform::makeSend(command.request_, command.terms_);
     call.body_ = command.request_.body_;
     call.repeatable_ = command.repeatable_;
+    if (command.connectionShare_ > 0) {
+        call.idleLimit_ = std::min<size_t>(call.idleLimit_, command.connectionShare_ / 2);
+    }
     call.isCrossed_ = [id = command.request_.id_](const HttpReply &reply) {
         return Platform::isCrossed(reply, id);
     };
@@ -238,11 +241,10 @@
     return handlers;
 }
 
-HttpReply textReplyOf(int status, std::string type, std::string body)
+HttpReply jsonReply(std::string body)
 {
     HttpReply reply;
-    reply.status_ = status;
-    reply.headers_.emplace_back("Content-Type", std::move(type));
+    reply.headers_.emplace_back("Content-Type", "application/json");
     reply.body_ = std::move(body);
     return reply;
 }
@@ -253,20 +255,20 @@
     GatewayState &state = daemon.state_;
     if (path == Platform::readyPath || path == "/readyz") {
         const bool ready = isReady(state);
-        return textReplyOf(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+        return textReply(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
     }
     if (path == "/metrics") {
         setGauge(state.metrics_, "calls_in_progress", static_cast<double>(state.calls_.size_));
         setGauge(state.metrics_, "upstream_connections_opened", static_cast<double>(daemon.link_.opened_));
-        return textReplyOf(200, "text/plain; version=0.0.4", serializeMetrics(state.metrics_));
+        return textReply(200, serializeMetrics(state.metrics_));
     }
     if (path == "/v1/status") {
-        return textReplyOf(200, "application/json", serializeGatewayStatus(state, Clock::now()));
+        return jsonReply(serializeGatewayStatus(state, Clock::now()));
     }
     if (path == snapshotPath) {
-        return textReplyOf(200, "application/json", serializeSnapshot(makeSnapshot(state)));
+        return jsonReply(serializeSnapshot(makeSnapshot(state)));
     }
-    return textReplyOf(path == "/healthz" ? 200 : 404, "text/plain", path == "/healthz" ? "ok\n" : "unknown path\n");
+    return textReply(path == "/healthz" ? 200 : 404, path == "/healthz" ? "ok\n" : "unknown path\n");
 }
 
 ServerHandlers innerHandlers(GatewayDaemon &daemon, HttpServer &server)
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -95,6 +95,16 @@
     return choice;
 }
 
+/// @return the part of an upstream's connections that falls to this gateway, 0 if they are not bounded.
+uint32_t connectionShareOf(const GatewayState &state, const std::string &service)
+{
+    const Service *rule = findService(state.configuration_, service);
+    if (rule == nullptr || rule->connectionLimit_ == 0) {
+        return 0;
+    }
+    return std::max(1U, rule->connectionLimit_ / static_cast<uint32_t>(1 + state.peers_.size_));
+}
+
 void send(GatewayState &state, TimePoint now, CallId id, Call &call, UpstreamId target, GatewayOutbox &outbox)
 {
     Upstream &upstream = *findRow(state.upstreams_, target);
@@ -119,6 +129,7 @@
     command.terms_.wait_ = std::chrono::duration_cast<Milliseconds>(call.deadline_ - now);
     command.terms_.resumeAfter_ = call.lastEvent_;
     command.repeatable_ = call.repeatable_;
+    command.connectionShare_ = connectionShareOf(state, call.service_);
     outbox.sends_.push_back(std::move(command));
     outbox.decisions_.push_back({ "sent",
         { { "request", call.request_.id_ }, { "upstream", upstream.id_ }, { "attempt", std::to_string(call.attempts_) },
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -108,6 +108,7 @@
     call.routeRank_ = route.rank_;
     call.attemptLimit_ = std::max(1U, route.attempts_);
     call.objective_ = route.objective_;
+    call.pauseObjective_ = route.pauseObjective_;
     call.lastEvent_ = call.request_.resumeAfter_;
     call.fingerprint_ = fingerprintOf(call.request_, call.workspace_);
     call.arrivedAt_ = now;
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -13,16 +13,19 @@
 constexpr Milliseconds firstEventSilence{ 1300 }; ///< Callers leave a stream without an event after two seconds.
 constexpr Milliseconds streamSilence{ 900 }; ///< Silence within a stream after which it goes on elsewhere.
 constexpr Milliseconds answerSilence{ 900 }; ///< Silence of a repeatable call that is not streamed.
+constexpr int silentObjectives = 3; ///< Silence in objectives for calls whose objective is long.
+constexpr int silentPauses = 4; ///< Silence in allowed pauses; callers leave after eight.
 constexpr double retryLeftShare = 0.3; ///< Callers honour a time to come back up to a third of what they have left.
 constexpr Milliseconds shortestRetry{ 50 }; ///< Least time to come back.
 constexpr Milliseconds longestRetry{ 1500 }; ///< Bound that keeps the answer late rather than lost.
 
 Milliseconds silenceBound(const Call &call)
 {
-    if (call.kind_ != CallKind::Streaming) {
-        return std::max(answerSilence, 3 * call.objective_);
+    if (call.streamBegun_) {
+        return std::max(streamSilence, silentPauses * call.pauseObjective_);
     }
-    return call.streamBegun_ ? streamSilence : firstEventSilence;
+    const Milliseconds least = call.kind_ == CallKind::Streaming ? firstEventSilence : answerSilence;
+    return std::max(least, silentObjectives * call.objective_);
 }
 
 bool mayGoElsewhere(const Call &call)
@@ -198,8 +201,6 @@
         return "expired";
     case RefusalReason::UpstreamFailed:
         return "upstream-failed";
-    case RefusalReason::Stopping:
-        return "stopping";
     }
     return "unknown";
 }
--- a/src/table/explain_names.h
+++ b/src/table/explain_names.h
@@ -17,7 +17,7 @@
     std::string_view text_; ///< Cause.
 };
 
-constexpr std::array<CausePattern, 16> causePatterns{ {
+constexpr std::array<CausePattern, 15> causePatterns{ {
     { "answered", "ok", "answered whole by {upstream} after {took_ms} ms" },
     { "answered", "upstream-error", "{upstream} answered with status {status}, which was passed on" },
     { "answered", "stream-broken", "its stream broke off after {events} events and might not go on elsewhere" },
@@ -33,7 +33,6 @@
     { "refused", "crash-suspect", "it has crashed upstreams that ran it; this time it has not run" },
     { "refused", "expired", "its time was over after {waited_ms} ms, without a whole answer" },
     { "refused", "upstream-failed", "an upstream failed it, and it might not be repeated" },
-    { "refused", "stopping", "the node was shutting down" },
 } };
 
 constexpr std::string_view sendFailedPattern
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -56,10 +56,11 @@
         connection->message_.reset();
     }
     connection->parser_.reset();
-    const bool keep = !error && connection->reusable_ && connection->written_ && connection->buffer_.size() == 0;
-    if (keep) {
+    const bool clean = !error && connection->reusable_ && connection->written_ && connection->buffer_.size() == 0;
+    auto &idle = link.idle_[connection->call_.address_];
+    if (clean && idle.size() < connection->call_.idleLimit_) {
         connection->idleSince_ = Clock::now();
-        link.idle_[connection->call_.address_].push_back(connection);
+        idle.push_back(connection);
     } else {
         closeConnection(connection);
     }
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -35,6 +35,7 @@
     std::string address_; ///< IP:PORT.
     HttpRequest head_; ///< Request without its body.
     std::shared_ptr<const std::string> body_; ///< Body.
+    size_t idleLimit_ = 8; ///< Connections to the upstream that are kept open without a call.
     bool repeatable_ = false; ///< Whether it may be lost to a connection that the upstream is about to close.
     std::function<bool(const HttpReply &)> isCrossed_; ///< Whether an answer belongs to another call.
 };
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -116,15 +116,14 @@
 }
 
 /// Adds an entry. @param seeds control addresses of all entries
-void addEntry(Fleet &fleet, uint32_t index, const std::string &listen, const std::string &control,
-    const std::string &seeds)
+void addEntry(
+    Fleet &fleet, uint32_t index, const std::string &listen, const std::string &control, const std::string &seeds)
 {
     const std::string name = "entry-" + std::to_string(index + 1);
     const auto &upstreams = fleet.spec_.upstreams_;
     const std::string region = upstreams.empty() ? "norte-a" : upstreams[index % upstreams.size()].region_;
     const std::string settings = commonSettings("entry", name, region, fleet.processes_[platformName].address_)
-        + "listen: " + listen + "\ncontrol: " + control + "\nseeds: [" + seeds + "]\n"
-        + fleet.spec_.entryLimits_
+        + "listen: " + listen + "\ncontrol: " + control + "\nseeds: [" + seeds + "]\n" + fleet.spec_.entryLimits_
         + "policy:\n  preset: " + fleet.spec_.preset_ + "\n" + fleet.spec_.entryPolicy_;
     addDaemon(fleet, name, listen, control, settings);
     fleet.entries_.push_back(name);
--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -149,13 +149,20 @@
 
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenToldToStop_FinishesItsCallsAndEndsWell")
 {
+    constexpr int streams = 8; // all slots of the engines
     controlStandin(fleet_, "engines-1", R"({"step_ms":550})");
     controlStandin(fleet_, "engines-2", R"({"step_ms":550})");
-    auto running = std::async(std::launch::async, [&] { return call("/stream/x", "r1"); });
-    REQUIRE(waitUntil([&] { return runsOf("r1") == 1; }));
+    std::vector<std::future<HttpReply>> running;
+    for (int index = 0; index < streams; ++index) {
+        const std::string id = "r" + std::to_string(index);
+        running.push_back(std::async(std::launch::async, [this, id] { return call("/stream/x", id); }));
+    }
+    REQUIRE(waitUntil([&] { return runsOf("r0") == 1 && runsOf("r7") == 1; }));
     signalProcess(fleet_, "gateway-1", SIGTERM);
     CHECK(waitUntil([&] { return !isGatewayReady(fleet_, "gateway-1"); }, Milliseconds(500)));
-    CHECK(running.get().body_ == wholeStream("/stream/x"));
+    for (auto &stream : running) {
+        CHECK(stream.get().body_ == wholeStream("/stream/x"));
+    }
     CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(5000)) == 0);
 }
 
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -59,7 +59,6 @@
     CHECK(call_.key_ == "k1");
     CHECK(call_.wait_ == Milliseconds(6000));
     CHECK(call_.tokens_ == 1540);
-    CHECK(call_.promptTokens_ == 1460);
 }
 
 TEST_CASE_FIXTURE(CallWireFixture, "Send_WhenMade_HoldsNoKeyAndNothingForged")
--- a/tests/standins/standin_main.cpp
+++ b/tests/standins/standin_main.cpp
@@ -5,8 +5,8 @@
 #include "engine_base.h"
 #include "link_func.h"
 #include "platform_base.h"
-#include "service_base.h"
 #include "platform_upstream_base.h"
+#include "service_base.h"
 
 #include <CLI/CLI.hpp>
 
