Leave a silent upstream only for one with room; let a begun stream wait for room as long as its caller

Cause: a stream whose upstream was silent for 0.9 s was taken away from it and broken off when no other upstream had room within the objective. Silence is no reason to end an answer.

Ruled out: an end of the process (its stops took 3 to 7.6 s with 0 to 3 calls left), and idle connections (eight streams through a stop all came whole).

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -21,7 +21,7 @@
 constexpr Milliseconds firstAvoidance{ 250 }; ///< Time without use after a failure to connect.
 constexpr Milliseconds longestAvoidance{ 4000 }; ///< The same after many failures in a row.
 constexpr uint32_t avoidanceDoublings = 4; ///< Failures after which the time no longer doubles.
-constexpr Milliseconds requeueWait{ 400 }; ///< Time that a repeated call may wait for room.
+constexpr Milliseconds leastRepeatTime{ 100 }; ///< Time that has to be left for a call to be sent again.
 constexpr int serverErrorStatus = 500; ///< Least status of a server's failure.
 
 Call *findSent(GatewayState &state, uint64_t send, CallId &id)
@@ -86,7 +86,7 @@
 
 bool mayRepeat(GatewayState &state, TimePoint now, const Call &call)
 {
-    return call.attempts_ < call.attemptLimit_ && call.deadline_ - now > requeueWait / 4
+    return call.attempts_ < call.attemptLimit_ && call.deadline_ - now > leastRepeatTime
         && !isCrashSuspect(state, now, call.fingerprint_) && takeRepeat(state, call.service_);
 }
 
@@ -121,8 +121,7 @@
     ++call.connectFailures_;
     detachFromUpstream(state, call, false, outbox);
     if (call.connectFailures_ < connectAttemptLimit) {
-        call.waitUntil_ = std::min(call.deadline_, std::max(call.waitUntil_, now + requeueWait));
-        requeue(state, id);
+        requeue(state, now, id);
         return;
     }
     refuse(state, now, id, RefusalReason::NoUpstream, outbox);
@@ -143,8 +142,7 @@
     }
     const bool again = elsewhere ? call.connectFailures_ < connectAttemptLimit : mayRepeat(state, now, call);
     if (again) {
-        call.waitUntil_ = std::min(call.deadline_, std::max(call.waitUntil_, now + requeueWait));
-        requeue(state, id);
+        requeue(state, now, id);
         return;
     }
     refuse(state, now, id, RefusalReason::NotRunThere, outbox);
@@ -160,8 +158,7 @@
     }
     detachFromUpstream(state, call, false, outbox);
     if (call.repeatable_ && mayRepeat(state, now, call)) {
-        call.waitUntil_ = std::min(call.deadline_, now + requeueWait);
-        requeue(state, id);
+        requeue(state, now, id);
         return;
     }
     if (call.streamBegun_) {
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -130,19 +130,22 @@
     command.terms_.resumeAfter_ = call.lastEvent_;
     command.repeatable_ = call.repeatable_;
     command.connectionShare_ = connectionShareOf(state, call.service_);
-    outbox.sends_.push_back(std::move(command));
     outbox.decisions_.push_back({ "sent",
         { { "request", call.request_.id_ }, { "upstream", upstream.id_ }, { "attempt", std::to_string(call.attempts_) },
             { "route", call.routeName_ }, { "rank", std::to_string(call.rank_) },
             { "own", std::to_string(upstream.ownInFlight_) }, { "peers", std::to_string(upstream.peerInFlight_) },
             { "slots", std::to_string(upstream.slots_) }, { "waited_ms", millisecondsText(now - call.arrivedAt_) },
             { "left_ms", std::to_string(command.terms_.wait_.count()) } } });
+    outbox.sends_.push_back(std::move(command));
     pushDeadline(state.deadlines_, nextCallCheck(call), id);
 }
 
-/// More urgent calls first, then those that can still be on time, then by arrival.
+/// Streams that have begun first, then more urgent calls, those that can still be on time, and by arrival.
 bool goesBefore(const Call &left, const Call &right)
 {
+    if (left.streamBegun_ != right.streamBegun_) {
+        return left.streamBegun_;
+    }
     if (left.rank_ != right.rank_) {
         return left.rank_ < right.rank_;
     }
@@ -183,6 +186,17 @@
         state.waiting_, [&state](CallId id) { return findRow(state.calls_, id)->stage_ != CallStage::Waiting; });
 }
 
+bool hasRoomElsewhere(const GatewayState &state, TimePoint now, const Call &call)
+{
+    bool found = false;
+    forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
+        found = found
+            || (upstream.service_ == call.service_ && id != call.upstream_ && isUsable(upstream, now)
+                && hasRoom(state, upstream, call.routeRank_));
+    });
+    return found;
+}
+
 double failureRateAt(const Upstream &upstream, TimePoint now)
 {
     const double halfLives = std::chrono::duration<double>(now - upstream.failureAt_) / failureHalfLife;
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -64,6 +64,9 @@
 /// Sends waiting calls to upstreams with room.
 void runDispatch(GatewayState &state, TimePoint now, GatewayOutbox &outbox);
 
+/// @return whether another upstream than the call's present one has room for it.
+bool hasRoomElsewhere(const GatewayState &state, TimePoint now, const Call &call);
+
 /// Takes units from a workspace's quota. @return whether there were enough
 bool takeQuota(GatewayState &state, TimePoint now, const WorkspaceRule &rule, uint64_t units);
 
@@ -97,8 +100,8 @@
 /// Removes an ended call from the tables.
 void eraseCall(GatewayState &state, CallId id);
 
-/// Puts a call back into the queue.
-void requeue(GatewayState &state, CallId id);
+/// Puts a call back into the queue and extends its wait.
+void requeue(GatewayState &state, TimePoint now, CallId id);
 
 /// Brings an upstream's failure rate up to date with one more outcome.
 void noteOutcome(Upstream &upstream, TimePoint now, bool failed);
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -13,8 +13,10 @@
 constexpr Milliseconds firstEventSilence{ 1300 }; ///< Callers leave a stream without an event after two seconds.
 constexpr Milliseconds streamSilence{ 900 }; ///< Silence within a stream after which it goes on elsewhere.
 constexpr Milliseconds answerSilence{ 900 }; ///< Silence of a repeatable call that is not streamed.
+constexpr Milliseconds silenceRecheck{ 100 }; ///< Time between looks for room for a call whose upstream is silent.
 constexpr int silentObjectives = 3; ///< Silence in objectives for calls whose objective is long.
 constexpr int silentPauses = 4; ///< Silence in allowed pauses; callers leave after eight.
+constexpr Milliseconds requeueWait{ 400 }; ///< Time that a call which has to be sent again may wait for room.
 constexpr double retryLeftShare = 0.3; ///< Callers honour a time to come back up to a third of what they have left.
 constexpr Milliseconds shortestRetry{ 50 }; ///< Least time to come back.
 constexpr Milliseconds longestRetry{ 1500 }; ///< Bound that keeps the answer late rather than lost.
@@ -59,11 +61,11 @@
     refuse(state, now, id, sent ? RefusalReason::Expired : RefusalReason::Overloaded, outbox);
 }
 
-/// Gives a silent upstream up so that the call can go elsewhere.
+/// Gives a silent upstream up if the call can go elsewhere now; silence alone is no reason to end it.
 void leaveSilent(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
 {
-    if (!takeRepeat(state, call.service_)) {
-        pushDeadline(state.deadlines_, call.deadline_, id);
+    if (!hasRoomElsewhere(state, now, call) || !takeRepeat(state, call.service_)) {
+        pushDeadline(state.deadlines_, std::min(call.deadline_, now + silenceRecheck), id);
         return;
     }
     Upstream *upstream = findRow(state.upstreams_, call.upstream_);
@@ -76,8 +78,7 @@
         true });
     call.mayHaveRun_ = true;
     detachFromUpstream(state, call, true, outbox);
-    call.waitUntil_ = std::min(call.deadline_, now + Milliseconds(call.objective_));
-    requeue(state, id);
+    requeue(state, now, id);
 }
 
 void checkCall(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
@@ -142,9 +143,12 @@
     }
 }
 
-void requeue(GatewayState &state, CallId id)
+void requeue(GatewayState &state, TimePoint now, CallId id)
 {
-    const Call &call = *findRow(state.calls_, id);
+    Call &call = *findRow(state.calls_, id);
+    // A stream that has begun can only be broken off, so that it waits as long as its caller does.
+    call.waitUntil_
+        = call.streamBegun_ ? call.deadline_ : std::min(call.deadline_, std::max(call.waitUntil_, now + requeueWait));
     state.waiting_.push_back(id);
     pushDeadline(state.deadlines_, nextCallCheck(call), id);
 }
--- a/tests/gateway_answer_test.cpp
+++ b/tests/gateway_answer_test.cpp
@@ -146,6 +146,34 @@
     CHECK(outbox.sends_[0].terms_.resumeAfter_ == 1);
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "Stream_WhenUpstreamFallsSilentAndNoOtherHasRoom_StaysWhereItIs")
+{
+    const uint64_t send = arrive("stream", 1).sends_.at(0).send_;
+    stream(send, "id: 1\ndata: a\n\n");
+    for (int step = 0; step < 30; ++step) {
+        now_ += Milliseconds(100);
+        const GatewayOutbox outbox = hearPeer("10.0.0.2:7000", { { "engine-1", 5 }, { "engine-2", 5 } });
+        CHECK(outbox.cancels_.empty());
+        CHECK(outbox.breaks_.empty());
+    }
+    CHECK(hearPeer("10.0.0.2:7000", {}).cancels_.empty());
+    now_ += Milliseconds(100);
+    CHECK(hearPeer("10.0.0.2:7000", {}).sends_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "Stream_WhenBrokenOffAndNoUpstreamHasRoom_WaitsUntilItsDeadline")
+{
+    const uint64_t send = arrive("stream", 1).sends_.at(0).send_;
+    stream(send, "id: 1\ndata: a\n\n");
+    hearPeer("10.0.0.2:7000", { { "engine-1", 9 }, { "engine-2", 9 } });
+    CHECK(end(send, TransportErrc::Lost).sends_.empty());
+    for (int step = 0; step < 20; ++step) {
+        now_ += Milliseconds(100);
+        CHECK(hearPeer("10.0.0.2:7000", { { "engine-1", 9 }, { "engine-2", 9 } }).breaks_.empty());
+    }
+    CHECK(hearPeer("10.0.0.2:7000", {}).sends_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "Call_WhenCallerLeaves_IsGivenUpAtTheUpstream")
 {
     const uint64_t send = arrive("stream", 1).sends_.at(0).send_;
