End a process whose log nobody reads

Cause: at its end the process waited for the lock of standard output, which the log's thread held in a write that did not come back (test Log_WhenItsReaderDoesNotRead_HoldsNothingUp failed: no exit within 5 s; 300 calls were all served).

--- a/src/daemon_main.cpp
+++ b/src/daemon_main.cpp
@@ -8,6 +8,7 @@
 #include "version_type.h"
 
 #include <CLI/CLI.hpp>
+#include <cstdlib>
 #include <iostream>
 
 int main(int argc, char **argv)
@@ -36,6 +37,8 @@
         status = runAgentDaemon(settings);
         break;
     }
-    stopLog();
+    if (!stopLog()) {
+        std::_Exit(status); // an ordinary exit would wait for the thread that is held up by the reader of the log
+    }
     return status;
 }
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -203,11 +203,11 @@
     writer().thread_.detach();
 }
 
-void stopLog()
+bool stopLog()
 {
     writer().lines_.try_push({});
     std::unique_lock lock(writer().mutex_);
-    writer().endedChanged_.wait_for(lock, stopTimeout, [] { return writer().ended_; });
+    return writer().endedChanged_.wait_for(lock, stopTimeout, [] { return writer().ended_; });
 }
 
 void logLine(LogLevel level, const std::string &event, const LogFields &fields)
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -25,8 +25,8 @@
  */
 void startLog(const std::string &program, const std::string &node, LogLevel level);
 
-/// Writes out what waits, for a short time at most, and ends the log.
-void stopLog();
+/// Writes out what waits, for a short time at most, and ends the log. @return whether all has been written
+bool stopLog();
 
 /// Writes a line. @param event what happened, a fixed word
 void logLine(LogLevel level, const std::string &event, const LogFields &fields = {});
--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -9,6 +9,7 @@
 
 #include <fcntl.h>
 #include <future>
+#include <sys/stat.h>
 #include <unistd.h>
 
 using namespace Burdockfield;
@@ -186,6 +187,25 @@
     CHECK(call("/read/x", "r1").status_ == 200);
 }
 
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Log_WhenItsReaderDoesNotRead_HoldsNothingUp")
+{
+    constexpr int calls = 300; // some 150 KB of lines; a pipe holds 64 KB
+    signalProcess(fleet_, "gateway-1", SIGKILL);
+    const std::string log = fleet_.folder_ + "/gateway-1.log";
+    unlink(log.c_str());
+    REQUIRE(mkfifo(log.c_str(), 0600) == 0);
+    const int reader = open(log.c_str(), O_RDWR | O_NONBLOCK);
+    REQUIRE(reader >= 0);
+    startProcess(fleet_, "gateway-1");
+    REQUIRE(waitUntil([&] { return isGatewayReady(fleet_, "gateway-1"); }));
+    for (int index = 0; index < calls; ++index) {
+        CHECK(call("/read/x", "r" + std::to_string(index)).status_ == 200);
+    }
+    signalProcess(fleet_, "gateway-1", SIGTERM);
+    CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(5000)) == 0);
+    close(reader);
+}
+
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Metrics_WhenAsked_CountCalls")
 {
     call("/once/x", "r1");
