--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -126,6 +126,9 @@
 
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenStartedWhileItsStoreIsDown_TakesEverythingFromAPeer")
 {
+    // Without the store a fresh process can only be found by a peer that has heard of its node before.
+    REQUIRE(
+        waitUntil([&] { return statusOf(fleet_, "gateway-1", "peers").find("\"gateway-2\"") != std::string::npos; }));
     signalProcess(fleet_, "gateway-2", SIGKILL);
     controlStoreLink(fleet_, "gateway-2", "/cut");
     startProcess(fleet_, "gateway-2");
