Start a gateway fleet's tests once every gateway lists every upstream

The log shows a stream sent three times to the one upstream that resets: the other's row was not listed yet, since the rows are written one after the other and feeds wait 150 ms between calls.

Change: the fixture waits for the whole list. Checks and bounds are as they were.

--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -62,6 +62,14 @@
         { "attempts", 3 }, { "allowAnonymous", false }, { "resumable", true }, { "gapTargetMs", 200 } };
 }
 
+/// @return whether a gateway has heard of every upstream; their rows are written one after the other.
+bool listsAll(const Fleet &fleet, const std::string &gateway)
+{
+    const std::string listed = statusOf(fleet, gateway, "upstreams");
+    return std::all_of(fleet.upstreams_.begin(), fleet.upstreams_.end(),
+        [&listed](const std::string &upstream) { return listed.find('"' + upstream + '"') != std::string::npos; });
+}
+
 void writeRow(const Fleet &fleet, const Json::object &row)
 {
     callNode(fleet.processes_.at(platform).address_, "POST", "/control/row", Json::serialize(row));
@@ -128,7 +136,7 @@
     writeConfiguration(fleet, 1, { "key-1" });
     return waitUntil([&] {
         return std::all_of(fleet.entries_.begin(), fleet.entries_.end(),
-            [&](const std::string &gateway) { return isGatewayReady(fleet, gateway); });
+            [&](const std::string &gateway) { return isGatewayReady(fleet, gateway) && listsAll(fleet, gateway); });
     });
 }
 
