--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,8 +1,11 @@
 #!/bin/sh
-# Builds and runs every test; the decisions and codecs a second time under the sanitizers.
+# Builds and runs every test; the decisions and codecs a second time under the sanitizers. Cases of
+# KNOWN-RED.txt are left out.
 set -eu
 cd "$(dirname "$0")/.."
 scripts/build.sh
+BURDOCKFIELD_KNOWN_RED=$(sed -n 's/^case: //p' KNOWN-RED.txt | paste -s -d, -)
+export BURDOCKFIELD_KNOWN_RED
 ctest --test-dir build --output-on-failure
 cmake -S . -B build-sanitize -G Ninja -DBURDOCKFIELD_SANITIZE=ON >/dev/null
 cmake --build build-sanitize --target decision-test schedule-test
