Write out the log's lines at once; tests of paging and of a killed process's log

Cause: the log's thread handed lines to the C library, which kept up to 4 KB of them; SIGKILL lost what had been decided last, which is what an engineer looks for. Found while logs of a killed gateway were read.

Change: standard output is flushed after each batch of lines. The fixture of gateway fleets waits until every gateway lists every upstream and has heard every peer; the special wait in one case goes. New cases: the log of a killed process, and a list of upstreams that takes several pages.

--- a/src/log.cpp
+++ b/src/log.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <condition_variable>
+#include <cstdio>
 #include <ctime>
 #include <glog/logging.h>
 #include <mutex>
@@ -58,7 +59,7 @@
 /// Line that waits to be written.
 struct WaitingLine
 {
-    LogLevel level_ = LogLevel::Info; ///< Severity; lines of severity Error end a batch of their own.
+    LogLevel level_ = LogLevel::Info; ///< Severity.
     std::string text_; ///< JSON.
 };
 
@@ -79,7 +80,6 @@
     std::condition_variable endedChanged_; ///< Signalled when the thread ends.
     LineBudget budget_; ///< Budget of lines.
     bool ended_ = false; ///< Whether the thread has written its last line.
-    std::thread thread_; ///< Writes.
 };
 
 /// @return the writer; never destroyed, since its thread may be held up by a reader that does not read.
@@ -102,6 +102,7 @@
         LOG(ERROR) << text;
         break;
     }
+    std::fflush(stdout); // a killed process writes out nothing that its library still holds
 }
 
 /// Writes the lines that wait, several with one call. @return whether the end was asked for
@@ -199,8 +200,7 @@
     static const std::string name = program;
     google::InitGoogleLogging(name.c_str());
     writer().lines_.set_capacity(waitingLines);
-    writer().thread_ = std::thread(runWriter);
-    writer().thread_.detach();
+    std::thread(runWriter).detach();
 }
 
 bool stopLog()
--- a/tests/flood_process_test.cpp
+++ b/tests/flood_process_test.cpp
@@ -76,6 +76,7 @@
 {
     REQUIRE(startFleet(fleet_, makeFloodFleet()));
     const ReplaySummary summary = replayThroughBoth(fleet_, makeFlood("background", "urgent"));
+    INFO(formatSummary(summary));
     CHECK(summary.violations_ == 0);
     CHECK(summary.byGroup_.at("small").good_ == smallCount);
     CHECK(summary.byGroup_.at("flood").refused_ > 0);
@@ -85,6 +86,7 @@
 {
     REQUIRE(startFleet(fleet_, makeFloodFleet()));
     const ReplaySummary summary = replayThroughBoth(fleet_, makeFlood("standard", "standard"));
+    INFO(formatSummary(summary));
     CHECK(summary.violations_ == 0);
     CHECK(summary.byGroup_.at("small").good_ == smallCount);
     CHECK(summary.byGroup_.at("flood").refused_ > 0);
--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -62,12 +62,21 @@
         { "attempts", 3 }, { "allowAnonymous", false }, { "resumable", true }, { "gapTargetMs", 200 } };
 }
 
-/// @return whether a gateway has heard of every upstream; their rows are written one after the other.
-bool listsAll(const Fleet &fleet, const std::string &gateway)
+/// @return whether a gateway's status names all of @p names under a key.
+bool namesAll(
+    const Fleet &fleet, const std::string &gateway, const std::string &key, const std::vector<std::string> &names)
 {
-    const std::string listed = statusOf(fleet, gateway, "upstreams");
-    return std::all_of(fleet.upstreams_.begin(), fleet.upstreams_.end(),
-        [&listed](const std::string &upstream) { return listed.find('"' + upstream + '"') != std::string::npos; });
+    const std::string text = statusOf(fleet, gateway, key);
+    return std::all_of(names.begin(), names.end(),
+        [&text](const std::string &name) { return text.find('"' + name + '"') != std::string::npos; });
+}
+
+/// @return whether a gateway lists every upstream, whose rows are written one after the other, and has heard its peers.
+bool knowsAll(const Fleet &fleet, const std::string &gateway)
+{
+    std::vector<std::string> peers = fleet.entries_;
+    std::erase(peers, gateway);
+    return namesAll(fleet, gateway, "upstreams", fleet.upstreams_) && namesAll(fleet, gateway, "peers", peers);
 }
 
 void writeRow(const Fleet &fleet, const Json::object &row)
@@ -136,7 +145,7 @@
     writeConfiguration(fleet, 1, { "key-1" });
     return waitUntil([&] {
         return std::all_of(fleet.entries_.begin(), fleet.entries_.end(),
-            [&](const std::string &gateway) { return isGatewayReady(fleet, gateway) && listsAll(fleet, gateway); });
+            [&](const std::string &gateway) { return isGatewayReady(fleet, gateway) && knowsAll(fleet, gateway); });
     });
 }
 
--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -8,6 +8,7 @@
 #include "process_fixture.h"
 
 #include <fcntl.h>
+#include <fstream>
 #include <future>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -43,15 +44,6 @@
         return runs;
     }
 
-    std::string wholeStream(const std::string &target)
-    {
-        std::string text;
-        for (uint64_t number = 1; number <= 5; ++number) {
-            text += Standin::eventOf(target, "body", number);
-        }
-        return text;
-    }
-
     void setMode(const std::string &upstream, const std::string &mode)
     {
         controlStandin(fleet_, upstream, R"({"mode":")" + mode + "\"}");
@@ -65,7 +57,7 @@
     CHECK(call("/once/x", "r1").body_ == Standin::echoOf("/once/x", "body"));
     CHECK(call("/read/x", "r2", "gateway-2").body_ == Standin::echoOf("/read/x", "body"));
     const HttpReply stream = call("/stream/x", "r3");
-    CHECK(stream.body_ == wholeStream("/stream/x"));
+    CHECK(stream.body_ == Standin::streamOf("/stream/x", "body"));
     CHECK(findHeader(stream.headers_, "Request-Id") == "r3");
     CHECK(call("/nowhere/x", "r4").status_ == 404);
     CHECK(call("/once/x", "r5", "gateway-1", "key-2").status_ == 401);
@@ -80,7 +72,7 @@
     setMode("desk-2", "reset");
     for (int index = 0; index < 4; ++index) {
         const std::string id = "stream-" + std::to_string(index);
-        CHECK(call("/stream/x", id).body_ == wholeStream("/stream/x"));
+        CHECK(call("/stream/x", id).body_ == Standin::streamOf("/stream/x", "body"));
     }
     CHECK(call("/once/x", "once-1").status_ == 502);
     CHECK(runsOf("once-1") == 1);
@@ -93,7 +85,7 @@
     setMode("engines-1", "mute");
     CHECK(call("/once/x", "r1").status_ >= 500);
     CHECK(call("/read/x", "r2").body_ == Standin::echoOf("/read/x", "body"));
-    CHECK(call("/stream/x", "r3").body_ == wholeStream("/stream/x"));
+    CHECK(call("/stream/x", "r3").body_ == Standin::streamOf("/stream/x", "body"));
 }
 
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenUpstreamsAreFull_RefusesAsNotRunWithATimeToComeBack")
@@ -126,9 +118,6 @@
 
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenStartedWhileItsStoreIsDown_TakesEverythingFromAPeer")
 {
-    // Without the store a fresh process can only be found by a peer that has heard of its node before.
-    REQUIRE(
-        waitUntil([&] { return statusOf(fleet_, "gateway-1", "peers").find("\"gateway-2\"") != std::string::npos; }));
     signalProcess(fleet_, "gateway-2", SIGKILL);
     controlStoreLink(fleet_, "gateway-2", "/cut");
     startProcess(fleet_, "gateway-2");
@@ -165,7 +154,7 @@
     signalProcess(fleet_, "gateway-1", SIGTERM);
     CHECK(waitUntil([&] { return !isGatewayReady(fleet_, "gateway-1"); }, Milliseconds(500)));
     for (auto &stream : running) {
-        CHECK(stream.get().body_ == wholeStream("/stream/x"));
+        CHECK(stream.get().body_ == Standin::streamOf("/stream/x", "body"));
     }
     CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(5000)) == 0);
 }
@@ -181,6 +170,24 @@
     CHECK(call("/once/x", "r1").status_ == 200);
 }
 
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenTheListTakesSeveralPages_ReadsAllOfIt")
+{
+    constexpr int rows = 600; // a page holds 500
+    const std::string value
+        = R"({\"service\":\"other\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"slots\":1,\"state\":\"ready\"})";
+    for (int index = 0; index < rows; ++index) {
+        callNode(fleet_.processes_.at("platform").address_, "POST", "/control/row",
+            R"({"table":"servers","key":"other-)" + std::to_string(1000 + index) + R"(","value":")" + value + "\"}");
+    }
+    signalProcess(fleet_, "gateway-1", SIGKILL);
+    signalProcess(fleet_, "gateway-2", SIGKILL);
+    startProcess(fleet_, "gateway-2"); // no peer to take the list from
+    CHECK(waitUntil([&] {
+        const std::string listed = statusOf(fleet_, "gateway-2", "upstreams");
+        return listed.find("other-1000") != std::string::npos && listed.find("other-1599") != std::string::npos;
+    }));
+}
+
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenARowIsUnreadable_KeepsTheOthers")
 {
     callNode(fleet_.processes_.at("platform").address_, "POST", "/control/row",
@@ -190,6 +197,16 @@
     CHECK(call("/read/x", "r1").status_ == 200);
 }
 
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Log_WhenTheProcessIsKilled_HoldsWhatWasDecidedBefore")
+{
+    CHECK(call("/once/x", "r1").status_ == 200);
+    std::this_thread::sleep_for(Milliseconds(400)); // lines gather for 100 ms
+    signalProcess(fleet_, "gateway-1", SIGKILL);
+    std::ifstream log(fleet_.folder_ + "/gateway-1.log");
+    const std::string text{ std::istreambuf_iterator<char>(log), std::istreambuf_iterator<char>() };
+    CHECK(text.find(R"("event":"answered","request":"r1")") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Log_WhenItsReaderDoesNotRead_HoldsNothingUp")
 {
     constexpr int calls = 300; // some 150 KB of lines; a pipe holds 64 KB
--- a/tests/soak_fixture.cpp
+++ b/tests/soak_fixture.cpp
@@ -29,7 +29,6 @@
 constexpr Milliseconds callerWait{ 4000 }; ///< How long callers wait.
 constexpr Milliseconds callerPause{ 15 }; ///< Pause of a caller between two calls.
 constexpr Milliseconds recovery{ 6000 }; ///< Time in which all has to work again after the last fault.
-constexpr uint64_t streamEvents = 5; ///< Events of the stand-ins' streams.
 constexpr int calmCalls = 30; ///< Calls after the faults, which all have to be served.
 
 /// Caller that keeps its connection for as long as the gateway does.
@@ -284,15 +283,6 @@
     }
 }
 
-std::string wholeStream(const std::string &target)
-{
-    std::string text;
-    for (uint64_t number = 1; number <= streamEvents; ++number) {
-        text += Standin::eventOf(target, "body", number);
-    }
-    return text;
-}
-
 bool promisesNotRun(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -309,7 +299,8 @@
     std::vector<SoakBreach> breaches;
     for (const SoakCall &call : calls) {
         const bool streamed = call.target_.starts_with("/stream/");
-        const std::string expected = streamed ? wholeStream(call.target_) : Standin::echoOf(call.target_, "body");
+        const std::string expected
+            = streamed ? Standin::streamOf(call.target_, "body") : Standin::echoOf(call.target_, "body");
         const size_t ran = runs[call.id_];
         if (call.status_ == 200 && call.whole_ && call.body_ != expected) {
             breaches.push_back({ "a whole answer is the request's own", call.id_, call.body_ });
--- a/tests/standins/platform_upstream.cpp
+++ b/tests/standins/platform_upstream.cpp
@@ -169,6 +169,15 @@
     return eventText(echoOf(target, body), number);
 }
 
+std::string streamOf(const std::string &target, const std::string &body)
+{
+    std::string text;
+    for (uint64_t number = 1; number <= streamEvents; ++number) {
+        text += eventOf(target, body, number);
+    }
+    return text;
+}
+
 StandinOutbox tickUpstream(UpstreamStandinState &state, TimePoint now, StandinInbox inbox)
 {
     StandinOutbox outbox;
--- a/tests/standins/platform_upstream_base.h
+++ b/tests/standins/platform_upstream_base.h
@@ -12,6 +12,8 @@
 
 namespace Burdockfield::Standin {
 
+constexpr uint64_t streamEvents = 5; ///< Events of a stream, unless told otherwise.
+
 /// How the upstream behaves towards new requests.
 enum class UpstreamMode : uint8_t {
     Good, ///< As it should.
@@ -40,7 +42,7 @@
     std::string instance_ = "upstream-1"; ///< Name of this start.
     UpstreamMode mode_ = UpstreamMode::Good; ///< Behaviour towards new requests.
     Milliseconds step_{ 20 }; ///< Time to a plain answer, and between events.
-    uint64_t events_ = 5; ///< Events of a stream.
+    uint64_t events_ = streamEvents; ///< Events of a stream.
     Pool<UpstreamRun> runs_; ///< Requests that run.
     DeadlineQueue<UpstreamRun> deadlines_; ///< When their steps are due.
 };
@@ -54,6 +56,9 @@
 /// @return the body that a plain call with this target and body is answered with.
 std::string echoOf(const std::string &target, const std::string &body);
 
+/// @return all events of a stream of the default length.
+std::string streamOf(const std::string &target, const std::string &body);
+
 /// @return event @p number of a stream.
 std::string eventOf(const std::string &target, const std::string &body, uint64_t number);
 
