--- a/src/agent_daemon.cpp
+++ b/src/agent_daemon.cpp
@@ -38,14 +38,6 @@
     bool exiting_ = false; ///< Whether only answers on their way are awaited.
 };
 
-HttpReply jsonReply(std::string body)
-{
-    HttpReply reply;
-    reply.headers_.emplace_back("Content-Type", "application/json");
-    reply.body_ = std::move(body);
-    return reply;
-}
-
 void execute(AgentDaemon &daemon, const SendRunReply &command)
 {
     respond(*daemon.server_, command.exchange_, jsonReply(serializeRunReply(command.reply_, Clock::now())));
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -9,7 +9,7 @@
 #include "http_func.h"
 #include "log_func.h"
 #include "run_wire.h"
-#include "store_wire.h"
+#include "store_client.h"
 #include "vm_wire.h"
 
 #include <random>
@@ -18,8 +18,7 @@
 
 namespace {
 
-constexpr Milliseconds storeTimeout{ 2000 }; ///< Longest call of the table service.
-constexpr Milliseconds vmListTimeout{ 2000 }; ///< Longest read of the VM list.
+constexpr Milliseconds vmListTimeout{ 2000 }; ///< Longest read of a page of the VM list.
 
 } // namespace
 
@@ -32,41 +31,10 @@
     return (static_cast<uint64_t>(device()) << 32U) | device();
 }
 
-void readStore(
-    HttpClient &client, const std::string &platform, const StoreKey &key, std::function<void(StoreResult)> done)
-{
-    const auto judge = [key, done = std::move(done)](std::error_code error, const HttpReply &reply) {
-        done(Platform::judgeRow(error, reply, key));
-    };
-    fetch(client, platform, Platform::makeRowCall(key), storeTimeout, ConnectionUse::Reuse, judge);
-}
-
-void writeStore(HttpClient &client, const std::string &platform, const StoreTransaction &transaction,
-    std::function<void(StoreResult)> done)
-{
-    const auto judge = [transaction, done = std::move(done)](std::error_code error, const HttpReply &reply) {
-        done(Platform::judgeTransaction(error, reply, transaction));
-    };
-    fetch(client, platform, Platform::makeTransactionCall(transaction), storeTimeout, ConnectionUse::Reuse, judge);
-}
-
-namespace {
-
-/// Reads a page of the VM list, and the pages after it.
-void fetchVmPage(HttpClient &client, const std::string &platform, const std::string &fromKey, VmsListed list,
-    std::function<void(VmsListed)> done)
+void fetchVms(HttpClient &client, const std::string &platform, std::function<void(VmsListed)> done)
 {
-    const auto take = [&client, platform, list = std::move(list), done = std::move(done)](
-                          std::error_code error, const HttpReply &reply) mutable {
-        Platform::TableRead read;
-        if (!error && (reply.status_ != 200 || Platform::parseTableRead(reply.body_, read))) {
-            error = TransportErrc::Malformed;
-        }
-        if (error) {
-            done({ error, {}, 0 });
-            return;
-        }
-        list.bytes_ += reply.body_.size();
+    const auto take = [done = std::move(done)](std::error_code error, const Platform::TableRead &read) {
+        VmsListed list{ error, {}, read.bytes_ };
         for (const Platform::TableRow &row : read.rows_) {
             Vm vm;
             if (const std::error_code bad = parseVm(row.value_, vm); bad) {
@@ -75,20 +43,9 @@
             }
             list.vms_.push_back(std::move(vm));
         }
-        if (read.more_ && !read.rows_.empty()) {
-            fetchVmPage(client, platform, Platform::keyAfter(read.rows_.back().key_), std::move(list), std::move(done));
-            return;
-        }
         done(std::move(list));
     };
-    fetch(client, platform, Platform::makeReadCall(vmTable, fromKey), vmListTimeout, ConnectionUse::Reuse, take);
-}
-
-} // namespace
-
-void fetchVms(HttpClient &client, const std::string &platform, std::function<void(VmsListed)> done)
-{
-    fetchVmPage(client, platform, {}, {}, std::move(done));
+    Platform::readTable(client, platform, std::string(vmTable), vmListTimeout, take);
 }
 
 std::optional<StatusRequested> parseStatusRequest(const HttpRequest &request)
@@ -131,6 +88,14 @@
     return reply;
 }
 
+HttpReply jsonReply(std::string body)
+{
+    HttpReply reply;
+    reply.headers_.emplace_back("Content-Type", "application/json");
+    reply.body_ = std::move(body);
+    return reply;
+}
+
 HttpReply textReply(int status, std::string text)
 {
     HttpReply reply;
--- a/src/daemon_func.h
+++ b/src/daemon_func.h
@@ -8,7 +8,6 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "settings_type.h"
-#include "store_type.h"
 #include "vm_type.h"
 
 #include <functional>
@@ -39,14 +38,6 @@
 /// @return the seed of the settings, or one drawn from the system.
 uint64_t seedOf(const Settings &settings);
 
-/// Reads a row of the store.
-void readStore(
-    HttpClient &client, const std::string &platform, const StoreKey &key, std::function<void(StoreResult)> done);
-
-/// Runs a transaction of the store.
-void writeStore(HttpClient &client, const std::string &platform, const StoreTransaction &transaction,
-    std::function<void(StoreResult)> done);
-
 /// Asks the platform for the VM list.
 void fetchVms(HttpClient &client, const std::string &platform, std::function<void(VmsListed)> done);
 
@@ -56,6 +47,9 @@
 /// @return the answer to what is not a request.
 HttpReply refuseBadRequest(std::error_code error);
 
+/// @return a JSON answer.
+HttpReply jsonReply(std::string body);
+
 /// @return a plain-text answer.
 HttpReply textReply(int status, std::string text);
 
--- a/src/error_type.h
+++ b/src/error_type.h
@@ -87,6 +87,7 @@
     Conflict = 1, ///< A condition of the transaction did not hold.
     Unavailable, ///< The service refused; nothing was written.
     Ambiguous, ///< The answer was lost; the write may have taken effect.
+    HistoryGone, ///< The changes asked for are no longer kept.
 };
 
 /// Why a plan or confirmation was refused.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -2,7 +2,7 @@
  * @file gateway_daemon.cpp
  * @brief I/O of a gateway: turns bytes into events and commands into bytes.
  *
- * One thread does both the I/O and the ticks: a gateway's machine has a fraction of one core, and handing events to
+ * One thread does both the I/O and the ticks: a gateway's VM has a fraction of one core, and handing events to
  * another thread would cost a wake-up each.
  */
 #include "gateway_daemon_type.h"
@@ -25,9 +25,8 @@
 namespace {
 
 constexpr Milliseconds snapshotTimeout{ 1000 }; ///< Longest fetch of a peer's snapshot.
-constexpr std::chrono::seconds housekeepingInterval{
-    1
-}; ///< Time between looks at the settings file and idle connections.
+/// Time between looks at the settings file and idle connections.
+constexpr std::chrono::seconds housekeepingInterval{ 1 };
 constexpr Milliseconds lastBytesTime{ 60 }; ///< Time for the last answers to leave before the process ends.
 constexpr double bodyMemoryShare = 0.25; ///< Part of the memory that bodies of waiting requests may take.
 
@@ -47,13 +46,12 @@
     call.isCrossed_ = [id = command.request_.id_](const HttpReply &reply) {
         return Platform::isCrossed(reply, id);
     };
-    daemon.requestIds_[command.send_] = command.request_.id_;
     startCall(daemon.link_, std::move(call));
 }
 
 void execute(GatewayDaemon &daemon, SendUpdate &command)
 {
-    const auto text = std::make_shared<const std::string>(serializePeerUpdate(command.update_));
+    const std::string text = serializePeerUpdate(command.update_);
     for (const std::string &address : command.addresses_) {
         const auto endpoint = parseEndpoint(address);
         if (!endpoint) {
@@ -61,7 +59,7 @@
         }
         const Asio::ip::udp::endpoint target(endpoint->address(), endpoint->port());
         boost::system::error_code error;
-        daemon.updates_.send_to(Asio::buffer(*text), target, 0, error);
+        daemon.updates_.send_to(Asio::buffer(text), target, 0, error);
         count(daemon.state_.metrics_, "peer_updates", error ? "not-sent" : "sent");
     }
 }
@@ -152,7 +150,6 @@
     }
     executeAnswers(daemon, outbox);
     for (const uint64_t send : outbox.cancels_) {
-        daemon.requestIds_.erase(send);
         cancelCall(daemon.link_, send);
     }
     for (SendCall &command : outbox.sends_) {
@@ -200,27 +197,17 @@
     }
 }
 
-HttpReply makeBadRequestReply(std::error_code error)
+HttpReply refuseMalformed(std::error_code error)
 {
-    HttpReply reply;
-    reply.status_ = 400;
-    if (error == RefusalErrc::BodyTooLarge) {
-        reply.status_ = 413;
-    } else if (error == RefusalErrc::HeaderTooLarge) {
-        reply.status_ = 431;
-    } else if (error == RefusalErrc::SlowRequest) {
-        reply.status_ = 408;
-    }
     logLine(LogLevel::Warning, "bad-request", { { "error", error.message() } });
-    reply.body_ = error.message() + "\n";
-    return reply;
+    return refuseBadRequest(error);
 }
 
 void takeCall(GatewayDaemon &daemon, ExchangeId exchange, HttpRequest request)
 {
     CallArrived event{ exchange, {} };
     if (const std::error_code error = Platform::parseCall(std::move(request), event.request_); error) {
-        respond(daemon.callers_, exchange, makeBadRequestReply(RefusalErrc::BadRequest));
+        respond(daemon.callers_, exchange, refuseMalformed(error));
         return;
     }
     daemon.inbox_.arrivals_.push_back(std::move(event));
@@ -237,18 +224,10 @@
         daemon.inbox_.departures_.push_back(exchange);
         scheduleTick(daemon);
     };
-    handlers.onBadRequest_ = makeBadRequestReply;
+    handlers.onBadRequest_ = refuseMalformed;
     return handlers;
 }
 
-HttpReply jsonReply(std::string body)
-{
-    HttpReply reply;
-    reply.headers_.emplace_back("Content-Type", "application/json");
-    reply.body_ = std::move(body);
-    return reply;
-}
-
 HttpReply answerInner(GatewayDaemon &daemon, const HttpRequest &request)
 {
     const std::string path = splitTarget(request.target_).path_;
@@ -279,7 +258,7 @@
     };
     handlers.onGone_ = [](ExchangeId /*exchange*/) {
     };
-    handlers.onBadRequest_ = makeBadRequestReply;
+    handlers.onBadRequest_ = refuseMalformed;
     return handlers;
 }
 
@@ -287,16 +266,16 @@
 {
     LinkHandlers handlers;
     handlers.onHead_ = [&daemon](uint64_t send, HttpReply reply) {
-        const std::string &id = daemon.requestIds_[send];
-        daemon.inbox_.heads_.push_back({ send, Platform::parseAnswerHead(std::move(reply), id) });
-        scheduleTick(daemon);
+        if (const Call *call = findRow(daemon.state_.calls_, findSent(daemon.state_, send)); call != nullptr) {
+            daemon.inbox_.heads_.push_back({ send, Platform::parseAnswerHead(std::move(reply), call->request_.id_) });
+            scheduleTick(daemon);
+        }
     };
     handlers.onBytes_ = [&daemon](uint64_t send, std::string bytes) {
         daemon.inbox_.bytes_.push_back({ send, std::move(bytes) });
         scheduleTick(daemon);
     };
     handlers.onEnd_ = [&daemon](uint64_t send, std::error_code error) {
-        daemon.requestIds_.erase(send);
         daemon.inbox_.ends_.push_back({ send, error });
         scheduleTick(daemon);
     };
@@ -438,7 +417,7 @@
     state.peerAddress_ = settings.gateway_.peer_;
     state.firstStart_ = settings.gateway_.firstStart_;
     state.random_.seed(seedOf(settings));
-    state.incarnation_ = state.random_() >> 1U; // JSON numbers of the peers' messages are signed
+    state.incarnation_ = state.random_();
     applyBounds(daemon);
 }
 
--- a/src/gateway_daemon_type.h
+++ b/src/gateway_daemon_type.h
@@ -21,7 +21,6 @@
 #include <csignal>
 #include <filesystem>
 #include <string>
-#include <unordered_map>
 
 namespace Burdockfield::Gateway {
 
@@ -54,7 +53,6 @@
     Asio::ip::udp::socket updates_{ io_ }; ///< Updates to and from peers.
     Asio::ip::udp::endpoint datagramSender_; ///< Sender of the present datagram.
     std::array<char, datagramBytes> datagram_{}; ///< Present datagram.
-    std::unordered_map<uint64_t, std::string> requestIds_; ///< Request of each send in progress.
 };
 
 } // namespace Burdockfield::Gateway
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -38,11 +38,16 @@
     return parts;
 }
 
-uint64_t numberOr(std::string_view text, uint64_t fallback)
+std::optional<uint64_t> parseNumber(std::string_view text)
 {
     uint64_t number = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    return error == std::errc{} && end == text.data() + text.size() ? number : fallback;
+    return error == std::errc{} && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
+}
+
+uint64_t numberOr(std::string_view text, uint64_t fallback)
+{
+    return parseNumber(text).value_or(fallback);
 }
 
 std::vector<std::string> takeParts(TextSplitter &splitter, std::string_view piece, std::string_view separator)
--- a/src/http_func.h
+++ b/src/http_func.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string_view>
 
 namespace Burdockfield {
@@ -25,6 +26,9 @@
 /// @return the parts of a target.
 HttpTarget splitTarget(std::string_view target);
 
+/// @return the number that the whole text spells in decimal digits, or nothing.
+std::optional<uint64_t> parseNumber(std::string_view text);
+
 /// @return the number that a text spells, or @p fallback when it spells none.
 uint64_t numberOr(std::string_view text, uint64_t fallback);
 
--- a/src/node_daemon_type.h
+++ b/src/node_daemon_type.h
@@ -10,6 +10,7 @@
 #include "entry_command_type.h"
 #include "log_func.h"
 #include "node_loop_type.h"
+#include "store_client.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <thread>
@@ -30,13 +31,15 @@
 template<typename Daemon>
 void execute(Daemon &daemon, const StoreRead &command)
 {
-    readStore(daemon.client_, daemon.settings_.platform_, command.key_, postStoreReply(daemon, command.call_));
+    Platform::readStore(
+        daemon.client_, daemon.settings_.platform_, command.key_, postStoreReply(daemon, command.call_));
 }
 
 template<typename Daemon>
 void execute(Daemon &daemon, const StoreWrite &command)
 {
-    writeStore(daemon.client_, daemon.settings_.platform_, command.transaction_, postStoreReply(daemon, command.call_));
+    Platform::writeStore(
+        daemon.client_, daemon.settings_.platform_, command.transaction_, postStoreReply(daemon, command.call_));
 }
 
 template<typename Daemon>
--- a/src/table/error_names.h
+++ b/src/table/error_names.h
@@ -29,7 +29,8 @@
 constexpr std::array<std::string_view, 7> transportErrorNames{ "ok", "not-sent", "lost", "timed-out", "silent",
     "malformed", "cancelled" };
 
-constexpr std::array<std::string_view, 4> storeErrorNames{ "ok", "conflict", "unavailable", "ambiguous" };
+constexpr std::array<std::string_view, 5> storeErrorNames{ "ok", "conflict", "unavailable", "ambiguous",
+    "history-gone" };
 
 constexpr std::array<std::string_view, 8> planErrorNames{ "ok", "unknown-subject", "bad-value", "stale-base",
     "alters-nothing", "store-unavailable", "outcome-unknown", "diverged" };
