Remove dead state of gateways and lookups that were written out several times

Cause: read as a new reader would: members that nobody read (resumable, usable, repeat window, a stage), the same lookup by send and by id in six places, four loops over header fields, two readers of lists in settings.

Change: findSent, findUpstream, mayTake, dropSettled, takeFields, readList. Behaviour is unchanged; a replayed stream that ends in a transport error now says which.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -24,16 +24,6 @@
 constexpr Milliseconds leastRepeatTime{ 100 }; ///< Time that has to be left for a call to be sent again.
 constexpr int serverErrorStatus = 500; ///< Least status of a server's failure.
 
-Call *findSent(GatewayState &state, uint64_t send, CallId &id)
-{
-    const auto found = state.callBySend_.find(send);
-    if (found == state.callBySend_.end()) {
-        return nullptr;
-    }
-    id = found->second;
-    return findRow(state.calls_, id);
-}
-
 bool isStreamed(const Call &call)
 {
     return call.kind_ == CallKind::Streaming && call.headSeen_ && call.head_.genuine_ && call.head_.eventStream_;
@@ -66,7 +56,6 @@
     }
     if (!call.streamBegun_) {
         call.streamBegun_ = true;
-        call.stage_ = CallStage::Relaying;
         outbox.begins_.push_back({ call.exchange_, call.head_.reply_ });
         observe(state.metrics_, "first_event_seconds", call.routeName_, now - call.arrivedAt_);
     }
@@ -148,10 +137,18 @@
     refuse(state, now, id, RefusalReason::NotRunThere, outbox);
 }
 
+void passWhole(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    const int status = call.head_.reply_.status_;
+    HttpReply reply = std::move(call.head_.reply_);
+    reply.body_ = std::move(call.body_);
+    outbox.answers_.push_back({ call.exchange_, std::move(reply) });
+    finish(state, now, id, status < serverErrorStatus ? "ok" : "upstream-error", status, outbox);
+}
+
 /// The upstream failed the call, which may have run. @param whole whether its answer came whole
 void handleFailure(GatewayState &state, TimePoint now, CallId id, Call &call, bool whole, GatewayOutbox &outbox)
 {
-    const int status = call.head_.reply_.status_;
     call.mayHaveRun_ = true;
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         noteOutcome(*upstream, now, true);
@@ -165,25 +162,13 @@
         breakStream(state, now, id, "stream-broken", outbox);
         return;
     }
-    if (whole && call.head_.genuine_ && status >= serverErrorStatus) {
-        HttpReply reply = call.head_.reply_;
-        reply.body_ = std::move(call.body_);
-        outbox.answers_.push_back({ call.exchange_, std::move(reply) });
-        finish(state, now, id, "upstream-error", status, outbox);
+    if (whole && call.head_.genuine_ && call.head_.reply_.status_ >= serverErrorStatus) {
+        passWhole(state, now, id, call, outbox);
         return;
     }
     refuse(state, now, id, RefusalReason::UpstreamFailed, outbox);
 }
 
-void passWhole(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
-{
-    const int status = call.head_.reply_.status_;
-    HttpReply reply = std::move(call.head_.reply_);
-    reply.body_ = std::move(call.body_);
-    outbox.answers_.push_back({ call.exchange_, std::move(reply) });
-    finish(state, now, id, status < serverErrorStatus ? "ok" : "upstream-error", status, outbox);
-}
-
 void handleWholeAnswer(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
 {
     const bool streamed = isStreamed(call);
@@ -211,8 +196,7 @@
 
 void takeHead(GatewayState &state, TimePoint now, HeadReceived &event)
 {
-    CallId id;
-    Call *call = findSent(state, event.send_, id);
+    Call *call = findRow(state.calls_, findSent(state, event.send_));
     if (call == nullptr) {
         return;
     }
@@ -229,8 +213,8 @@
 
 void takeBytes(GatewayState &state, TimePoint now, BytesReceived &event, GatewayOutbox &outbox)
 {
-    CallId id;
-    Call *call = findSent(state, event.send_, id);
+    const CallId id = findSent(state, event.send_);
+    Call *call = findRow(state.calls_, id);
     if (call == nullptr) {
         return;
     }
@@ -249,8 +233,8 @@
 
 void takeEnd(GatewayState &state, TimePoint now, const SendEnded &event, GatewayOutbox &outbox)
 {
-    CallId id;
-    Call *call = findSent(state, event.send_, id);
+    const CallId id = findSent(state, event.send_);
+    Call *call = findRow(state.calls_, id);
     if (call == nullptr) {
         return;
     }
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -55,8 +55,7 @@
 /// Where a call stands.
 enum class CallStage : uint8_t {
     Waiting, ///< Waits for an upstream with room.
-    Sent, ///< At an upstream; nothing has gone to the caller.
-    Relaying, ///< Its stream goes to the caller.
+    Sent, ///< At an upstream.
 };
 
 /// Request in progress.
@@ -69,7 +68,6 @@
     std::string workspace_; ///< Workspace, or empty.
     CallKind kind_ = CallKind::NonIdempotent; ///< Kind of the route.
     bool repeatable_ = false; ///< Whether it may run more than once.
-    bool resumable_ = false; ///< Whether its stream may go on elsewhere.
     bool returned_ = false; ///< Whether the caller came back with it after a refusal.
     uint32_t rank_ = 0; ///< Urgency, 0 first: the workspace's, or else the route's.
     uint32_t routeRank_ = 0; ///< Urgency of the route, which orders calls of the same rank.
@@ -165,7 +163,6 @@
 {
     double repeatRatio_ = 0.2; ///< Repeats allowed for each request of a service.
     double repeatSlack_ = 50; ///< Repeats allowed besides, in a window.
-    std::chrono::seconds repeatWindow_{ 10 }; ///< Window of the repeat budget.
     std::chrono::seconds quotaWindow_{ 8 }; ///< Window in which quotas are judged.
     double quotaOvershoot_ = 0; ///< Part of a quota that may be used beyond it in a window.
     double quotaTokenSlack_ = 0; ///< Tokens that may be used beyond it besides.
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -38,14 +38,11 @@
     return upstream.slots_ * engineHeadroom[std::min(below, engineHeadroom.size() - 1)];
 }
 
-bool isUsable(const Upstream &upstream, TimePoint now)
+/// @return whether an upstream serves a call's service, may be used, and has room for the call.
+bool mayTake(const GatewayState &state, TimePoint now, const Upstream &upstream, const Call &call)
 {
-    return !upstream.draining_ && upstream.avoidUntil_ <= now;
-}
-
-bool hasRoom(const GatewayState &state, const Upstream &upstream, uint32_t routeRank)
-{
-    return upstream.ownInFlight_ + upstream.peerInFlight_ < capacityFor(state, upstream, routeRank);
+    return upstream.service_ == call.service_ && !upstream.draining_ && upstream.avoidUntil_ <= now
+        && upstream.ownInFlight_ + upstream.peerInFlight_ < capacityFor(state, upstream, call.routeRank_);
 }
 
 double costOf(const GatewayState &state, const Upstream &upstream, const Call &call, TimePoint now)
@@ -70,7 +67,6 @@
     UpstreamId id_; ///< The upstream, if one has room.
     double cost_ = 0; ///< Its cost.
     uint32_t ties_ = 0; ///< Upstreams of the same cost met so far.
-    uint32_t usable_ = 0; ///< Upstreams of the service that may be used.
 };
 
 Choice chooseUpstream(GatewayState &state, TimePoint now, const Call &call)
@@ -78,16 +74,12 @@
     constexpr double tie = 1e-6;
     Choice choice;
     forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
-        if (upstream.service_ != call.service_ || !isUsable(upstream, now)) {
-            return;
-        }
-        ++choice.usable_;
-        if (!hasRoom(state, upstream, call.routeRank_)) {
+        if (!mayTake(state, now, upstream, call)) {
             return;
         }
         const double cost = costOf(state, upstream, call, now);
         if (choice.ties_ == 0 || cost < choice.cost_ - tie) {
-            choice = { id, cost, 1, choice.usable_ };
+            choice = { id, cost, 1 };
         } else if (cost < choice.cost_ + tie && state.random_() % ++choice.ties_ == 0) {
             choice.id_ = id;
         }
@@ -110,7 +102,7 @@
     Upstream &upstream = *findRow(state.upstreams_, target);
     ++upstream.ownInFlight_;
     noteChange(state, upstream.region_);
-    call.stage_ = call.streamBegun_ ? CallStage::Relaying : CallStage::Sent;
+    call.stage_ = CallStage::Sent;
     call.send_ = state.nextSend_++;
     call.upstream_ = target;
     call.sentAt_ = now;
@@ -140,6 +132,15 @@
     pushDeadline(state.deadlines_, nextCallCheck(call), id);
 }
 
+/// Takes calls off the queue that have ended or wait no longer.
+void dropSettled(GatewayState &state)
+{
+    std::erase_if(state.waiting_, [&state](CallId id) {
+        const Call *call = findRow(state.calls_, id);
+        return call == nullptr || call->stage_ != CallStage::Waiting;
+    });
+}
+
 /// Streams that have begun first, then more urgent calls, those that can still be on time, and by arrival.
 bool goesBefore(const Call &left, const Call &right)
 {
@@ -162,10 +163,7 @@
 
 void runDispatch(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
 {
-    std::erase_if(state.waiting_, [&state](CallId id) {
-        const Call *call = findRow(state.calls_, id);
-        return call == nullptr || call->stage_ != CallStage::Waiting;
-    });
+    dropSettled(state);
     std::sort(state.waiting_.begin(), state.waiting_.end(), [&state](CallId left, CallId right) {
         return goesBefore(*findRow(state.calls_, left), *findRow(state.calls_, right));
     });
@@ -182,17 +180,14 @@
             full.emplace(call.service_, call.routeRank_);
         }
     }
-    std::erase_if(
-        state.waiting_, [&state](CallId id) { return findRow(state.calls_, id)->stage_ != CallStage::Waiting; });
+    dropSettled(state);
 }
 
 bool hasRoomElsewhere(const GatewayState &state, TimePoint now, const Call &call)
 {
     bool found = false;
     forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
-        found = found
-            || (upstream.service_ == call.service_ && id != call.upstream_ && isUsable(upstream, now)
-                && hasRoom(state, upstream, call.routeRank_));
+        found = found || (id != call.upstream_ && mayTake(state, now, upstream, call));
     });
     return found;
 }
--- a/src/gateway_event_stream.cpp
+++ b/src/gateway_event_stream.cpp
@@ -4,7 +4,7 @@
  */
 #include "gateway_event_stream_func.h"
 
-#include <charconv>
+#include "http_func.h"
 
 namespace Burdockfield::Gateway {
 
@@ -34,9 +34,7 @@
             continue;
         }
         const std::string_view digits = trimSpaces(line.substr(idField.size()));
-        uint64_t id = 0;
-        const auto [rest, error] = std::from_chars(digits.data(), digits.data() + digits.size(), id);
-        if (error == std::errc() && rest == digits.data() + digits.size()) {
+        if (const auto id = parseNumber(digits); id) {
             return id;
         }
     }
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -91,6 +91,12 @@
 /// Takes one repeat from a service's budget. @return whether there was one
 bool takeRepeat(GatewayState &state, const std::string &service);
 
+/// @return the call that a send belongs to; matches no row when the send has ended.
+CallId findSent(const GatewayState &state, uint64_t send);
+
+/// @return the upstream of that id, or nullptr.
+Upstream *findUpstream(GatewayState &state, const std::string &id);
+
 /// Ends a call with an answer of the gateway itself.
 void refuse(GatewayState &state, TimePoint now, CallId id, RefusalReason reason, GatewayOutbox &outbox);
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -102,8 +102,8 @@
     call.service_ = drawTarget(state, route);
     call.workspace_ = found.workspace_ == nullptr ? std::string() : found.workspace_->name_;
     call.kind_ = route.kind_;
-    call.resumable_ = route.kind_ == CallKind::Streaming && route.resumable_;
-    call.repeatable_ = route.kind_ == CallKind::Idempotent || call.resumable_;
+    const bool resumable = route.kind_ == CallKind::Streaming && route.resumable_;
+    call.repeatable_ = route.kind_ == CallKind::Idempotent || resumable;
     call.rank_ = found.workspace_ == nullptr ? route.rank_ : found.workspace_->rank_.value_or(route.rank_);
     call.routeRank_ = route.rank_;
     call.attemptLimit_ = std::max(1U, route.attempts_);
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -62,15 +62,13 @@
 
 void dropUpstream(GatewayState &state, const std::string &id, const std::string &source, GatewayOutbox &outbox)
 {
-    const auto found = state.upstreamById_.find(id);
-    if (found == state.upstreamById_.end()) {
+    const Upstream *upstream = findUpstream(state, id);
+    if (upstream == nullptr) {
         return;
     }
-    if (const Upstream *upstream = findRow(state.upstreams_, found->second); upstream != nullptr) {
-        logUpstream(rowOf(*upstream), "removed", source, outbox);
-    }
-    eraseRow(state.upstreams_, found->second);
-    state.upstreamById_.erase(found);
+    logUpstream(rowOf(*upstream), "removed", source, outbox);
+    eraseRow(state.upstreams_, state.upstreamById_.at(id));
+    state.upstreamById_.erase(id);
 }
 
 /// @return whether rows may be missing only because the store was away.
@@ -82,8 +80,7 @@
 void missUpstream(
     GatewayState &state, TimePoint now, const std::string &id, const std::string &source, GatewayOutbox &outbox)
 {
-    const auto found = state.upstreamById_.find(id);
-    Upstream *upstream = found == state.upstreamById_.end() ? nullptr : findRow(state.upstreams_, found->second);
+    Upstream *upstream = findUpstream(state, id);
     if (upstream == nullptr) {
         return;
     }
@@ -102,8 +99,7 @@
         missUpstream(state, now, row.id_, source, outbox);
         return;
     }
-    const auto found = state.upstreamById_.find(row.id_);
-    Upstream *upstream = found == state.upstreamById_.end() ? nullptr : findRow(state.upstreams_, found->second);
+    Upstream *upstream = findUpstream(state, row.id_);
     const bool reborn = upstream != nullptr
         && (upstream->bornMs_ != row.bornMs_ || upstream->address_ != row.address_
             || upstream->service_ != row.service_);
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -5,10 +5,9 @@
 #include "gateway_peer_wire.h"
 
 #include "gateway_func.h"
+#include "http_func.h"
 #include "json_func.h"
 
-#include <charconv>
-
 namespace Burdockfield::Gateway {
 
 namespace {
@@ -53,13 +52,12 @@
     std::unordered_map<std::string, uint32_t> named;
     readCounts(reader, "suspects", named);
     for (const auto &[name, crashes] : named) {
-        uint64_t fingerprint = 0;
-        const auto [rest, error] = std::from_chars(name.data(), name.data() + name.size(), fingerprint);
-        if (error != std::errc() || rest != name.data() + name.size()) {
+        const auto fingerprint = parseNumber(name);
+        if (!fingerprint) {
             fail(reader, WireErrc::WrongType);
             return;
         }
-        suspects[fingerprint] = crashes;
+        suspects[*fingerprint] = crashes;
     }
 }
 
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -23,9 +23,7 @@
 void addPeerCounts(GatewayState &state, const Peer &peer, bool add)
 {
     for (const auto &[id, count] : peer.inFlight_) {
-        const auto found = state.upstreamById_.find(id);
-        Upstream *upstream = found == state.upstreamById_.end() ? nullptr : findRow(state.upstreams_, found->second);
-        if (upstream != nullptr) {
+        if (Upstream *upstream = findUpstream(state, id); upstream != nullptr) {
             upstream->peerInFlight_ = add ? upstream->peerInFlight_ + count
                                           : upstream->peerInFlight_ - std::min(upstream->peerInFlight_, count);
         }
@@ -151,7 +149,6 @@
 PeerUpdate describeState(GatewayState &state)
 {
     PeerUpdate update;
-    update.address_ = state.peerAddress_;
     update.incarnation_ = state.incarnation_;
     update.sequence_ = state.nextSequence_++;
     update.configurationVersion_ = state.configuration_.version_;
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -134,6 +134,18 @@
     call.stage_ = CallStage::Waiting;
 }
 
+CallId findSent(const GatewayState &state, uint64_t send)
+{
+    const auto found = state.callBySend_.find(send);
+    return found == state.callBySend_.end() ? CallId{} : found->second;
+}
+
+Upstream *findUpstream(GatewayState &state, const std::string &id)
+{
+    const auto found = state.upstreamById_.find(id);
+    return found == state.upstreamById_.end() ? nullptr : findRow(state.upstreams_, found->second);
+}
+
 void eraseCall(GatewayState &state, CallId id)
 {
     if (const Call *call = findRow(state.calls_, id); call != nullptr) {
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -6,6 +6,7 @@
 
 #include "address_func.h"
 #include "error_type.h"
+#include "http_fields_func.h"
 #include "socket_func.h"
 
 #include <array>
@@ -100,9 +101,7 @@
 {
     HttpReply reply;
     reply.status_ = static_cast<int>(message.result_int());
-    for (const auto &field : message) {
-        reply.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
+    reply.headers_ = takeFields(message);
     reply.body_ = std::move(message.body());
     return reply;
 }
@@ -212,9 +211,7 @@
     }
     HttpReply head;
     head.status_ = static_cast<int>(parser.get().result_int());
-    for (const auto &field : parser.get()) {
-        head.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
+    head.headers_ = takeFields(parser.get());
     if (!stream.cancelled_) {
         handlers.onHead_(head);
     }
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -6,6 +6,7 @@
 
 #include "address_func.h"
 #include "error_type.h"
+#include "http_fields_func.h"
 #include "socket_func.h"
 
 #include <boost/asio/detached.hpp>
@@ -77,9 +78,7 @@
 {
     request.method_ = std::string(message.method_string());
     request.target_ = std::string(message.target());
-    for (const auto &field : message) {
-        request.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
+    request.headers_ = takeFields(message);
 }
 
 /// @return whether the end of the body can be told in one way only.
--- a/src/replay.cpp
+++ b/src/replay.cpp
@@ -151,7 +151,9 @@
     };
     handlers.onEnd_ = [&replay, index](std::error_code error) {
         ReplayRow &ended = replay.rows_[index];
-        if (!error && ended.status_ >= firstErrorStatus) {
+        if (error) {
+            ended.reason_ = error.message();
+        } else if (ended.status_ >= firstErrorStatus) {
             readRefusalBody(ended, ended.text_);
         }
         endRow(replay, index);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -231,30 +231,56 @@
     }
 }
 
-void readNames(const SettingsReader &reader, const char *key, std::vector<std::string> &target)
+/// What a list of texts has to be.
+struct ListRule
+{
+    const char *accepted_; ///< What is accepted, for the error.
+    bool required_; ///< Whether the list has to be there and to hold something.
+    SettingsErrc itemErrc_; ///< Error of an item that is not accepted.
+    bool (*accepts_)(const std::string &); ///< Judges an item.
+};
+
+void readList(const SettingsReader &reader, const char *key, const ListRule &rule, std::vector<std::string> &target)
 {
-    const std::string accepted = "a list of one or more names";
     if (reader.error_.error_ || !reader.node_.IsMap()) {
         return;
     }
     const YAML::Node value = reader.node_[key];
     if (!value.IsDefined()) {
-        fail(reader, reader.node_, SettingsErrc::MissingKey, key, accepted);
+        if (rule.required_) {
+            fail(reader, reader.node_, SettingsErrc::MissingKey, key, rule.accepted_);
+        }
         return;
     }
-    if (!value.IsSequence() || value.size() == 0) {
-        fail(reader, value, SettingsErrc::WrongType, key, accepted);
+    if (!value.IsSequence() || (rule.required_ && value.size() == 0)) {
+        fail(reader, value, SettingsErrc::WrongType, key, rule.accepted_);
         return;
     }
     for (const auto &item : value) {
-        if (!item.IsScalar() || item.Scalar().empty()) {
-            fail(reader, item, SettingsErrc::WrongType, key, accepted);
+        if (!item.IsScalar() || !rule.accepts_(item.Scalar())) {
+            fail(reader, item, rule.itemErrc_, key, rule.accepted_);
             return;
         }
         target.push_back(item.Scalar());
     }
 }
 
+void readNames(const SettingsReader &reader, const char *key, std::vector<std::string> &target)
+{
+    const auto isName = [](const std::string &text) {
+        return !text.empty();
+    };
+    readList(reader, key, { "a list of one or more names", true, SettingsErrc::WrongType, isName }, target);
+}
+
+void readAddresses(const SettingsReader &reader, const char *key, std::vector<std::string> &target)
+{
+    const auto isAddress = [](const std::string &text) {
+        return parseEndpoint(text).has_value();
+    };
+    readList(reader, key, { "a list of addresses IP:PORT", false, SettingsErrc::BadAddress, isAddress }, target);
+}
+
 /// @return a reader of the mapping under @p key, if it is there.
 std::optional<SettingsReader> enter(
     const SettingsReader &reader, const char *key, bool required, std::initializer_list<const char *> known)
@@ -374,26 +400,6 @@
     }
 }
 
-void readSeeds(const SettingsReader &reader, std::vector<std::string> &target)
-{
-    const std::string accepted = "a list of addresses IP:PORT";
-    if (reader.error_.error_ || !reader.node_["seeds"].IsDefined()) {
-        return;
-    }
-    const YAML::Node value = reader.node_["seeds"];
-    if (!value.IsSequence()) {
-        fail(reader, value, SettingsErrc::WrongType, "seeds", accepted);
-        return;
-    }
-    for (const auto &item : value) {
-        if (!item.IsScalar() || !parseEndpoint(item.Scalar())) {
-            fail(reader, item, SettingsErrc::BadAddress, "seeds", accepted);
-            return;
-        }
-        target.push_back(item.Scalar());
-    }
-}
-
 void readZones(const SettingsReader &reader, std::map<std::string, std::string> &target)
 {
     const std::string accepted = "a mapping of availability zones to regions";
@@ -443,7 +449,7 @@
     readAddress(reader, "metrics", settings.gateway_.metrics_);
     readSize(reader, "memory", settings.gateway_.memoryBytes_, memoryBytesBound);
     readFlag(reader, "first_start", settings.gateway_.firstStart_);
-    readSeeds(reader, settings.seeds_);
+    readAddresses(reader, "seeds", settings.seeds_);
     readZones(reader, settings.gateway_.regionByZone_);
     readBounds(reader, settings.gateway_.bounds_);
     settings.place_.address_ = settings.gateway_.peer_;
@@ -461,7 +467,7 @@
             { "role", "name", "region", "zone", "listen", "control", "platform", "log", "seed", "seeds", "limits",
                 "policy" });
         readAddress(reader, "control", settings.control_);
-        readSeeds(reader, settings.seeds_);
+        readAddresses(reader, "seeds", settings.seeds_);
         readLimits(reader, settings);
         readEntryPolicy(reader, settings);
         settings.place_.address_ = settings.control_;
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -6,6 +6,7 @@
 
 #include "address_func.h"
 #include "error_type.h"
+#include "http_fields_func.h"
 #include "http_func.h"
 #include "socket_func.h"
 
@@ -20,9 +21,8 @@
 constexpr Milliseconds connectTimeout{ 700 }; ///< Two round trips between regions and one lost packet sent again.
 constexpr size_t readBytes = 16U << 10U; ///< Bytes read at once.
 constexpr uint32_t answerHeaderLimit = 32U << 10U; ///< Longest header of an answer.
-constexpr Milliseconds cautiousIdle{
-    250
-}; ///< Idle time up to which a call that must not be lost may use a connection.
+/// Idle time up to which a call that must not be lost may use a connection.
+constexpr Milliseconds cautiousIdle{ 250 };
 constexpr double boundShare = 0.6; ///< Part of the told idle bound up to which a connection is used.
 constexpr std::chrono::seconds idleRetention{ 12 }; ///< Longest idle time if the upstream tells none.
 constexpr int firstFinalStatus = 200; ///< Lower statuses announce a later answer.
@@ -82,9 +82,7 @@
     HttpReply reply;
     const auto &message = connection.parser_->get();
     reply.status_ = static_cast<int>(message.result_int());
-    for (const auto &field : message) {
-        reply.headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
+    reply.headers_ = takeFields(message);
     return reply;
 }
 
@@ -125,8 +123,8 @@
     }
 }
 
-/// Parses what has been read. @return whether the call goes on
-bool parse(UpstreamLink &link, const LinkPointer &connection)
+/// Parses what has been read, and ends the call with its answer.
+void parse(UpstreamLink &link, const LinkPointer &connection)
 {
     while (connection->buffer_.size() > 0) {
         boost::system::error_code error;
@@ -134,20 +132,19 @@
         connection->buffer_.consume(used);
         if (error && error != Http::error::need_more) {
             endCall(link, connection, TransportErrc::Malformed);
-            return false;
+            return;
         }
         handOn(link, *connection);
         if (connection->parser_->is_done()) {
             if (!connection->skipping_) {
                 endCall(link, connection, {});
-                return false;
+                return;
             }
             resetParser(*connection);
         } else if (error == Http::error::need_more || used == 0) {
-            return true;
+            return;
         }
     }
-    return true;
 }
 
 /// The peer has closed, or the connection has failed.
