Tell entries of free places in a drawn order

Change: an agent shuffles the entries that wait whenever its report changes. The tests' fleets take ports below the range of outgoing connections; two starts of 28 had lost theirs to another process's connection.

Ruled out: order within the entry's fair queue, which shared its places equally.

--- a/src/upstream_watch.cpp
+++ b/src/upstream_watch.cpp
@@ -142,6 +142,8 @@
     if (ReportSignature signature = makeSignature(state); signature != state.signature_) {
         state.signature_ = std::move(signature);
         ++state.reportVersion_;
+        // Whoever is told first of a free place gets it: no entry is the first one each time.
+        std::shuffle(state.watchers_.begin(), state.watchers_.end(), state.random_);
     }
     const AgentReport report = makeReport(state);
     std::erase_if(state.watchers_, [&](const ReportWatcher &watcher) {
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -168,6 +168,26 @@
     CHECK(tick().reports_.size() == 1);
 }
 
+TEST_CASE_FIXTURE(AgentFixture, "Report_WhenTwoEntriesAlwaysAskInOneOrder_IsGivenFirstToEachInTurn")
+{
+    constexpr int rounds = 200;
+    const ExchangeId first{ 100 };
+    const ExchangeId second{ 101 };
+    int firstServed = 0;
+    for (int round = 0; round < rounds; ++round) {
+        AgentInbox asked;
+        asked.reportRequests_.push_back({ first, 0, false, state_.reportVersion_, Milliseconds(5000) });
+        asked.reportRequests_.push_back({ second, 0, false, state_.reportVersion_, Milliseconds(5000) });
+        REQUIRE(tick(std::move(asked)).reports_.empty());
+        state_.upstream_.slots_ = 3 - round % 2; // a place is freed or taken
+        const AgentOutbox outbox = tick();
+        REQUIRE(outbox.reports_.size() == 2);
+        firstServed += outbox.reports_[0].exchange_ == first ? 1 : 0;
+    }
+    CHECK(firstServed > rounds / 4);
+    CHECK(firstServed < rounds * 3 / 4);
+}
+
 TEST_CASE_FIXTURE(AgentFixture, "Suspect_WhenItHasCrashedAlone_IsRefusedFromThenOn")
 {
     const RunOrder bad = makeOrder(1);
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -20,6 +20,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <spawn.h>
 #include <sstream>
 #include <sys/wait.h>
@@ -34,6 +35,8 @@
 
 constexpr Milliseconds waitStep{ 10 }; ///< Pause between two looks at a condition.
 constexpr Milliseconds stopTimeout{ 5000 }; ///< Time that a process gets to end by itself.
+constexpr uint16_t firstPort = 10000; ///< Ports below those that the system gives to outgoing connections, which
+constexpr uint16_t lastPort = 32000; ///< could take an address before its process listens there.
 constexpr const char *platformName = "platform";
 
 std::string binary(const std::string &name)
@@ -54,9 +57,16 @@
     boost::asio::io_context io;
     std::vector<Tcp::acceptor> held;
     std::vector<std::string> addresses;
-    for (size_t index = 0; index < count; ++index) {
-        held.emplace_back(io, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        addresses.push_back("127.0.0.1:" + std::to_string(held.back().local_endpoint().port()));
+    std::random_device random;
+    while (addresses.size() < count) {
+        const auto port = static_cast<uint16_t>(firstPort + random() % (lastPort - firstPort + 1));
+        Tcp::acceptor acceptor(io, Tcp::v4());
+        boost::system::error_code error;
+        acceptor.bind(Tcp::endpoint(boost::asio::ip::address_v4::loopback(), port), error);
+        if (!error) {
+            held.push_back(std::move(acceptor));
+            addresses.push_back("127.0.0.1:" + std::to_string(port));
+        }
     }
     return addresses;
 }
