Write answers to their end before a stopping gateway exits

The test for it showed a second fault: TCP_USER_TIMEOUT of 2 s also counts a full window of the peer, so that a caller which read nothing for 2 s was reset.

Change: the process ends when its callers' exchanges are written, at the end of the grace in any case; callers may take no bytes for 10 s, nodes that are called still get 2 s.

Measured: Gateway_WhenToldToStopWhileACallerReadsSlowly_... got 127,899 of 14,680,080 bytes before, 3,919,771 with the second change alone, all with both.

--- a/src/gateway_command_type.h
+++ b/src/gateway_command_type.h
@@ -91,7 +91,8 @@
     std::vector<Decision> decisions_; ///< Log lines.
     bool limitsChanged_ = false; ///< Bounds on callers have changed.
     bool stopListening_ = false; ///< No new connections are to be taken.
-    bool exit_ = false; ///< The process may end.
+    bool exit_ = false; ///< The process may end once its answers are written.
+    bool exitAtOnce_ = false; ///< The process ends, whatever is not written yet.
 };
 
 } // namespace Burdockfield::Gateway
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -169,7 +169,7 @@
         stopListening(daemon.callers_);
         closeIdle(daemon.callers_);
     }
-    if (outbox.exit_) {
+    if (outbox.exitAtOnce_ || (outbox.exit_ && daemon.callers_.exchanges_.empty())) {
         exitSoon(daemon);
     }
 }
@@ -225,6 +225,9 @@
         scheduleTick(daemon);
     };
     handlers.onBadRequest_ = refuseMalformed;
+    handlers.onIdle_ = [&daemon] {
+        scheduleTick(daemon);
+    };
     return handlers;
 }
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -230,8 +230,8 @@
         state.listening_ = false;
         outbox.stopListening_ = true;
     }
-    const bool idle = !state.listening_ && state.calls_.size_ == 0;
-    outbox.exit_ = idle || now - state.stopAt_ >= state.bounds_.grace_ - killMargin;
+    outbox.exit_ = !state.listening_ && state.calls_.size_ == 0;
+    outbox.exitAtOnce_ = now - state.stopAt_ >= state.bounds_.grace_ - killMargin;
 }
 
 TimePoint nextStopDeadline(const GatewayState &state)
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -84,7 +84,7 @@
     stream.expires_after(std::min(timeout, connectTimeout));
     stream.async_connect(*endpoint, yield[error]);
     if (!error) {
-        hardenSocket(stream.socket());
+        hardenSocket(stream.socket(), calledNodePatience);
     }
     return !error;
 }
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -338,7 +338,7 @@
             return;
         }
         if (!error) {
-            hardenSocket(socket);
+            hardenSocket(socket, callerPatience);
             auto connection = std::make_shared<ServerConnection>(std::move(socket));
             Asio::spawn(
                 server.io_,
--- a/src/socket.cpp
+++ b/src/socket.cpp
@@ -4,8 +4,6 @@
  */
 #include "socket_func.h"
 
-#include "time_type.h"
-
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -19,14 +17,13 @@
 using ProbeInterval = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
 using ProbeCount = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 
-constexpr Milliseconds unacknowledgedBound{ 2000 }; ///< Callers leave a stream after two seconds of silence.
 constexpr std::chrono::seconds probeStart{ 1 }; ///< Idle time before the first probe.
 constexpr std::chrono::seconds probeInterval{ 1 }; ///< Time between probes.
 constexpr int probeCount = 2; ///< Probes without an answer after which the peer is gone.
 
 } // namespace
 
-void hardenSocket(Tcp::socket &socket)
+void hardenSocket(Tcp::socket &socket, Milliseconds patience)
 {
     boost::system::error_code ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
@@ -34,7 +31,7 @@
     socket.set_option(ProbeStart(static_cast<int>(probeStart.count())), ignored);
     socket.set_option(ProbeInterval(static_cast<int>(probeInterval.count())), ignored);
     socket.set_option(ProbeCount(probeCount), ignored);
-    socket.set_option(SocketOption(static_cast<int>(unacknowledgedBound.count())), ignored);
+    socket.set_option(SocketOption(static_cast<int>(patience.count())), ignored);
 }
 
 } // namespace Burdockfield
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -240,7 +240,7 @@
         return;
     }
     connection->connected_ = true;
-    hardenSocket(connection->socket_);
+    hardenSocket(connection->socket_, calledNodePatience);
     startOn(link, connection);
     readSome(link, connection);
 }
--- a/tests/gateway_dispatch_test.cpp
+++ b/tests/gateway_dispatch_test.cpp
@@ -182,4 +182,15 @@
     answer(send, makeHead(200), "done");
     CHECK(answer(send + 1, makeHead(200), "done").answers_.size() == 1);
     CHECK(tick().exit_);
+    CHECK_FALSE(tick().exitAtOnce_);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "Stop_WhenTheGraceIsNearlyOver_EndsWhateverIsNotWritten")
+{
+    arrive("once", 1);
+    GatewayInbox inbox;
+    inbox.stopRequested_ = true;
+    tick(std::move(inbox));
+    CHECK_FALSE(tickAfter(state_.bounds_.grace_ - Milliseconds(500)).exitAtOnce_);
+    CHECK(tickAfter(Milliseconds(100)).exitAtOnce_);
 }
--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -2,11 +2,17 @@
  * @file gateway_process_test.cpp
  * @brief Real gateways before stand-ins of the users' platform.
  */
+#include "address_func.h"
 #include "gateway_fleet.h"
 #include "http_func.h"
 #include "platform_upstream_base.h"
 #include "process_fixture.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <fcntl.h>
 #include <fstream>
 #include <future>
@@ -18,6 +24,33 @@
 
 namespace {
 
+/// Caller that sends a request and reads nothing until it is told to.
+struct SlowCaller
+{
+    SlowCaller(const std::string &address, const std::string &target)
+    {
+        const std::string text = "POST " + target + " HTTP/1.1\r\nHost: " + gatewayHost
+            + "\r\nRequest-Id: slow\r\nAuthorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbody";
+        socket_.connect(*parseEndpoint(address));
+        boost::asio::write(socket_, boost::asio::buffer(text));
+    }
+
+    boost::asio::io_context io_; ///< Where it runs.
+    boost::asio::ip::tcp::socket socket_{ io_ }; ///< Its connection.
+};
+
+/// @return bytes of the body that came in before the answer or its connection ended.
+size_t readAnswerBody(SlowCaller &caller)
+{
+    namespace Http = boost::beast::http;
+    boost::beast::flat_buffer buffer;
+    Http::response_parser<Http::string_body> parser;
+    parser.body_limit(boost::none);
+    boost::system::error_code error;
+    Http::read(caller.socket_, buffer, parser, error);
+    return parser.get().body().size();
+}
+
 /// Two gateways, two engines, two desks.
 struct GatewayProcessFixture : ProcessFixture
 {
@@ -159,6 +192,20 @@
     CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(5000)) == 0);
 }
 
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenToldToStopWhileACallerReadsSlowly_WritesTheWholeAnswer")
+{
+    constexpr size_t answerBytes = 14U << 20U; // more than the sockets on the way hold, less than a gateway keeps
+    for (const char *desk : { "desk-1", "desk-2" }) {
+        controlStandin(fleet_, desk, R"({"padding":)" + std::to_string(answerBytes) + "}");
+    }
+    SlowCaller caller(fleet_.processes_.at("gateway-1").address_, "/once/x");
+    REQUIRE(waitUntil([&] { return statusOf(fleet_, "gateway-1", "calls") == "0" && runsOf("slow") == 1; }));
+    signalProcess(fleet_, "gateway-1", SIGTERM);
+    std::this_thread::sleep_for(Milliseconds(3500)); // by then it no longer listens
+    CHECK(readAnswerBody(caller) == answerBytes + Standin::echoOf("/once/x", "body").size());
+    CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(2000)) == 0);
+}
+
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenSettingsChangeOrAreSpoilt_ReloadsOrKeepsThem")
 {
     const std::string file = fleet_.folder_ + "/gateway-1.yaml";
--- a/tests/standins/platform_upstream.cpp
+++ b/tests/standins/platform_upstream.cpp
@@ -129,7 +129,7 @@
         finish(state, id, outbox);
     } else {
         HttpReply reply = makeReply(200, *run);
-        reply.body_ = run->text_;
+        reply.body_ = run->text_ + std::string(state.padding_, '.');
         outbox.outputs_.push_back({ run->exchange_, ServerOutput::Kind::Whole, std::move(reply), {} });
         finish(state, id, outbox);
     }
@@ -142,6 +142,7 @@
     readName(reader, "mode", state.mode_, upstreamModeNames, Presence::Optional);
     read(reader, "step_ms", state.step_, Presence::Optional);
     read(reader, "events", state.events_, Presence::Optional);
+    read(reader, "padding", state.padding_, Presence::Optional);
     outbox.outputs_.push_back(
         { arrival.exchange_, ServerOutput::Kind::Whole, jsonReply(reader.error_ ? 400 : 200, "{}"), {} });
 }
--- a/tests/standins/platform_upstream_base.h
+++ b/tests/standins/platform_upstream_base.h
@@ -43,6 +43,7 @@
     UpstreamMode mode_ = UpstreamMode::Good; ///< Behaviour towards new requests.
     Milliseconds step_{ 20 }; ///< Time to a plain answer, and between events.
     uint64_t events_ = streamEvents; ///< Events of a stream.
+    uint64_t padding_ = 0; ///< Bytes that follow the echo in a plain answer.
     Pool<UpstreamRun> runs_; ///< Requests that run.
     DeadlineQueue<UpstreamRun> deadlines_; ///< When their steps are due.
 };
