Let quotas be used further in calm, and large calls as well as small ones

A bucket that asks for a call's whole charge refuses the largest tenth most, since small calls take what is left.

Change: while every peer has been heard and none has started for a whole window, the rate uses 0.8 of the overshoot instead of 0.5; the bucket's size, which parts that lose each other may both spend, is 0.4 of the excess instead of 0.5. A call is taken while anything is left and what it overdraws is paid back first.

--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -190,6 +190,7 @@
     Bounds bounds_; ///< Figures of the settings.
     bool firstStart_ = false; ///< Whether the whole system starts for the first time: nothing has been used yet.
     std::mt19937_64 random_; ///< Source of random choices.
+    TimePoint unsettledAt_{}; ///< When a peer last started or was not heard, or this node started.
 
     Configuration configuration_; ///< Configuration in force.
     std::string configurationText_; ///< The same as the operator wrote it, for peers.
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -82,6 +82,9 @@
 /// Takes units that a peer has charged.
 void takePeerUse(GatewayState &state, TimePoint now, const std::string &workspace, int64_t units);
 
+/// @return whether a peer is heard often enough that its use of quotas is known.
+bool isHeard(const Peer &peer, TimePoint now);
+
 /// @return the share of all gateways that this one hears, itself included.
 double heardShare(const GatewayState &state, TimePoint now);
 
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -75,6 +75,7 @@
     }
     if (restarted) {
         peer->used_.clear();
+        state.unsettledAt_ = now;
     }
     if (now - peer->heardAt_ > countsExpiry) {
         outbox.decisions_.push_back({ "peer",
@@ -105,7 +106,9 @@
 void forgetSilentPeers(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
 {
     std::vector<PeerId> forgotten;
+    state.unsettledAt_ = state.unsettledAt_ == TimePoint{} ? now : state.unsettledAt_; // the own start
     forEachRow(state.peers_, [&](PeerId id, Peer &peer) {
+        state.unsettledAt_ = isHeard(peer, now) ? state.unsettledAt_ : now;
         if (!peer.inFlight_.empty() && now - peer.heardAt_ > countsExpiry) {
             clearCounts(state, peer);
             outbox.decisions_.push_back({ "peer", { { "peer", peer.address_ }, { "change", "silent" } }, true });
--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -14,10 +14,10 @@
 
 namespace {
 
-constexpr Milliseconds heardWithin{ 500 }; ///< A peer silent for longer may charge unseen; two heartbeats.
 constexpr double freshLevelShare = 0.25; ///< Part of the bucket that a restarted process takes for left.
-constexpr double sizeShare = 0.5; ///< Part of the excess over the rate that may be used at once.
-constexpr double slackShare = 0.5; ///< Part of the allowed overshoot that is used; the rest covers lags.
+constexpr double sizeShare = 0.4; ///< Part of the excess over the rate that may be used at once.
+constexpr double slackShare = 0.5; ///< Part of the allowed overshoot that is used; the rest covers lost counts.
+constexpr double calmSlackShare = 0.8; ///< The same while no count can have been lost; the rest covers lags.
 constexpr double repeatRatioShare = 0.75; ///< Part of the allowed ratio that is used; the rest covers counting lags.
 constexpr double repeatSlackShare = 0.6; ///< Part of the allowed slack that is used, likewise.
 
@@ -38,24 +38,33 @@
     double rate_ = 0; ///< Units that it gains a second.
 };
 
+/// @return whether every peer has been heard, and none has started, for as long as quotas look back.
+bool isCalm(const GatewayState &state, TimePoint now)
+{
+    return state.unsettledAt_ != TimePoint{} && now - state.unsettledAt_ >= state.bounds_.quotaWindow_;
+}
+
 /**
  * A window allows the rate, the burst and an overshoot. What goes beyond the rate is divided between the bucket's size
- * and its own rate, so that a workspace may use it both at once and steadily.
+ * and its own rate, so that a workspace may use it both at once and steadily. In calm the rate uses more of the
+ * overshoot; the size stays, since it is what parts that lose each other may both spend.
  */
-Bucket bucketOf(const GatewayState &state, const WorkspaceRule &rule)
+Bucket bucketOf(const GatewayState &state, TimePoint now, const WorkspaceRule &rule)
 {
     const double window = FractionalSeconds(state.bounds_.quotaWindow_).count();
     const double allowed = rule.burst_ + rule.ratePerSecond_ * window;
     const double slack = rule.countsTokens_ ? state.bounds_.quotaTokenSlack_ : 0;
-    const double excess = rule.burst_ + slackShare * (allowed * state.bounds_.quotaOvershoot_ + slack);
-    return { excess * sizeShare, rule.ratePerSecond_ + excess * (1 - sizeShare) / window };
+    const double overshoot = allowed * state.bounds_.quotaOvershoot_ + slack;
+    const double size = sizeShare * (rule.burst_ + slackShare * overshoot);
+    const double excess = rule.burst_ + (isCalm(state, now) ? calmSlackShare : slackShare) * overshoot;
+    return { size, rule.ratePerSecond_ + (excess - size) / window };
 }
 
 /// Brings the level up to date. @return the workspace's use
 WorkspaceUse &refill(GatewayState &state, TimePoint now, const WorkspaceRule &rule)
 {
     const double share = heardShare(state, now);
-    const auto [size, rate] = bucketOf(state, rule);
+    const auto [size, rate] = bucketOf(state, now, rule);
     const auto [place, added] = state.workspaces_.try_emplace(rule.name_);
     WorkspaceUse &use = place->second;
     if (added) {
@@ -71,13 +80,19 @@
 
 } // namespace
 
+bool isHeard(const Peer &peer, TimePoint now)
+{
+    constexpr Milliseconds heardWithin{ 500 }; // a peer silent for longer may charge unseen; two heartbeats
+    return now - peer.heardAt_ < heardWithin;
+}
+
 double heardShare(const GatewayState &state, TimePoint now)
 {
     size_t heard = 1;
     size_t known = 1;
     forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) {
         ++known;
-        heard += now - peer.heardAt_ < heardWithin ? 1 : 0;
+        heard += isHeard(peer, now) ? 1 : 0;
     });
     return static_cast<double>(heard) / static_cast<double>(known);
 }
@@ -88,7 +103,8 @@
         return true;
     }
     WorkspaceUse &use = refill(state, now, rule);
-    if (use.level_ < static_cast<double>(units)) {
+    // What is overdrawn is paid back first. Were the whole charge asked for, small calls would leave none for large ones.
+    if (use.level_ <= 0) {
         return false;
     }
     use.level_ -= static_cast<double>(units);
