--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -158,6 +158,17 @@
     CHECK(call("/read/x", "r1", "gateway-2").status_ == 200);
 }
 
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenItsFirstReadsAreSwallowed_AsksAnewSoon")
+{
+    signalProcess(fleet_, "gateway-1", SIGKILL);
+    signalProcess(fleet_, "gateway-2", SIGKILL); // no peer to take anything from
+    controlStoreLink(fleet_, "gateway-2", "/swallow");
+    startProcess(fleet_, "gateway-2");
+    std::this_thread::sleep_for(Milliseconds(300)); // its first reads hang by now
+    controlStoreLink(fleet_, "gateway-2", "/mend");
+    CHECK(waitUntil([&] { return isGatewayReady(fleet_, "gateway-2"); }, Milliseconds(800)));
+}
+
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenTheStoreForgetsItsHistory_ReadsAllAgain")
 {
     controlStandin(fleet_, "platform", R"({"forget_history":true})");
--- a/tests/standins/link.cpp
+++ b/tests/standins/link.cpp
@@ -43,6 +43,7 @@
     std::list<std::weak_ptr<LinkPair>> pairs_; ///< Open connections.
     bool cut_ = false; ///< Whether everything is closed.
     bool slow_ = false; ///< Whether everything takes slowDelay longer.
+    bool swallows_ = false; ///< Whether new connections pass nothing on, for good.
 };
 
 void closePair(LinkPair &pair)
@@ -86,6 +87,7 @@
 void openPair(Link &link, Tcp::socket socket)
 {
     auto pair = std::make_shared<LinkPair>(LinkPair{ std::move(socket), Tcp::socket(link.io_) });
+    pair->silent_ = link.swallows_;
     link.pairs_.push_back(pair);
     const auto body = [&link, pair](Asio::yield_context yield) {
         boost::system::error_code error;
@@ -122,6 +124,7 @@
 {
     link.cut_ = target == "/cut";
     link.slow_ = target == "/slow";
+    link.swallows_ = target == "/swallow";
     for (const auto &weak : link.pairs_) {
         const LinkPairPointer pair = weak.lock();
         if (pair == nullptr) {
--- a/tests/standins/link_func.h
+++ b/tests/standins/link_func.h
@@ -13,15 +13,15 @@
 {
     std::string listen_; ///< IP:PORT that it takes connections on.
     std::string target_; ///< IP:PORT that it relays them to.
-    std::string control_; ///< IP:PORT of its HTTP control: POST /silence, /deafen, /reset, /slow, /cut or /mend.
+    std::string control_; ///< IP:PORT of its HTTP control, which takes the orders named at runLink().
 };
 
 /**
  * Runs a link until it is told to stop.
  *
- * After /silence the open connections carry nothing more while new ones work, after /deafen nothing back to the caller;
- * /reset resets the open ones. After /cut the open ones are closed and new ones too, and after /slow all are delayed,
- * until another order.
+ * After /swallow new connections carry nothing, also later on. After /silence the open connections carry nothing more
+ * while new ones work, after /deafen nothing back to the caller; /reset resets the open ones. After /cut the open ones
+ * are closed and new ones too, and after /slow all are delayed, until another order.
  * @return exit status of the process
  */
 int runLink(const LinkPlace &place);
