--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -18,6 +18,7 @@
 constexpr double sizeShare = 0.4; ///< Part of the excess over the rate that may be used at once.
 constexpr double slackShare = 0.5; ///< Part of the allowed overshoot that is used; the rest covers lost counts.
 constexpr double calmSlackShare = 0.8; ///< The same while no count can have been lost; the rest covers lags.
+constexpr size_t fewPeers = 8; ///< With more peers, what all may charge before they hear of it adds up to too much.
 constexpr double repeatRatioShare = 0.75; ///< Part of the allowed ratio that is used; the rest covers counting lags.
 constexpr double repeatSlackShare = 0.6; ///< Part of the allowed slack that is used, likewise.
 
@@ -38,10 +39,11 @@
     double rate_ = 0; ///< Units that it gains a second.
 };
 
-/// @return whether every peer has been heard, and none has started, for as long as quotas look back.
+/// @return whether every peer of a few has been heard, and none has started, for as long as quotas look back.
 bool isCalm(const GatewayState &state, TimePoint now)
 {
-    return state.unsettledAt_ != TimePoint{} && now - state.unsettledAt_ >= state.bounds_.quotaWindow_;
+    return state.peers_.size_ <= fewPeers && state.unsettledAt_ != TimePoint{}
+    && now - state.unsettledAt_ >= state.bounds_.quotaWindow_;
 }
 
 /**
@@ -103,9 +105,10 @@
         return true;
     }
     WorkspaceUse &use = refill(state, now, rule);
-    // What is overdrawn is paid back first. Were the whole charge asked for, small calls would leave none for large
-    // ones.
-    if (use.level_ <= 0) {
+    // Of a few gateways each may overdraw, and pays back first: if all were asked for the whole charge, small calls
+    // would leave none for large ones.
+    const double needed = state.peers_.size_ <= fewPeers ? 0 : static_cast<double>(units);
+    if (use.level_ <= 0 || use.level_ < needed) {
         return false;
     }
     use.level_ -= static_cast<double>(units);
--- a/tests/gateway_dispatch_test.cpp
+++ b/tests/gateway_dispatch_test.cpp
@@ -163,6 +163,18 @@
     CHECK(arrive(call).refusals_.at(0).reason_ == RefusalReason::OverQuota);
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "Quota_WhenManyGatewaysMightOverdraw_AsksForTheWholeCharge")
+{
+    for (int peer = 2; peer <= 10; ++peer) {
+        hearPeer("10.0.0." + std::to_string(peer) + ":7000", {});
+    }
+    CallArrived call = makeCall("read", 1);
+    call.request_.tokens_ = 3000; // leaves 200 of 3200
+    arrive(call);
+    call.exchange_ = ExchangeId{ 2 };
+    CHECK(arrive(call).refusals_.at(0).reason_ == RefusalReason::OverQuota);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "Quota_WhenACallHasNotRun_IsGivenBack")
 {
     hearPeer("10.0.0.2:7000", { { "engine-1", 5 }, { "engine-2", 5 } });
