Call what is there already: names of refusals, rows, names of upstreams, workspaces by name

Change: refusal_names.h; rowOf, upstreamName, hasNotRun, asksSoon; an index of workspaces by name beside that of services; the moment is set at the start, and by the share of gateways heard. Behaviour is unchanged.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -79,16 +79,21 @@
         && !isCrashSuspect(state, now, call.fingerprint_) && takeRepeat(state, call.service_);
 }
 
+/// @return whether the upstream promises that it has not run the call.
+bool hasNotRun(const Call &call)
+{
+    return call.headSeen_ && (call.head_.notRun_ || call.head_.wrongInstance_);
+}
+
 void logFailedSend(
-    const Call &call, const Upstream *upstream, std::error_code error, TimePoint now, GatewayOutbox &outbox)
+    const GatewayState &state, const Call &call, std::error_code error, TimePoint now, GatewayOutbox &outbox)
 {
     const std::string status = call.headSeen_ ? std::to_string(call.head_.reply_.status_) : "none";
     outbox.decisions_.push_back({ "send-failed",
-        { { "request", call.request_.id_ }, { "upstream", upstream == nullptr ? "gone" : upstream->id_ },
+        { { "request", call.request_.id_ }, { "upstream", upstreamName(state, call) },
             { "error", error ? error.message() : std::string("answer-refused") }, { "status", status },
-            { "not_run", call.headSeen_ && (call.head_.notRun_ || call.head_.wrongInstance_) ? "yes" : "no" },
-            { "attempt", std::to_string(call.attempts_) }, { "events", std::to_string(call.events_) },
-            { "after_ms", millisecondsText(now - call.sentAt_) } },
+            { "not_run", hasNotRun(call) ? "yes" : "no" }, { "attempt", std::to_string(call.attempts_) },
+            { "events", std::to_string(call.events_) }, { "after_ms", millisecondsText(now - call.sentAt_) } },
         true });
 }
 
@@ -224,8 +229,7 @@
     if (relayed && call->body_.size() <= answerBytesLimit) {
         return;
     }
-    const Upstream *upstream = findRow(state.upstreams_, call->upstream_);
-    logFailedSend(*call, upstream, TransportErrc::Malformed, now, outbox);
+    logFailedSend(state, *call, TransportErrc::Malformed, now, outbox);
     outbox.cancels_.push_back(call->send_);
     call->body_.clear();
     handleFailure(state, now, id, *call, false, outbox);
@@ -238,12 +242,11 @@
     if (call == nullptr) {
         return;
     }
-    const Upstream *upstream = findRow(state.upstreams_, call->upstream_);
-    const bool notRun = call->headSeen_ && (call->head_.notRun_ || call->head_.wrongInstance_);
+    const bool notRun = hasNotRun(*call);
     const bool failed = event.error_ || notRun || !call->head_.genuine_
         || (call->repeatable_ && call->head_.reply_.status_ >= serverErrorStatus);
     if (failed) {
-        logFailedSend(*call, upstream, event.error_, now, outbox);
+        logFailedSend(state, *call, event.error_, now, outbox);
         count(state.metrics_, "sends_failed", event.error_ ? event.error_.message() : "answer-refused");
     }
     if (notRun) {
@@ -251,8 +254,8 @@
     } else if (event.error_ == TransportErrc::NotSent) {
         handleUnreachable(state, now, id, *call, outbox);
     } else if (event.error_) {
-        if (Upstream *broken = findRow(state.upstreams_, call->upstream_); broken != nullptr) {
-            noteBroken(*broken, now, call->fingerprint_);
+        if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
+            noteBroken(*upstream, now, call->fingerprint_);
         }
         call->body_.clear();
         handleFailure(state, now, id, *call, false, outbox);
--- a/src/gateway_configuration.cpp
+++ b/src/gateway_configuration.cpp
@@ -24,6 +24,7 @@
 {
     configuration.routesByHost_.clear();
     configuration.workspaceByKey_.clear();
+    configuration.workspaceByName_.clear();
     configuration.serviceByName_.clear();
     configuration.topRankByService_.clear();
     for (size_t index = 0; index < configuration.routes_.size(); ++index) {
@@ -37,6 +38,7 @@
         std::stable_sort(routes.begin(), routes.end(), longerPrefix);
     }
     for (size_t index = 0; index < configuration.workspaces_.size(); ++index) {
+        configuration.workspaceByName_.try_emplace(configuration.workspaces_[index].name_, index);
         for (const std::string &key : configuration.workspaces_[index].keys_) {
             configuration.workspaceByKey_[key] = index;
         }
@@ -66,6 +68,12 @@
     return found == configuration.workspaceByKey_.end() ? nullptr : &configuration.workspaces_[found->second];
 }
 
+const WorkspaceRule *findWorkspaceByName(const Configuration &configuration, const std::string &name)
+{
+    const auto found = configuration.workspaceByName_.find(name);
+    return found == configuration.workspaceByName_.end() ? nullptr : &configuration.workspaces_[found->second];
+}
+
 const Service *findService(const Configuration &configuration, const std::string &name)
 {
     const auto found = configuration.serviceByName_.find(name);
--- a/src/gateway_configuration_type.h
+++ b/src/gateway_configuration_type.h
@@ -86,6 +86,7 @@
 
     std::unordered_map<std::string, std::vector<size_t>> routesByHost_; ///< Routes of a host, longest prefix first.
     std::unordered_map<std::string, size_t> workspaceByKey_; ///< Workspace of a key.
+    std::unordered_map<std::string, size_t> workspaceByName_; ///< Workspace of a name.
     std::unordered_map<std::string, size_t> serviceByName_; ///< Service of a name.
     std::unordered_map<std::string, uint32_t> topRankByService_; ///< Most urgent rank of the routes to a service.
 };
@@ -99,6 +100,9 @@
 /// @return the workspace that holds @p key, or nullptr.
 const WorkspaceRule *findWorkspace(const Configuration &configuration, const std::string &key);
 
+/// @return the workspace of that name, or nullptr.
+const WorkspaceRule *findWorkspaceByName(const Configuration &configuration, const std::string &name);
+
 /// @return the service of that name, or nullptr.
 const Service *findService(const Configuration &configuration, const std::string &name);
 
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -421,6 +421,7 @@
     state.firstStart_ = settings.gateway_.firstStart_;
     state.random_.seed(seedOf(settings));
     state.incarnation_ = state.random_();
+    state.unsettledAt_ = Clock::now();
     applyBounds(daemon);
 }
 
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -82,9 +82,6 @@
 /// Takes units that a peer has charged.
 void takePeerUse(GatewayState &state, TimePoint now, const std::string &workspace, int64_t units);
 
-/// @return whether a peer is heard often enough that its use of quotas is known.
-bool isHeard(const Peer &peer, TimePoint now);
-
 /// @return the share of all gateways that this one hears, itself included.
 double heardShare(const GatewayState &state, TimePoint now);
 
@@ -97,6 +94,9 @@
 /// @return the call that a send belongs to; matches no row when the send has ended.
 CallId findSent(const GatewayState &state, uint64_t send);
 
+/// @return an upstream's row, as the list has it.
+UpstreamRow rowOf(const Upstream &upstream);
+
 /// @return the upstream of that id, or nullptr.
 Upstream *findUpstream(GatewayState &state, const std::string &id);
 
@@ -130,9 +130,6 @@
 /// @return whether a request has crashed too many upstreams to be run again.
 bool isCrashSuspect(const GatewayState &state, TimePoint now, uint64_t fingerprint);
 
-/// @return the word for a reason in logs and metrics.
-std::string_view nameOf(RefusalReason reason);
-
 /// @return the upstream that a call was sent to last, for log lines.
 std::string upstreamName(const GatewayState &state, const Call &call);
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -5,6 +5,8 @@
 #include "gateway_func.h"
 
 #include "digest_func.h"
+#include "json_func.h"
+#include "table/refusal_names.h"
 
 #include <algorithm>
 #include <utility>
@@ -124,10 +126,10 @@
 {
     outbox.refusals_.push_back({ arrival.exchange_, reason, true, {}, arrival.request_.id_ });
     outbox.decisions_.push_back({ "refused",
-        { { "request", arrival.request_.id_ }, { "reason", std::string(nameOf(reason)) },
+        { { "request", arrival.request_.id_ }, { "reason", std::string(nameOf(reason, refusalReasonNames)) },
             { "path", arrival.request_.path_ }, { "configuration", std::to_string(state.configuration_.version_) } },
         true });
-    count(state.metrics_, "calls_refused", std::string(nameOf(reason)));
+    count(state.metrics_, "calls_refused", std::string(nameOf(reason, refusalReasonNames)));
 }
 
 void admit(GatewayState &state, TimePoint now, CallArrived &arrival, GatewayOutbox &outbox)
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -34,12 +34,6 @@
             { "source", source } } });
 }
 
-UpstreamRow rowOf(const Upstream &upstream)
-{
-    return { upstream.id_, upstream.service_, upstream.address_, upstream.zone_, upstream.slots_, upstream.bornMs_,
-        upstream.draining_, false };
-}
-
 void addUpstream(GatewayState &state, const UpstreamRow &row, const std::string &source, GatewayOutbox &outbox)
 {
     Upstream upstream;
@@ -191,6 +185,12 @@
 
 } // namespace
 
+UpstreamRow rowOf(const Upstream &upstream)
+{
+    return { upstream.id_, upstream.service_, upstream.address_, upstream.zone_, upstream.slots_, upstream.bornMs_,
+        upstream.draining_, false };
+}
+
 void runConfiguration(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
 {
     for (ConfigurationReceived &event : inbox.configurations_) {
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -128,10 +128,8 @@
     snapshot.quotas_ = describeQuotas(state);
     snapshot.upstreams_.whole_ = true;
     snapshot.upstreams_.version_ = state.upstreamsVersion_;
-    forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
-        snapshot.upstreams_.rows_.push_back({ upstream.id_, upstream.service_, upstream.address_, upstream.zone_,
-            upstream.slots_, upstream.bornMs_, upstream.draining_, false });
-    });
+    forEachRow(state.upstreams_,
+        [&](UpstreamId /*id*/, const Upstream &upstream) { snapshot.upstreams_.rows_.push_back(rowOf(upstream)); });
     return snapshot;
 }
 
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -106,9 +106,7 @@
 void forgetSilentPeers(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
 {
     std::vector<PeerId> forgotten;
-    state.unsettledAt_ = state.unsettledAt_ == TimePoint{} ? now : state.unsettledAt_; // the own start
     forEachRow(state.peers_, [&](PeerId id, Peer &peer) {
-        state.unsettledAt_ = isHeard(peer, now) ? state.unsettledAt_ : now;
         if (!peer.inFlight_.empty() && now - peer.heardAt_ > countsExpiry) {
             clearCounts(state, peer);
             outbox.decisions_.push_back({ "peer", { { "peer", peer.address_ }, { "change", "silent" } }, true });
@@ -198,6 +196,9 @@
     for (const QuotaLevels &levels : inbox.quotaLevels_) {
         learnQuotas(state, now, levels);
     }
+    if (heardShare(state, now) < 1) {
+        state.unsettledAt_ = now;
+    }
     forgetSilentPeers(state, now, outbox);
     catchUp(state, now, outbox);
 }
--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr Milliseconds heardWithin{ 500 }; ///< A peer silent for longer may charge unseen; two heartbeats.
 constexpr double freshLevelShare = 0.25; ///< Part of the bucket that a restarted process takes for left.
 constexpr double sizeShare = 0.4; ///< Part of the excess over the rate that may be used at once.
 constexpr double slackShare = 0.5; ///< Part of the allowed overshoot that is used; the rest covers lost counts.
@@ -22,16 +23,6 @@
 constexpr double repeatRatioShare = 0.75; ///< Part of the allowed ratio that is used; the rest covers counting lags.
 constexpr double repeatSlackShare = 0.6; ///< Part of the allowed slack that is used, likewise.
 
-const WorkspaceRule *findRule(const GatewayState &state, const std::string &workspace)
-{
-    const auto &rules = state.configuration_.workspaces_;
-    const auto named = [&workspace](const WorkspaceRule &rule) {
-        return rule.name_ == workspace;
-    };
-    const auto found = std::find_if(rules.begin(), rules.end(), named);
-    return found == rules.end() ? nullptr : &*found;
-}
-
 /// Bucket that keeps a workspace within its quota in every window.
 struct Bucket
 {
@@ -42,8 +33,7 @@
 /// @return whether every peer of a few has been heard, and none has started, for as long as quotas look back.
 bool isCalm(const GatewayState &state, TimePoint now)
 {
-    return state.peers_.size_ <= fewPeers && state.unsettledAt_ != TimePoint{}
-    && now - state.unsettledAt_ >= state.bounds_.quotaWindow_;
+    return state.peers_.size_ <= fewPeers && now - state.unsettledAt_ >= state.bounds_.quotaWindow_;
 }
 
 /**
@@ -82,19 +72,13 @@
 
 } // namespace
 
-bool isHeard(const Peer &peer, TimePoint now)
-{
-    constexpr Milliseconds heardWithin{ 500 }; // a peer silent for longer may charge unseen; two heartbeats
-    return now - peer.heardAt_ < heardWithin;
-}
-
 double heardShare(const GatewayState &state, TimePoint now)
 {
     size_t heard = 1;
     size_t known = 1;
     forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) {
         ++known;
-        heard += isHeard(peer, now) ? 1 : 0;
+        heard += now - peer.heardAt_ < heardWithin ? 1 : 0;
     });
     return static_cast<double>(heard) / static_cast<double>(known);
 }
@@ -151,7 +135,7 @@
 
 void takePeerUse(GatewayState &state, TimePoint now, const std::string &workspace, int64_t units)
 {
-    const WorkspaceRule *rule = findRule(state, workspace);
+    const WorkspaceRule *rule = findWorkspaceByName(state.configuration_, workspace);
     if (rule != nullptr && rule->ratePerSecond_ > 0) {
         refill(state, now, *rule).level_ -= static_cast<double>(units);
     }
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -3,6 +3,8 @@
  * @brief Tick of a gateway, deadlines of calls, and what several systems do alike.
  */
 #include "gateway_func.h"
+#include "json_func.h"
+#include "table/refusal_names.h"
 
 #include <algorithm>
 
@@ -68,13 +70,12 @@
         pushDeadline(state.deadlines_, std::min(call.deadline_, now + silenceRecheck), id);
         return;
     }
-    Upstream *upstream = findRow(state.upstreams_, call.upstream_);
-    if (upstream != nullptr) {
+    if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         noteOutcome(*upstream, now, true);
     }
     outbox.decisions_.push_back({ "upstream-silent",
-        { { "request", call.request_.id_ }, { "upstream", upstream == nullptr ? "gone" : upstream->id_ },
-            { "silent_ms", millisecondsText(now - call.heardAt_) }, { "events", std::to_string(call.events_) } },
+        { { "request", call.request_.id_ }, { "upstream", upstreamName(state, call) },
+            { "silent_ms", silenceText(now, call) }, { "events", std::to_string(call.events_) } },
         true });
     call.mayHaveRun_ = true;
     detachFromUpstream(state, call, true, outbox);
@@ -177,13 +178,14 @@
     }
     outbox.decisions_.push_back({ "refused",
         { { "request", call.request_.id_ }, { "route", call.routeName_ }, { "workspace", call.workspace_ },
-            { "reason", std::string(nameOf(reason)) }, { "not_run", refusal.notRun_ ? "yes" : "no" },
-            { "attempts", std::to_string(call.attempts_) }, { "events", std::to_string(call.events_) },
-            { "waited_ms", millisecondsText(now - call.arrivedAt_) }, { "upstream", upstreamName(state, call) },
-            { "silent_ms", silenceText(now, call) }, { "retry_after_ms", std::to_string(refusal.retryAfter_.count()) },
+            { "reason", std::string(nameOf(reason, refusalReasonNames)) },
+            { "not_run", refusal.notRun_ ? "yes" : "no" }, { "attempts", std::to_string(call.attempts_) },
+            { "events", std::to_string(call.events_) }, { "waited_ms", millisecondsText(now - call.arrivedAt_) },
+            { "upstream", upstreamName(state, call) }, { "silent_ms", silenceText(now, call) },
+            { "retry_after_ms", std::to_string(refusal.retryAfter_.count()) },
             { "configuration", std::to_string(state.configuration_.version_) } },
         true });
-    count(state.metrics_, "calls_refused", std::string(nameOf(reason)));
+    count(state.metrics_, "calls_refused", std::string(nameOf(reason, refusalReasonNames)));
     if (call.streamBegun_) {
         outbox.breaks_.push_back(call.exchange_);
     } else {
@@ -192,39 +194,13 @@
     eraseCall(state, id);
 }
 
-std::string_view nameOf(RefusalReason reason)
-{
-    switch (reason) {
-    case RefusalReason::NoConfiguration:
-        return "no-configuration";
-    case RefusalReason::NoRoute:
-        return "no-route";
-    case RefusalReason::UnknownKey:
-        return "unknown-key";
-    case RefusalReason::Malformed:
-        return "malformed";
-    case RefusalReason::OverQuota:
-        return "over-quota";
-    case RefusalReason::Overloaded:
-        return "overloaded";
-    case RefusalReason::NoUpstream:
-        return "no-upstream";
-    case RefusalReason::NotRunThere:
-        return "not-run-there";
-    case RefusalReason::CrashSuspect:
-        return "crash-suspect";
-    case RefusalReason::Expired:
-        return "expired";
-    case RefusalReason::UpstreamFailed:
-        return "upstream-failed";
-    }
-    return "unknown";
-}
-
 std::string upstreamName(const GatewayState &state, const Call &call)
 {
+    if (call.attempts_ == 0) {
+        return "none";
+    }
     const Upstream *upstream = findRow(state.upstreams_, call.upstream_);
-    return call.attempts_ == 0 ? "none" : upstream == nullptr ? "gone" : upstream->id_;
+    return upstream == nullptr ? "gone" : upstream->id_;
 }
 
 std::string silenceText(TimePoint now, const Call &call)
--- /dev/null
+++ b/src/table/refusal_names.h
@@ -0,0 +1,29 @@
+/**
+ * @file refusal_names.h
+ * @brief Words for reasons of refusals in logs, metrics and answers.
+ */
+#pragma once
+
+#include "../gateway_call_type.h"
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace Burdockfield {
+
+constexpr std::array<std::pair<std::string_view, Gateway::RefusalReason>, 11> refusalReasonNames{ {
+    { "no-configuration", Gateway::RefusalReason::NoConfiguration },
+    { "no-route", Gateway::RefusalReason::NoRoute },
+    { "unknown-key", Gateway::RefusalReason::UnknownKey },
+    { "malformed", Gateway::RefusalReason::Malformed },
+    { "over-quota", Gateway::RefusalReason::OverQuota },
+    { "overloaded", Gateway::RefusalReason::Overloaded },
+    { "no-upstream", Gateway::RefusalReason::NoUpstream },
+    { "not-run-there", Gateway::RefusalReason::NotRunThere },
+    { "crash-suspect", Gateway::RefusalReason::CrashSuspect },
+    { "expired", Gateway::RefusalReason::Expired },
+    { "upstream-failed", Gateway::RefusalReason::UpstreamFailed },
+} };
+
+} // namespace Burdockfield
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -27,6 +27,7 @@
         state_.peerAddress_ = "10.0.0.1:7000";
         state_.incarnation_ = 1;
         state_.firstStart_ = true;
+        state_.unsettledAt_ = now_;
         state_.bounds_.quotaTokenSlack_ = 0;
         GatewayInbox inbox;
         inbox.configurations_.push_back({ makeConfiguration(1), "text-1", "test" });
