Log why a process ends by an exception or a fault

The only trace were two lines on standard error without time, node or event; the lines that the log still held (up to 100 ms) were lost, and a search for the structured events of OPERATIONS.md found nothing.

Change: a terminate handler logs "ended-by-exception" with the type and text of the exception after the queued lines; a handler of SIGSEGV, SIGBUS, SIGFPE and SIGILL writes "ended-by-signal" at once, unless the reader of the output would block it. Exit statuses stay those of the signals (SIGABRT after an exception).

--- a/src/daemon_main.cpp
+++ b/src/daemon_main.cpp
@@ -5,6 +5,7 @@
 #include "daemon_func.h"
 #include "log_func.h"
 #include "settings_func.h"
+#include "termination_func.h"
 #include "version_type.h"
 
 #include <CLI/CLI.hpp>
@@ -25,6 +26,7 @@
         return startFailureStatus;
     }
     startLog("burdockfieldd", settings.identity_.name_, settings.logLevel_);
+    installTerminationHandlers(settings.identity_.name_);
     int status = 0;
     switch (settings.role_) {
     case Role::Gateway:
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -6,12 +6,11 @@
 
 #include "json_func.h"
 #include "table/decision_names.h"
+#include "utc_time_func.h"
 
 #include <algorithm>
-#include <array>
 #include <condition_variable>
 #include <cstdio>
-#include <ctime>
 #include <glog/logging.h>
 #include <mutex>
 #include <oneapi/tbb/concurrent_queue.h>
@@ -21,7 +20,6 @@
 
 namespace {
 
-constexpr int64_t microsecondsPerSecond = 1000000;
 constexpr std::chrono::milliseconds batchDelay{ 100 }; ///< Time for which lines are collected into one write.
 constexpr size_t maxBatchBytes = 20U << 10U; ///< Below glog's limit of 30,000 bytes a message.
 constexpr ptrdiff_t maxQueuedLines = 4096; ///< Longer queues drop lines; uses about 1.5 MB.
@@ -36,24 +34,19 @@
     return name;
 }
 
-/// @return current UTC time in ISO 8601 format, with microseconds.
-std::string currentTimeText()
+Json::object makeLine(const std::string &event)
 {
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    const int64_t micros = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
-    const std::time_t seconds = micros / microsecondsPerSecond;
-    std::tm parts{};
-    gmtime_r(&seconds, &parts);
-    std::array<char, 32> date{};
-    std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    std::array<char, 48> text{};
-    std::snprintf(text.data(), text.size(), "%s.%06dZ", date.data(), static_cast<int>(micros % microsecondsPerSecond));
-    return text.data();
+    const UtcTimeText time = formatUtcTime(std::chrono::system_clock::now());
+    return { { "time", std::string_view(time.data(), time.size()) }, { "node", nodeName() }, { "event", event } };
 }
 
-Json::object makeLine(const std::string &event)
+Json::object makeLine(const std::string &event, const LogFields &fields)
 {
-    return { { "time", currentTimeText() }, { "node", nodeName() }, { "event", event } };
+    Json::object line = makeLine(event);
+    for (const auto &[name, value] : fields) {
+        line[name] = value;
+    }
+    return line;
 }
 
 /// Line to be written; an empty text tells the writer thread to stop.
@@ -219,11 +212,13 @@
     if (static_cast<int>(level) < FLAGS_minloglevel) {
         return;
     }
-    Json::object line = makeLine(event);
-    for (const auto &[name, value] : fields) {
-        line[name] = value;
-    }
-    enqueueLine(level, line);
+    enqueueLine(level, makeLine(event, fields));
+}
+
+void logLastLine(const std::string &event, const LogFields &fields)
+{
+    writer().lines_.try_push({ LogLevel::Error, Json::serialize(makeLine(event, fields)) });
+    stopLog();
 }
 
 void logDecision(const RoutingDecision &decision)
--- a/tests/standins/standin_main.cpp
+++ b/tests/standins/standin_main.cpp
@@ -4,11 +4,14 @@
  */
 #include "engine_base.h"
 #include "link_func.h"
+#include "log_func.h"
 #include "platform_base.h"
 #include "platform_upstream_base.h"
 #include "service_base.h"
+#include "termination_func.h"
 
 #include <CLI/CLI.hpp>
+#include <stdexcept>
 
 namespace {
 
@@ -30,6 +33,15 @@
     command.add_option("--cache-blocks", settings.cacheBlocks_, "Prefix blocks cached");
 }
 
+/// Daemon that ends by an exception at once, with a line still queued.
+[[noreturn]] void runFailingDaemon()
+{
+    startLog("burdockfield-standin", "failing", LogLevel::Info);
+    installTerminationHandlers("failing");
+    logLine(LogLevel::Info, "started");
+    throw std::runtime_error("cancel: Bad file descriptor");
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -48,6 +60,8 @@
     CLI::App *upstreamCommand = app.add_subcommand("upstream", "Upstream of the users' platform");
     addPlace(*upstreamCommand, place);
     upstreamCommand->add_option("--instance", upstream.instance_, "Name of this start");
+    CLI::App *failingCommand = app.add_subcommand("failing", "Daemon that ends by an exception");
+    addPlace(*failingCommand, place);
     addPlace(*engineCommand, place);
     addPlace(*serviceCommand, place);
     addPlace(*platformCommand, place);
@@ -72,5 +86,8 @@
     if (linkCommand->parsed()) {
         return runLink(link);
     }
+    if (failingCommand->parsed()) {
+        runFailingDaemon();
+    }
     return runStandin(place, std::move(platform), tickPlatform, nextPlatformDeadline);
 }
