End a read timeout with the read that it guards

Cause: cancelling an Asio timer does not recall a callback that is queued already. The callback of a connection's read timer held a plain reference to the connection and could run after the connection had ended, on freed memory, where the throwing overload of cancel() on the closed socket ended the process; or after the next use of the connection had begun, where it cancelled the watch for the caller's close and marked the read as timed out. The thread only has to be busy while the timeout passes: a stopping gateway closes its idle connections in such a moment, and a gateway's VM has 0.09 of a core. Class: a callback that outlives the operation it belongs to.

Why this works: a Timeout owns its callback. Cancelling, restarting or destroying it drops the callback, so that a handler that is queued finds none. The owner can't be gone while the callback exists. A request whose first byte arrives together with the idle timeout is read, not dropped.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -31,15 +31,13 @@
     Closed, ///< The peer closed, or the idle timeout passed.
 };
 
-void startReadTimer(ServerConnection &connection, Milliseconds timeout)
+void startReadTimeout(ServerConnection &connection, Milliseconds timeout)
 {
     connection.timedOut_ = false;
-    connection.readTimer_.expires_after(timeout);
-    connection.readTimer_.async_wait([&connection](const boost::system::error_code &error) {
-        if (!error) {
-            connection.timedOut_ = true;
-            connection.stream_.socket().cancel();
-        }
+    startTimeout(connection.readTimeout_, timeout, [&connection] {
+        connection.timedOut_ = true;
+        boost::system::error_code ignored;
+        connection.stream_.socket().cancel(ignored);
     });
 }
 
@@ -65,12 +63,12 @@
         return true;
     }
     boost::system::error_code error;
-    startReadTimer(connection, server.limits_.idleTimeout_);
+    startReadTimeout(connection, server.limits_.idleTimeout_);
     server.idle_.insert(pointer);
     connection.stream_.socket().async_wait(Tcp::socket::wait_read, yield[error]);
     server.idle_.erase(pointer);
-    connection.readTimer_.cancel();
-    return !error && !connection.timedOut_;
+    cancelTimeout(connection.readTimeout_);
+    return !error;
 }
 
 /// Copies the header. Called before the body is read, so trailer fields are left out.
@@ -113,7 +111,7 @@
     parser.header_limit(static_cast<uint32_t>(server.limits_.headerBytes_));
     parser.body_limit(server.limits_.bodyBytes_);
     boost::system::error_code error;
-    startReadTimer(connection, server.limits_.readTimeout_);
+    startReadTimeout(connection, server.limits_.readTimeout_);
     Http::async_read_header(connection.stream_.socket(), connection.buffer_, parser, yield[error]);
     if (!error && !hasUnambiguousLength(parser.get())) {
         error = Http::error::bad_transfer_encoding;
@@ -122,7 +120,7 @@
         copyHeader(parser.get(), request);
         readRequestBody(connection, parser, error, yield);
     }
-    connection.readTimer_.cancel();
+    cancelTimeout(connection.readTimeout_);
     if (!error) {
         connection.closeAfterExchange_ = !parser.get().keep_alive();
         request.body_ = std::move(parser.get().body());
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -7,6 +7,7 @@
 #include "http_type.h"
 #include "request_type.h"
 #include "time_type.h"
+#include "timeout_type.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -69,18 +70,18 @@
     explicit ServerConnection(Asio::ip::tcp::socket socket)
         : stream_(std::move(socket))
         , outputSignal_(stream_.get_executor())
-        , readTimer_(stream_.get_executor())
+        , readTimeout_(stream_.get_executor())
     {
     }
 
     Beast::tcp_stream stream_;
     Beast::flat_buffer buffer_; ///< Bytes received and not yet parsed.
     Asio::steady_timer outputSignal_; ///< Never expires; cancelled to wake the writer.
-    Asio::steady_timer readTimer_; ///< Enforces the idle and read timeouts.
+    Timeout readTimeout_; ///< Enforces the idle and read timeouts.
     std::deque<ServerOutput> output_; ///< Parts queued for writing.
     ExchangeId exchange_; ///< Exchange in progress; 0 when there is none.
     bool peerClosed_ = false; ///< Whether the peer has disconnected.
-    bool timedOut_ = false; ///< Whether readTimer_ has ended a read.
+    bool timedOut_ = false; ///< Whether readTimeout_ has ended a read.
     bool closeAfterExchange_ = false; ///< Whether the connection closes after this exchange.
 };
 
