Log an exception that ends a coroutine, and release what it held

Coroutines were spawned detached, and Asio then drops an exception that leaves one: no log line, the caller's connection stayed open without an answer, its exchange was never removed (so that a stopping gateway would wait for it until it was killed), and the call's owner was not told.

Change: startCoroutine() logs "coroutine-failed"; the server then closes the connection and reports the end of the exchange, the client forgets the stream. The log moves to a library below the platform's, so that the client can use it.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -5,13 +5,12 @@
 #include "http_client.h"
 
 #include "address_func.h"
+#include "coroutine_func.h"
 #include "error_type.h"
 #include "http_fields_func.h"
 #include "socket_func.h"
 
 #include <array>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/spawn.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 
@@ -229,7 +228,7 @@
         CallResult result = call(client, address, request, timeout, use, yield);
         done(result.error_, std::move(result.reply_));
     };
-    Asio::spawn(client.io_, body, Asio::detached);
+    startCoroutine(client.io_, "fetch", body, [] {});
 }
 
 uint64_t openStream(
@@ -247,7 +246,7 @@
             handlers.onEnd_(error);
         }
     };
-    Asio::spawn(client.io_, body, Asio::detached);
+    startCoroutine(client.io_, "stream", body, [&client, number] { client.streams_.erase(number); });
     return number;
 }
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -5,12 +5,11 @@
 #include "http_server.h"
 
 #include "address_func.h"
+#include "coroutine_func.h"
 #include "error_type.h"
 #include "http_fields_func.h"
 #include "socket_func.h"
 
-#include <boost/asio/detached.hpp>
-#include <boost/asio/spawn.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
@@ -329,6 +328,18 @@
     connection->stream_.close();
 }
 
+/// Closes a connection whose coroutine has ended by an exception.
+void endFailed(HttpServer &server, const ConnectionPointer &connection)
+{
+    server.idle_.erase(connection);
+    connection->stream_.close();
+    const ExchangeId exchange = std::exchange(connection->exchange_, ExchangeId{});
+    if (server.exchanges_.erase(exchange) > 0) {
+        server.handlers_.onDisconnect_(exchange);
+        notifyIfIdle(server);
+    }
+}
+
 void acceptNext(HttpServer &server)
 {
     server.acceptor_.async_accept([&server](const boost::system::error_code &error, Tcp::socket socket) {
@@ -338,10 +349,10 @@
         if (!error) {
             configureSocket(socket, incomingUserTimeout);
             auto connection = std::make_shared<ServerConnection>(std::move(socket));
-            Asio::spawn(
-                server.io_,
-                [&server, connection](Asio::yield_context yield) { serveConnection(server, connection, yield); },
-                Asio::detached);
+            const auto serve = [&server, connection](Asio::yield_context yield) {
+                serveConnection(server, connection, yield);
+            };
+            startCoroutine(server.io_, "connection", serve, [&server, connection] { endFailed(server, connection); });
         }
         acceptNext(server);
     });
--- a/src/termination.cpp
+++ b/src/termination.cpp
@@ -4,19 +4,18 @@
  */
 #include "termination_func.h"
 
+#include "exception_func.h"
 #include "json_func.h"
 #include "log_func.h"
 #include "utc_time_func.h"
 
 #include <algorithm>
 #include <array>
-#include <boost/core/demangle.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <poll.h>
 #include <string_view>
-#include <typeinfo>
 #include <unistd.h>
 
 namespace Burdockfield {
@@ -42,20 +41,8 @@
 /// Logs the exception that ends the process.
 [[noreturn]] void endByException()
 {
-    std::string type = "none";
-    std::string error = "terminated without an exception";
-    try {
-        if (const std::exception_ptr current = std::current_exception(); current) {
-            type = "unknown";
-            error = "not a std::exception";
-            std::rethrow_exception(current);
-        }
-    } catch (const std::exception &exception) {
-        type = boost::core::demangle(typeid(exception).name());
-        error = exception.what();
-    } catch (...) { // NOLINT(bugprone-empty-catch): type and error say so
-    }
-    logLastLine("ended-by-exception", { { "type", type }, { "error", error } });
+    const ExceptionText text = describeException(std::current_exception());
+    logLastLine("ended-by-exception", { { "type", text.type_ }, { "error", text.error_ } });
     std::abort();
 }
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -47,6 +48,9 @@
         ServerHandlers handlers;
         handlers.onRequest_ = [this](ExchangeId exchange, const HttpRequest & /*request*/) {
             exchange_ = exchange;
+            if (failsOnRequest_) {
+                throw std::out_of_range("no such row");
+            }
         };
         handlers.onDisconnect_ = [this](ExchangeId /*exchange*/) {
             ++disconnects_;
@@ -108,6 +112,7 @@
     HttpServer server_;
     Asio::ip::tcp::socket caller_{ io_ };
     ExchangeId exchange_; ///< Exchange of the last request that the server has received.
+    bool failsOnRequest_ = false; ///< Whether the handler of requests throws.
     int disconnects_ = 0; ///< Exchanges that ended before their response.
 };
 
@@ -176,3 +181,12 @@
     stayBusy();
     CHECK(receiveAll().empty());
 }
+
+TEST_CASE_FIXTURE(HttpServerFixture, "Server_WhenTheHandlerOfARequestThrows_EndsOnlyItsExchange")
+{
+    failsOnRequest_ = true;
+    send(requestHead + "body");
+    CHECK(receiveAll().empty());
+    CHECK(server_.exchanges_.empty());
+    CHECK(disconnects_ == 1);
+}
