Serve a request that arrives while its idle connection is being closed

The wait of an idle connection is cancelled when its timeout passes or when listening ends; a request that arrives before the cancelled wait resumes was left unread and its connection reset, though the gateway could still serve it.

Measured: Server_WhenARequestArrivesWhileIdleConnectionsAreClosed_ AnswersIt got no answer within 2 s before and gets it now.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -67,7 +67,8 @@
     connection.stream_.socket().async_wait(Tcp::socket::wait_read, yield[error]);
     server.idle_.erase(pointer);
     cancelTimeout(connection.readTimeout_);
-    return !error;
+    boost::system::error_code ignored;
+    return !error || connection.stream_.socket().available(ignored) > 0; // arrived while the wait was being cancelled
 }
 
 /// Copies the header. Called before the body is read, so trailer fields are left out.
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -8,12 +8,15 @@
 #include "http_server.h"
 
 #include <array>
+#include <atomic>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <functional>
 #include <stdexcept>
 #include <string>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace Burdockfield;
 using namespace Burdockfield::Testing;
@@ -112,6 +115,7 @@
     HttpServer server_;
     Asio::ip::tcp::socket caller_{ io_ };
     ExchangeId exchange_; ///< Exchange of the last request that the server has received.
+    boost::system::error_code ignored_; ///< Of calls whose failure doesn't matter.
     bool failsOnRequest_ = false; ///< Whether the handler of requests throws.
     int disconnects_ = 0; ///< Exchanges that ended before their response.
 };
@@ -190,3 +194,11 @@
     CHECK(server_.exchanges_.empty());
     CHECK(disconnects_ == 1);
 }
+
+TEST_CASE_FIXTURE(HttpServerFixture, "Server_WhenARequestArrivesWhileIdleConnectionsAreClosed_AnswersIt")
+{
+    closeIdleConnections(server_);
+    send(requestHead + "body");
+    answerRequest();
+    CHECK(receiveAll().find("HTTP/1.1 200 OK") == 0);
+}
