Keep the read timeout in force between the reads of a request

The timeout cancelled the read in progress once. If that read had just received bytes, its completion was queued behind the timeout, nothing was cancelled, and the next read of the same request had no timeout: a caller that stops sending then held its connection, and a stopping process, without end.

Change: the cancellation is repeated every 5 ms until the read ends.

Measured: Server_WhenTheReadTimeoutPassesBetweenTwoReads_RejectsTheRequest got no rejection within 2 s before, and 408 now. The case of input without end after a rejected request passed before, too; it stays as a guard.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -22,6 +22,7 @@
 using ConnectionPointer = std::shared_ptr<ServerConnection>;
 
 constexpr int backlog = 1024; ///< Connections that may wait to be accepted.
+constexpr Milliseconds cancelInterval{ 5 }; ///< Between attempts to end a read whose timeout has passed.
 
 /// How the read of a request ended.
 enum class ReadOutcome : uint8_t {
@@ -30,14 +31,19 @@
     Closed, ///< The peer closed, or the idle timeout passed.
 };
 
+/// Ends the read in progress. A read that has just received bytes continues with another one, so this is repeated.
+void cancelRead(ServerConnection &connection)
+{
+    connection.timedOut_ = true;
+    boost::system::error_code ignored;
+    connection.stream_.socket().cancel(ignored);
+    startTimeout(connection.readTimeout_, cancelInterval, [&connection] { cancelRead(connection); });
+}
+
 void startReadTimeout(ServerConnection &connection, Milliseconds timeout)
 {
     connection.timedOut_ = false;
-    startTimeout(connection.readTimeout_, timeout, [&connection] {
-        connection.timedOut_ = true;
-        boost::system::error_code ignored;
-        connection.stream_.socket().cancel(ignored);
-    });
+    startTimeout(connection.readTimeout_, timeout, [&connection] { cancelRead(connection); });
 }
 
 std::error_code classifyReadError(const ServerConnection &connection, const boost::system::error_code &error)
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -202,3 +202,33 @@
     answerRequest();
     CHECK(receiveAll().find("HTTP/1.1 200 OK") == 0);
 }
+
+TEST_CASE_FIXTURE(HttpServerFixture, "Server_WhenTheReadTimeoutPassesBetweenTwoReads_RejectsTheRequest")
+{
+    send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n");
+    runUntil([this] { return server_.idle_.empty(); });
+    send(std::string(20000, 'x')); // several reads, so that one is complete when the timeout is handled
+    stayBusy();
+    CHECK(receiveAll().find("HTTP/1.1 408") == 0);
+}
+
+TEST_CASE_FIXTURE(HttpServerFixture, "Server_WhenInputFollowsARejectedRequestWithoutEnd_ClosesTheConnection")
+{
+    send("malformed\r\n\r\n");
+    std::atomic<bool> closed = false;
+    std::thread sender([this, &closed] {
+        const std::string input(65536, 'x');
+        boost::system::error_code error;
+        while (!error) {
+            Asio::write(caller_, Asio::buffer(input), error);
+        }
+        closed = true;
+    });
+    const TimePoint end = Clock::now() + std::chrono::seconds(3);
+    while (!closed && Clock::now() < end) {
+        io_.run_one_for(Milliseconds(10));
+    }
+    CHECK(closed);
+    caller_.shutdown(Asio::socket_base::shutdown_both, ignored_);
+    sender.join();
+}
