Pause after a failed accept instead of trying again at once

With no descriptor left, every accept fails immediately, and the server tried again in a loop that took the thread from the calls in progress: 150,509 handlers in 100 ms. An accept that had succeeded when listening ended was dropped unread.

Change: 20 ms pause and an "accept-failed" line after a failure; an accepted connection is served also if listening has ended meanwhile.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -23,6 +23,7 @@
 
 constexpr int backlog = 1024; ///< Connections that may wait to be accepted.
 constexpr Milliseconds cancelInterval{ 5 }; ///< Between attempts to end a read whose timeout has passed.
+constexpr Milliseconds acceptRetryInterval{ 20 }; ///< After a failed accept, such as for lack of descriptors.
 
 /// How the read of a request ended.
 enum class ReadOutcome : uint8_t {
@@ -347,21 +348,31 @@
     }
 }
 
+void startConnection(HttpServer &server, Tcp::socket socket)
+{
+    configureSocket(socket, incomingUserTimeout);
+    const auto connection = std::make_shared<ServerConnection>(std::move(socket));
+    const auto serve = [&server, connection](Asio::yield_context yield) {
+        serveConnection(server, connection, yield);
+    };
+    startCoroutine(server.io_, "connection", serve, [&server, connection] { endFailed(server, connection); });
+}
+
 void acceptNext(HttpServer &server)
 {
     server.acceptor_.async_accept([&server](const boost::system::error_code &error, Tcp::socket socket) {
+        if (!error) {
+            startConnection(server, std::move(socket));
+        }
         if (!server.acceptor_.is_open()) {
             return;
         }
         if (!error) {
-            configureSocket(socket, incomingUserTimeout);
-            auto connection = std::make_shared<ServerConnection>(std::move(socket));
-            const auto serve = [&server, connection](Asio::yield_context yield) {
-                serveConnection(server, connection, yield);
-            };
-            startCoroutine(server.io_, "connection", serve, [&server, connection] { endFailed(server, connection); });
+            acceptNext(server);
+            return;
         }
-        acceptNext(server);
+        logLine(LogLevel::Warning, "accept-failed", { { "error", error.message() } });
+        startTimeout(server.acceptTimeout_, acceptRetryInterval, [&server] { acceptNext(server); });
     });
 }
 
@@ -405,6 +416,7 @@
     server.stopping_ = true;
     boost::system::error_code ignored;
     server.acceptor_.close(ignored);
+    cancelTimeout(server.acceptTimeout_);
     notifyIfIdle(server);
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -91,6 +91,7 @@
     HttpServer(Asio::io_context &io, ServerLimits limits, ServerHandlers handlers)
         : io_(io)
         , acceptor_(io)
+        , acceptTimeout_(io)
         , limits_(limits)
         , handlers_(std::move(handlers))
     {
@@ -98,6 +99,7 @@
 
     Asio::io_context &io_; ///< Runs all I/O and callbacks.
     Asio::ip::tcp::acceptor acceptor_; ///< Listening socket.
+    Timeout acceptTimeout_; ///< Pause after a failed accept.
     ServerLimits limits_;
     ServerHandlers handlers_;
     std::map<ExchangeId, std::shared_ptr<ServerConnection>> exchanges_; ///< Connections of the exchanges in progress.
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -232,3 +232,22 @@
     caller_.shutdown(Asio::socket_base::shutdown_both, ignored_);
     sender.join();
 }
+
+TEST_CASE_FIXTURE(HttpServerFixture, "Server_WhenNoDescriptorIsLeft_AcceptsAfterAPause")
+{
+    constexpr size_t mostHandlers = 50; // some accepts in 100 ms; a loop runs thousands of handlers
+    Asio::ip::tcp::socket second(io_);
+    second.open(Asio::ip::tcp::v4());
+    rlimit limit{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    const int next = dup(STDOUT_FILENO);
+    close(next);
+    const rlimit lowered{ static_cast<rlim_t>(next), limit.rlim_max };
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+    server_.limits_.idleTimeout_ = Milliseconds(5000);
+    second.connect(server_.acceptor_.local_endpoint()); // accepted when the first connection has reached its timeout
+    CHECK(io_.run_for(Milliseconds(100)) < mostHandlers);
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+    Asio::write(second, Asio::buffer(requestHead + "body"));
+    runUntil([this] { return exchange_ != ExchangeId{}; });
+}
