Log aborts, and fall back to standard error when the log can't be written

Found by review of the incident's log lines. The terminate handler replaced the two lines on standard error that solved the incident, and said nothing if the log's queue was full or its reader didn't read.

--- a/src/log.cpp
+++ b/src/log.cpp
@@ -215,10 +215,10 @@
     enqueueLine(level, makeLine(event, fields));
 }
 
-void logLastLine(const std::string &event, const LogFields &fields)
+bool logLastLine(const std::string &event, const LogFields &fields)
 {
-    writer().lines_.try_push({ LogLevel::Error, Json::serialize(makeLine(event, fields)) });
-    stopLog();
+    const bool queued = writer().lines_.try_push({ LogLevel::Error, Json::serialize(makeLine(event, fields)) });
+    return stopLog() && queued;
 }
 
 void logDecision(const RoutingDecision &decision)
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -33,8 +33,9 @@
 /// Queues a line for writing. @param event identifies what happened; a fixed string
 void logLine(LogLevel level, const std::string &event, const LogFields &fields = {});
 
-/// Writes a line regardless of the rate limit, after the queued lines, and stops the log like stopLog().
-void logLastLine(const std::string &event, const LogFields &fields);
+/// Writes a line regardless of the rate limit, after the queued lines, and stops the log. @return whether it was
+/// written
+bool logLastLine(const std::string &event, const LogFields &fields);
 
 /// Logs a routing decision of an entry.
 void logDecision(const RoutingDecision &decision);
--- a/src/termination.cpp
+++ b/src/termination.cpp
@@ -22,7 +22,7 @@
 
 namespace {
 
-constexpr std::array faultSignals{ SIGSEGV, SIGBUS, SIGFPE, SIGILL };
+constexpr std::array faultSignals{ SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT };
 constexpr size_t maxLineBytes = 512; ///< Longest line that the signal handler writes.
 
 /// Line of a signal after its time, made in advance, since a signal handler must not allocate.
@@ -38,11 +38,25 @@
     return lines;
 }
 
-/// Logs the exception that ends the process.
+/// Writes text unless that would block or the reader has gone. Async-signal-safe.
+void writeUnlessBlocked(int file, const char *text, size_t length)
+{
+    pollfd output{ file, POLLOUT, 0 };
+    if (poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0) {
+        [[maybe_unused]] const ssize_t written
+            = write(file, text, length); // the process is ending; nothing can be done
+    }
+}
+
+/// Logs the exception that ends the process; if the log can't be written, to standard error.
 [[noreturn]] void endByException()
 {
     const ExceptionText text = describeException(std::current_exception());
-    logLastLine("ended-by-exception", { { "type", text.type_ }, { "error", text.error_ } });
+    if (!logLastLine("ended-by-exception", { { "type", text.type_ }, { "error", text.error_ } })) {
+        const std::string line = text.type_ + ": " + text.error_ + '\n';
+        writeUnlessBlocked(STDERR_FILENO, line.data(), line.size());
+    }
+    std::signal(SIGABRT, SIG_DFL); // logged already
     std::abort();
 }
 
@@ -57,12 +71,7 @@
     char *end = std::copy(start.begin(), start.end(), text.begin());
     end = std::copy(time.begin(), time.end(), end);
     end = std::copy_n(line.text_.begin(), line.length_, end);
-    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
-    if (poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0) {
-        // A failed write cannot be reported from here.
-        [[maybe_unused]] const ssize_t written
-            = write(STDOUT_FILENO, text.data(), static_cast<size_t>(end - text.data()));
-    }
+    writeUnlessBlocked(STDOUT_FILENO, text.data(), static_cast<size_t>(end - text.data()));
     raise(signal); // the default action, since SA_RESETHAND has removed this handler
 }
 
--- a/tests/termination_process_test.cpp
+++ b/tests/termination_process_test.cpp
@@ -7,7 +7,10 @@
 #include "json_func.h"
 #include "process_fixture.h"
 
+#include <fcntl.h>
 #include <fstream>
+#include <sys/stat.h>
+#include <unistd.h>
 
 using namespace Burdockfield;
 using namespace Burdockfield::Testing;
@@ -19,15 +22,15 @@
 /// One process that ends during the test.
 struct TerminationFixture : ProcessFixture
 {
-    /// @return the line of an event in a process's log, with the members "time", "node" and @p member; else empty
-    std::string readLine(const std::string &process, const std::string &event, const std::string &member)
+    /// @return the line of an event in a process's log that has a time, a node and @p part; else empty
+    std::string readLine(const std::string &process, const std::string &event, const std::string &part)
     {
         std::ifstream log(fleet_.folder_ + "/" + process + ".log");
         for (std::string text; std::getline(log, text);) {
             std::error_code error;
             const Json::value line = parseJson(text, error);
             if (!error && line.is_object() && line.at("event").as_string() == event && line.as_object().contains("time")
-                && line.as_object().contains("node") && line.as_object().contains(member)) {
+                && line.as_object().contains("node") && text.find(part) != std::string::npos) {
                 return text;
             }
         }
@@ -54,8 +57,31 @@
     GatewayFleetSpec spec;
     spec.gateways_ = 1;
     REQUIRE(startGatewayFleet(fleet_, spec));
-    signalProcess(fleet_, "gateway-1", SIGSEGV);
-    CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(5000)) == signalStatusBase + SIGSEGV);
-    const std::string line = readLine("gateway-1", "ended-by-signal", "signal");
-    CHECK(line.find(R"("signal":"11")") != std::string::npos);
+    for (const int signal : { SIGSEGV, SIGABRT }) {
+        signalProcess(fleet_, "gateway-1", signal);
+        CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(5000)) == signalStatusBase + signal);
+        const std::string text = R"("signal":")" + std::to_string(signal) + '"';
+        CHECK(readLine("gateway-1", "ended-by-signal", text).find(text) != std::string::npos);
+        startProcess(fleet_, "gateway-1");
+        REQUIRE(waitUntil([this] { return isGatewayReady(fleet_, "gateway-1"); }));
+    }
+}
+
+TEST_CASE_FIXTURE(TerminationFixture, "Process_WhenTheReaderOfItsLogGoesAway_KeepsServing")
+{
+    GatewayFleetSpec spec;
+    spec.gateways_ = 1;
+    REQUIRE(startGatewayFleet(fleet_, spec));
+    signalProcess(fleet_, "gateway-1", SIGKILL);
+    const std::string log = fleet_.folder_ + "/gateway-1.log";
+    unlink(log.c_str());
+    REQUIRE(mkfifo(log.c_str(), 0600) == 0);
+    const int reader = open(log.c_str(), O_RDWR | O_NONBLOCK);
+    startProcess(fleet_, "gateway-1");
+    REQUIRE(waitUntil([this] { return isGatewayReady(fleet_, "gateway-1"); }));
+    close(reader);
+    for (const char *id : { "r1", "r2", "r3" }) {
+        CHECK(callGateway(fleet_, "gateway-1", { id, "/read/x", "body", "key-1", Milliseconds(4000) }).status_ == 200);
+        std::this_thread::sleep_for(Milliseconds(200)); // log lines are written after 100 ms
+    }
 }
