Keep the gateway running when a response announces an endless length

Callers of every route lost their answers when one upstream sent a Content-Length larger than the memory: the gateway's process ended.

Beast's string_body reserves the announced length before a byte of the body has been received. The link sets no limit on the body, as streams may be long, so std::bad_alloc left the handler and ended io_context::run. The link's own body takes no more memory than what has been received.

Link_WhenAContentLengthExceedsAnyMemory_KeepsRunning failed before with 'CHECK_NOTHROW( send(...) ) THREW exception: "std::bad_alloc"'. The other new tests pass with and without the change; they fix what the link does with status lines, header lines and bodies without end, with bytes after an answer and on an idle connection.

--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -51,7 +51,24 @@
         onEnd_; ///< Success at the end of the response, else a TransportErrc.
 };
 
-using LinkParser = Beast::http::response_parser<Beast::http::string_body>; ///< Parser of one response.
+/// Body of a response that takes no more memory than the bytes received, whatever length the header announces.
+struct LinkBody
+{
+    using value_type = std::string; // NOLINT(readability-identifier-naming): required by Beast
+
+    /// Appends received bytes.
+    struct reader : Beast::http::string_body::reader // NOLINT(readability-identifier-naming): required by Beast
+    {
+        using Beast::http::string_body::reader::reader;
+
+        void init(const boost::optional<uint64_t> & /*length*/, boost::system::error_code &error)
+        {
+            error = {};
+        }
+    };
+};
+
+using LinkParser = Beast::http::response_parser<LinkBody>; ///< Parser of one response.
 using LinkMessage = Beast::http::request<Beast::http::span_body<const char>>; ///< Request with a shared body.
 
 /// Connection to an upstream.
--- /dev/null
+++ b/tests/upstream_link_test.cpp
@@ -0,0 +1,176 @@
+/**
+ * @file upstream_link_test.cpp
+ * @brief Tests of the connections to upstreams that send bytes without end.
+ */
+#include "upstream_link.h"
+
+#include "endless_peer_fixture.h"
+#include "error_type.h"
+#include "http_func.h"
+
+#include <optional>
+
+using namespace Burdockfield;
+using namespace Burdockfield::Testing;
+
+namespace {
+
+constexpr size_t maxHeaderBytes = 64U << 10U; ///< Bytes without a body after which a connection has to be closed.
+const std::string okHead = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n";
+const std::string chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n";
+
+/// One call to an upstream that has received its request.
+struct UpstreamLinkFixture : EndlessPeerFixture
+{
+    UpstreamLinkFixture()
+    {
+        start(1);
+        acceptConnection();
+        receiveRequest();
+    }
+
+    void start(uint64_t send)
+    {
+        LinkCall call;
+        call.send_ = send;
+        call.address_ = address_;
+        call.head_.method_ = "POST";
+        call.head_.target_ = "/x";
+        call.body_ = std::make_shared<const std::string>("body");
+        call.isMismatched_ = [](const HttpReply &reply) {
+            return findHeader(reply.headers_, "Request-Id") == "other";
+        };
+        startCall(link_, std::move(call));
+    }
+
+    LinkHandlers makeHandlers()
+    {
+        LinkHandlers handlers;
+        handlers.onHead_ = [this](uint64_t /*send*/, const HttpReply & /*reply*/) {
+            ++heads_;
+        };
+        handlers.onBytes_ = [this](uint64_t /*send*/, const std::string &bytes) {
+            received_ += bytes.size();
+        };
+        handlers.onEnd_ = [this](uint64_t /*send*/, std::error_code error) {
+            end_ = error;
+        };
+        return handlers;
+    }
+
+    /// Checks that a flood ends the call as malformed after at most @p most bytes and that its connection is closed.
+    void checkFloodEnds(const std::string &text, size_t most)
+    {
+        CHECK(flood(text) <= most + socketBytes);
+        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+        CHECK(isClosed());
+        CHECK(link_.idle_[address_].empty());
+    }
+
+    static constexpr size_t socketBytes = 64U << 10U; ///< Bytes that may be under way when the client closes.
+    UpstreamLink link_{ io_, makeHandlers() };
+    int heads_ = 0; ///< Headers received.
+    size_t received_ = 0; ///< Bytes of the body received.
+    std::optional<std::error_code> end_; ///< How the last call ended.
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAStatusLineNeverEnds_EndsTheCall")
+{
+    send("HTTP/1.1 200 ");
+    checkFloodEnds(std::string(1000, 'a'), maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAHeaderLineNeverEnds_EndsTheCall")
+{
+    send("HTTP/1.1 200 OK\r\nA: ");
+    checkFloodEnds(std::string(1000, 'a'), maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenHeaderLinesNeverEnd_EndsTheCall")
+{
+    send("HTTP/1.1 200 OK\r\n");
+    checkFloodEnds("Name: value\r\n", maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenBlankLinesNeverEnd_EndsTheCall")
+{
+    checkFloodEnds("\r\n", maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenBytesAreNoHttp_EndsTheCall")
+{
+    checkFloodEnds(std::string(1000, '\0'), maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAnInterimResponseComesFirst_ReceivesTheAnswer")
+{
+    send("HTTP/1.1 100 Continue\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nok");
+    runUntil([this] { return end_.has_value(); });
+    CHECK_FALSE(*end_);
+    CHECK(received_ == 2);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenABodyIsSentInSmallChunks_ReceivesAllOfIt")
+{
+    constexpr size_t chunks = 20000;
+    send(chunkedHead);
+    for (size_t chunk = 0; chunk < chunks; ++chunk) {
+        send("4\r\nbody\r\n");
+    }
+    send("0\r\n\r\n");
+    runUntil([this] { return end_.has_value(); });
+    CHECK_FALSE(*end_);
+    CHECK(received_ == 4 * chunks);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenABodyNeverEnds_PassesItOnWithoutKeepingIt")
+{
+    send(okHead + "\r\n");
+    CHECK(flood(std::string(1000, 'a')) == received_);
+    CHECK_FALSE(end_.has_value());
+    CHECK(link_.busy_.at(1)->buffer_.capacity() <= maxHeaderBytes);
+    cancelCall(link_, 1);
+    CHECK(isClosed());
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAContentLengthExceedsAnyMemory_KeepsRunning")
+{
+    CHECK_NOTHROW(send(okHead + "Content-Length: 4611686018427387904\r\n\r\nbody"));
+    CHECK_NOTHROW(runUntil([this] { return received_ == 4; }));
+    peer_.close();
+    runUntil([this] { return end_.has_value(); });
+    CHECK(end_ == make_error_code(TransportErrc::Lost));
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenBytesFollowAnAnswer_ClosesTheConnection")
+{
+    send(okHead + "Content-Length: 2\r\n\r\nokHTTP/1.1 ");
+    runUntil([this] { return end_.has_value(); });
+    CHECK_FALSE(*end_);
+    CHECK(isClosed());
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAnIdleConnectionReceivesBytes_ClosesIt")
+{
+    send(okHead + "Content-Length: 2\r\n\r\nok");
+    runUntil([this] { return end_.has_value(); });
+    CHECK(link_.idle_[address_].size() == 1);
+    CHECK(flood("a") <= 100);
+    CHECK(link_.idle_[address_].empty());
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAnUpstreamFloodsACall_AnswersOthers")
+{
+    send("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n");
+    auto flooding = std::move(peer_);
+    start(2);
+    acceptConnection();
+    receiveRequest();
+    boost::system::error_code error;
+    flooding.write_some(boost::asio::buffer(std::string(1U << 20U, 'a')), error);
+    send(okHead + "Content-Length: 2\r\n\r\nok");
+    runUntil([this] { return received_ == 2; });
+    CHECK(heads_ == 1);
+}
