Bound the bytes buffered for chunk headers and trailers

A gateway's memory grew without limit while an upstream sent a chunk size, a chunk extension or trailers without end: the parser's header limit covers only the header of the response. The call ended at its silence timeout or its deadline, hundreds of megabytes later on a fast connection.

The link now ends the call as malformed when more bytes await the rest of such a line than a header may have. A retryable call is then moved to another upstream, as for any other malformed response.

--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds connectTimeout{ 700 };
 constexpr size_t readBytes = 16U << 10U; ///< Most bytes read at once.
 constexpr uint32_t responseHeaderLimit = 32U << 10U; ///< Bytes of the longest response header.
+/// Most bytes buffered while the rest of a header, a chunk's header or trailers is missing.
+constexpr size_t maxUnparsedBytes = responseHeaderLimit;
 /// Longest idle time before a call that must not be lost (not retryable), if the upstream announces no timeout.
 constexpr Milliseconds maxIdleTimeUnlessRetryable{ 250 };
 constexpr double idleTimeoutShare = 0.6; ///< Usable share of an announced idle timeout.
@@ -125,7 +127,7 @@
     }
 }
 
-/// Parses the received bytes; ends the call when its response is complete.
+/// Parses the received bytes; ends the call when its response is complete or exceeds a limit.
 void parse(UpstreamLink &link, const LinkPointer &connection)
 {
     while (connection->buffer_.size() > 0) {
@@ -143,6 +145,9 @@
                 return;
             }
             resetParser(*connection);
+        } else if (connection->buffer_.size() > maxUnparsedBytes) {
+            endCall(link, connection, TransportErrc::Malformed);
+            return;
         } else if (error == Http::error::need_more || parsed == 0) {
             return;
         }
--- a/tests/upstream_link_test.cpp
+++ b/tests/upstream_link_test.cpp
@@ -112,6 +112,24 @@
     CHECK(received_ == 2);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAChunkSizeNeverEnds_EndsTheCall")
+{
+    send(chunkedHead);
+    checkFloodEnds(std::string(1000, '0'), maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAChunkExtensionNeverEnds_EndsTheCall")
+{
+    send(chunkedHead + "1;a=");
+    checkFloodEnds(std::string(1000, 'a'), maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenTrailersNeverEnd_EndsTheCall")
+{
+    send(chunkedHead + "2\r\nok\r\n0\r\n");
+    checkFloodEnds("Name: value\r\n", maxHeaderBytes);
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenABodyIsSentInSmallChunks_ReceivesAllOfIt")
 {
     constexpr size_t chunks = 20000;
