End a call whose upstream sends no answer without end

An upstream that sent interim responses, responses to other requests, or chunks with long extensions without end kept a gateway's thread parsing at the speed of the connection until the call's silence timeout or, for a call that may not be retried, its deadline. The link discarded those bytes without counting them.

It now counts the bytes of a call that are no part of its answer's body and ends the call as malformed above a limit. Bytes of the body make up for as many others, so that a long stream in small chunks is not affected.

--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -24,6 +24,8 @@
 constexpr uint32_t responseHeaderLimit = 32U << 10U; ///< Bytes of the longest response header.
 /// Most bytes buffered while the rest of a header, a chunk's header or trailers is missing.
 constexpr size_t maxUnparsedBytes = responseHeaderLimit;
+/// Most bytes of a call, beyond those of its answer's body, that are headers, chunk headers and discarded responses.
+constexpr size_t maxOverheadBytes = 256U << 10U;
 /// Longest idle time before a call that must not be lost (not retryable), if the upstream announces no timeout.
 constexpr Milliseconds maxIdleTimeUnlessRetryable{ 250 };
 constexpr double idleTimeoutShare = 0.6; ///< Usable share of an announced idle timeout.
@@ -123,6 +125,8 @@
     std::string bytes = std::move(connection.parser_->get().body());
     connection.parser_->get().body().clear();
     if (!bytes.empty() && !connection.discarding_) {
+        // Each byte of the body also makes up for one of overhead, so that a stream may be of any length.
+        connection.overheadBytes_ -= std::min(connection.overheadBytes_, 2 * bytes.size());
         link.handlers_.onBytes_(connection.call_.send_, std::move(bytes));
     }
 }
@@ -134,20 +138,22 @@
         boost::system::error_code error;
         const size_t parsed = connection->parser_->put(connection->buffer_.data(), error);
         connection->buffer_.consume(parsed);
+        connection->overheadBytes_ += parsed;
         if (error && error != Http::error::need_more) {
             endCall(link, connection, TransportErrc::Malformed);
             return;
         }
         deliverResponse(link, *connection);
+        if (connection->overheadBytes_ > maxOverheadBytes || connection->buffer_.size() > maxUnparsedBytes) {
+            endCall(link, connection, TransportErrc::Malformed);
+            return;
+        }
         if (connection->parser_->is_done()) {
             if (!connection->discarding_) {
                 endCall(link, connection, {});
                 return;
             }
             resetParser(*connection);
-        } else if (connection->buffer_.size() > maxUnparsedBytes) {
-            endCall(link, connection, TransportErrc::Malformed);
-            return;
         } else if (error == Http::error::need_more || parsed == 0) {
             return;
         }
@@ -233,6 +239,7 @@
 void sendRequest(UpstreamLink &link, const LinkPointer &connection)
 {
     resetParser(*connection);
+    connection->overheadBytes_ = 0;
     writeRequest(link, connection);
 }
 
--- a/tests/upstream_link_test.cpp
+++ b/tests/upstream_link_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr size_t maxHeaderBytes = 64U << 10U; ///< Bytes without a body after which a connection has to be closed.
+constexpr size_t maxForeignBytes = 512U << 10U; ///< Bytes of foreign responses after which it has to be closed.
 const std::string okHead = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n";
 const std::string chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -104,6 +105,12 @@
     checkFloodEnds(std::string(1000, '\0'), maxHeaderBytes);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenInterimResponsesNeverEnd_EndsTheCall")
+{
+    checkFloodEnds("HTTP/1.1 100 Continue\r\n\r\n", maxForeignBytes);
+    CHECK(heads_ == 0);
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAnInterimResponseComesFirst_ReceivesTheAnswer")
 {
     send("HTTP/1.1 100 Continue\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nok");
@@ -112,6 +119,19 @@
     CHECK(received_ == 2);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenResponsesToAnotherRequestNeverEnd_EndsTheCall")
+{
+    checkFloodEnds("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 4\r\n\r\nbody", maxForeignBytes);
+    CHECK(heads_ == 0);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenTheBodyOfAResponseToAnotherRequestNeverEnds_EndsTheCall")
+{
+    send("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n");
+    checkFloodEnds(std::string(1000, 'a'), maxForeignBytes);
+    CHECK(received_ == 0);
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAChunkSizeNeverEnds_EndsTheCall")
 {
     send(chunkedHead);
@@ -124,23 +144,33 @@
     checkFloodEnds(std::string(1000, 'a'), maxHeaderBytes);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenChunksAreMostlyExtensions_EndsTheCall")
+{
+    send(chunkedHead);
+    checkFloodEnds("1;a=" + std::string(1000, 'a') + "\r\nb\r\n", maxForeignBytes);
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenTrailersNeverEnd_EndsTheCall")
 {
     send(chunkedHead + "2\r\nok\r\n0\r\n");
     checkFloodEnds("Name: value\r\n", maxHeaderBytes);
 }
 
-TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenABodyIsSentInSmallChunks_ReceivesAllOfIt")
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenALongStreamIsSentInSmallChunks_ReceivesAllOfIt")
 {
-    constexpr size_t chunks = 20000;
+    constexpr size_t rounds = 1000;
+    std::string chunks;
+    for (int chunk = 0; chunk < 100; ++chunk) {
+        chunks += "f\r\nid: 1\ndata: a\n\n\r\n";
+    }
     send(chunkedHead);
-    for (size_t chunk = 0; chunk < chunks; ++chunk) {
-        send("4\r\nbody\r\n");
+    for (size_t round = 0; round < rounds; ++round) {
+        send(chunks);
     }
     send("0\r\n\r\n");
     runUntil([this] { return end_.has_value(); });
     CHECK_FALSE(*end_);
-    CHECK(received_ == 4 * chunks);
+    CHECK(received_ == rounds * 100 * 15);
 }
 
 TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenABodyNeverEnds_PassesItOnWithoutKeepingIt")
