Move a stream away from an upstream whose event never ends

Callers of a stream waited until their deadline when its upstream sent an event without end, slowly: each byte counted as a sign of progress, so the silence timeout never passed. Sent fast, up to 16 MiB were buffered for each call, and each piece was searched from the start of the event again.

A stream now makes progress by whole events. An event may have 256 KiB, and a search goes on where the last one ended. The call is resumed at another upstream after the last whole event, as after a broken connection.

Stream_WhenAnEventNeverEnds_ResumesElsewhere and Stream_WhenAnEventTricklesInForEver_ResumesElsewhere failed before: nothing was cancelled within 1 MiB, or within 2 s of a 900 ms timeout.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr size_t maxAnswerBytes = 16U << 20U; ///< 16 MiB: longest answer that is buffered; below any memory limit.
+constexpr size_t maxEventBytes = 256U << 10U; ///< Longest event of a stream.
 constexpr uint32_t maxConnectFailures = 4; ///< Failures to connect after which a call is refused.
 constexpr Milliseconds initialBackoff{ 250 }; ///< Time for which an upstream is not used after a failure to connect.
 constexpr Milliseconds maxBackoff{ 4000 }; ///< Longest such time, after several failures in a row.
@@ -43,13 +44,20 @@
     eraseCall(state, id);
 }
 
-/// Forwards all complete events of a call. @return false, and forwards nothing, if an event is missing between them
-bool forwardEvents(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox)
+/**
+ * Forwards all complete events of a call.
+ * @param scanned length of the start of the call's body that contains no complete event, in bytes
+ * @return false, and forwards nothing, if an event is missing between them
+ */
+bool forwardEvents(GatewayState &state, TimePoint now, Call &call, size_t scanned, GatewayOutbox &outbox)
 {
-    const EventScan scan = scanEvents(call.body_, call.lastEvent_);
+    const EventScan scan = scanEvents(call.body_, call.lastEvent_, scanned);
     if (scan.outOfOrder_) {
         return false;
     }
+    if (scan.consumed_ > 0) {
+        call.lastReceivedAt_ = now;
+    }
     if (scan.bytes_.empty()) {
         call.body_.erase(0, scan.consumed_);
         return true;
@@ -224,10 +232,14 @@
     if (call == nullptr) {
         return;
     }
-    call->lastReceivedAt_ = now;
+    const size_t scanned = call->body_.size();
+    const bool streamed = isStreamed(*call);
     call->body_ += event.bytes_;
-    const bool valid = !isStreamed(*call) || forwardEvents(state, now, *call, outbox);
-    if (valid && call->body_.size() <= maxAnswerBytes) {
+    if (!streamed) {
+        call->lastReceivedAt_ = now;
+    }
+    const bool valid = !streamed || forwardEvents(state, now, *call, scanned, outbox);
+    if (valid && call->body_.size() <= (streamed ? maxEventBytes : maxAnswerBytes)) {
         return;
     }
     logFailedSend(state, *call, TransportErrc::Malformed, now, outbox);
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -85,7 +85,7 @@
     uint64_t send_ = 0; ///< Number of the latest send; every send to an upstream has its own.
     UpstreamId upstream_; ///< Upstream of the latest send.
     TimePoint sentAt_{}; ///< Time of the latest send.
-    TimePoint lastReceivedAt_{}; ///< When the upstream last sent a part of the answer; at first sentAt_.
+    TimePoint lastReceivedAt_{}; ///< When the answer last made progress, a stream by a whole event; at first sentAt_.
     uint32_t attempts_ = 0; ///< Sends that reached, or may have reached, an upstream.
     uint32_t connectFailures_ = 0; ///< Sends that reached no upstream, or another instance than the intended one.
     bool mayHaveRun_ = false; ///< Whether an earlier send may have run.
--- a/src/gateway_event_stream.cpp
+++ b/src/gateway_event_stream.cpp
@@ -6,6 +6,8 @@
 
 #include "http_func.h"
 
+#include <algorithm>
+
 namespace Burdockfield::Gateway {
 
 namespace {
@@ -43,18 +45,20 @@
 
 } // namespace
 
-EventScan scanEvents(std::string_view text, std::optional<uint64_t> lastEvent)
+EventScan scanEvents(std::string_view text, std::optional<uint64_t> lastEvent, size_t scanned)
 {
     EventScan scan;
     scan.lastEvent_ = lastEvent;
+    size_t searchFrom = scanned - std::min(scanned, eventEnd.size() - 1);
     while (true) {
-        const size_t end = text.find(eventEnd, scan.consumed_);
+        const size_t end = text.find(eventEnd, searchFrom);
         if (end == std::string_view::npos) {
             return scan;
         }
         const size_t length = end + eventEnd.size() - scan.consumed_;
         const std::string_view event = text.substr(scan.consumed_, length);
         scan.consumed_ += length;
+        searchFrom = scan.consumed_;
         const std::optional<uint64_t> id = parseId(event);
         if (id && scan.lastEvent_ && *id <= *scan.lastEvent_) {
             continue;
--- a/src/gateway_event_stream_func.h
+++ b/src/gateway_event_stream_func.h
@@ -24,7 +24,8 @@
 /**
  * Finds the complete events at the start of @p text and drops those up to @p lastEvent.
  * @param lastEvent id of the last event that the caller has; ids rise by one from there
+ * @param scanned length of the start of @p text that is known to contain no complete event, in bytes
  */
-EventScan scanEvents(std::string_view text, std::optional<uint64_t> lastEvent);
+EventScan scanEvents(std::string_view text, std::optional<uint64_t> lastEvent, size_t scanned = 0);
 
 } // namespace Burdockfield::Gateway
--- /dev/null
+++ b/tests/gateway_endless_answer_test.cpp
@@ -0,0 +1,112 @@
+/**
+ * @file gateway_endless_answer_test.cpp
+ * @brief Tests of answers that never end.
+ */
+#include "gateway_fixture.h"
+
+#include "error_type.h"
+
+using namespace Burdockfield;
+using namespace Burdockfield::Testing;
+
+namespace {
+
+constexpr size_t pieceBytes = 16U << 10U; ///< Bytes received at once.
+constexpr size_t maxUselessBytes = 1U << 20U; ///< Bytes of no use after which an upstream has to be given up.
+constexpr size_t maxAnswerBytes = 17U << 20U; ///< Bytes of a plain answer after which the same holds.
+
+/// Gateway with a call whose upstream sends bytes without end.
+struct EndlessAnswerFixture : GatewayFixture
+{
+    GatewayOutbox receiveHead(uint64_t send, const AnswerHead &head)
+    {
+        GatewayInbox inbox;
+        inbox.heads_.push_back({ send, head });
+        return tick(std::move(inbox));
+    }
+
+    GatewayOutbox receiveBytes(uint64_t send, const std::string &bytes)
+    {
+        GatewayInbox inbox;
+        inbox.bytes_.push_back({ send, bytes });
+        return tick(std::move(inbox));
+    }
+
+    /// Receives bytes until the send is cancelled. @return the commands of the tick that cancelled it
+    GatewayOutbox flood(uint64_t send, size_t most)
+    {
+        GatewayOutbox outbox;
+        size_t received = 0;
+        while (outbox.cancels_.empty() && received < most) {
+            outbox = receiveBytes(send, std::string(pieceBytes, 'a'));
+            received += pieceBytes;
+        }
+        CHECK(outbox.cancels_ == std::vector<uint64_t>{ send });
+        return outbox;
+    }
+
+    /// Receives a byte now and then until the send is cancelled. @return the commands of the tick that cancelled it
+    GatewayOutbox trickle(uint64_t send, Milliseconds most)
+    {
+        GatewayOutbox outbox;
+        const TimePoint end = now_ + most;
+        while (outbox.cancels_.empty() && now_ < end) {
+            now_ += Milliseconds(50);
+            outbox = receiveBytes(send, "a");
+        }
+        CHECK(outbox.cancels_ == std::vector<uint64_t>{ send });
+        return outbox;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Stream_WhenAnEventNeverEnds_ResumesElsewhere")
+{
+    const uint64_t send = receiveCall("stream", 1).sends_.at(0).send_;
+    receiveStreamBytes(send, "id: 1\ndata: a\n\nid: 2\ndata: ");
+    const GatewayOutbox outbox = flood(send, maxUselessBytes);
+    CHECK(outbox.events_.empty());
+    REQUIRE(outbox.sends_.size() == 1);
+    CHECK(outbox.sends_[0].parameters_.resumeAfter_ == 1);
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Stream_WhenAnEventTricklesInForEver_ResumesElsewhere")
+{
+    const uint64_t send = receiveCall("stream", 1).sends_.at(0).send_;
+    receiveStreamBytes(send, "id: 1\ndata: a\n\nid: 2\ndata: ");
+    const GatewayOutbox outbox = trickle(send, Milliseconds(2000));
+    CHECK(outbox.events_.empty());
+    REQUIRE(outbox.sends_.size() == 1);
+    CHECK(outbox.sends_[0].parameters_.resumeAfter_ == 1);
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Stream_WhenALongEventArrivesInPieces_IsForwardedOnce")
+{
+    const uint64_t send = receiveCall("stream", 1).sends_.at(0).send_;
+    receiveStreamBytes(send, "id: 1\ndata: ");
+    receiveBytes(send, std::string(pieceBytes, 'a') + "\n");
+    const GatewayOutbox outbox = receiveBytes(send, "\nid: 2\n");
+    REQUIRE(outbox.events_.size() == 1);
+    CHECK(outbox.events_[0].bytes_ == "id: 1\ndata: " + std::string(pieceBytes, 'a') + "\n\n");
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answer_WhenItNeverEnds_IsReplacedByAFailureThatMayHaveRun")
+{
+    const uint64_t send = receiveCall("once", 1).sends_.at(0).send_;
+    receiveHead(send, makeHead(200));
+    const GatewayOutbox outbox = flood(send, maxAnswerBytes);
+    CHECK(outbox.answers_.empty());
+    REQUIRE(outbox.refusals_.size() == 1);
+    CHECK(outbox.refusals_[0].reason_ == RefusalReason::UpstreamFailed);
+    CHECK_FALSE(outbox.refusals_[0].notRun_);
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answer_WhenItTricklesInForEver_IsRefusedAtTheDeadline")
+{
+    const uint64_t send = receiveCall("once", 1).sends_.at(0).send_;
+    receiveHead(send, makeHead(200));
+    const GatewayOutbox outbox = trickle(send, Milliseconds(4050));
+    REQUIRE(outbox.refusals_.size() == 1);
+    CHECK(outbox.refusals_[0].reason_ == RefusalReason::Expired);
+}
