Give up an upstream whose unusable answer never ends

When an upstream answered without its signature, or that it had not run the call, and sent a body without end, the gateway buffered up to 16 MiB of it for each call, and a byte now and then kept the call from being moved until its deadline, although nothing of such a body is ever forwarded.

Such bytes no longer count as progress, and a send ends after 64 KiB of them, as not run if the header says so. The connection is closed.

Failed before, nothing cancelled within 1 MiB or 2 s: UnsignedAnswer_WhenItNeverEnds_IsRetriedElsewhere, UnsignedAnswer_WhenItTricklesInForEver_IsRetriedElsewhere, UnsignedAnswer_WhenItNeverEndsAndTheCallMayNotBeRetried_IsReplacedByAFailure, UpstreamRefusal_WhenItNeverEnds_IsPassedOnAsNotRun.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -18,6 +18,7 @@
 
 constexpr size_t maxAnswerBytes = 16U << 20U; ///< 16 MiB: longest answer that is buffered; below any memory limit.
 constexpr size_t maxEventBytes = 256U << 10U; ///< Longest event of a stream.
+constexpr size_t maxUnusedBytes = 64U << 10U; ///< Longest body of an answer that is not forwarded.
 constexpr uint32_t maxConnectFailures = 4; ///< Failures to connect after which a call is refused.
 constexpr Milliseconds initialBackoff{ 250 }; ///< Time for which an upstream is not used after a failure to connect.
 constexpr Milliseconds maxBackoff{ 4000 }; ///< Longest such time, after several failures in a row.
@@ -93,6 +94,12 @@
     return call.headReceived_ && (call.head_.notRun_ || call.head_.wrongInstance_);
 }
 
+/// @return whether the body of the answer may be forwarded.
+bool isForwardable(const Call &call)
+{
+    return call.head_.authentic_ && !isReportedNotRun(call) && (!call.streamStarted_ || call.head_.eventStream_);
+}
+
 void logFailedSend(
     const GatewayState &state, const Call &call, std::error_code error, TimePoint now, GatewayOutbox &outbox)
 {
@@ -225,6 +232,28 @@
     }
 }
 
+/// @return the most bytes of the answer that may be buffered.
+size_t bufferLimit(const Call &call)
+{
+    if (!isForwardable(call)) {
+        return maxUnusedBytes;
+    }
+    return isStreamed(call) ? maxEventBytes : maxAnswerBytes;
+}
+
+/// Ends a send whose answer is malformed or too long.
+void breakOffSend(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    logFailedSend(state, call, TransportErrc::Malformed, now, outbox);
+    outbox.cancels_.push_back(call.send_);
+    call.body_.clear();
+    if (isReportedNotRun(call)) {
+        handleNotRun(state, now, id, call, outbox);
+    } else {
+        handleFailure(state, now, id, call, false, outbox);
+    }
+}
+
 void handleBytes(GatewayState &state, TimePoint now, BytesReceived &event, GatewayOutbox &outbox)
 {
     const CallId id = findCallBySend(state, event.send_);
@@ -233,19 +262,15 @@
         return;
     }
     const size_t scanned = call->body_.size();
-    const bool streamed = isStreamed(*call);
+    const bool streamed = isForwardable(*call) && isStreamed(*call);
     call->body_ += event.bytes_;
-    if (!streamed) {
+    if (isForwardable(*call) && !streamed) {
         call->lastReceivedAt_ = now;
     }
     const bool valid = !streamed || forwardEvents(state, now, *call, scanned, outbox);
-    if (valid && call->body_.size() <= (streamed ? maxEventBytes : maxAnswerBytes)) {
-        return;
+    if (!valid || call->body_.size() > bufferLimit(*call)) {
+        breakOffSend(state, now, id, *call, outbox);
     }
-    logFailedSend(state, *call, TransportErrc::Malformed, now, outbox);
-    outbox.cancels_.push_back(call->send_);
-    call->body_.clear();
-    handleFailure(state, now, id, *call, false, outbox);
 }
 
 void handleSendEnd(GatewayState &state, TimePoint now, const SendEnded &event, GatewayOutbox &outbox)
--- a/tests/gateway_endless_answer_test.cpp
+++ b/tests/gateway_endless_answer_test.cpp
@@ -57,6 +57,13 @@
         CHECK(outbox.cancels_ == std::vector<uint64_t>{ send });
         return outbox;
     }
+
+    static AnswerHead makeUnsignedHead()
+    {
+        AnswerHead head = makeHead(200);
+        head.authentic_ = false;
+        return head;
+    }
 };
 
 } // namespace
@@ -110,3 +117,41 @@
     REQUIRE(outbox.refusals_.size() == 1);
     CHECK(outbox.refusals_[0].reason_ == RefusalReason::Expired);
 }
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "UnsignedAnswer_WhenItNeverEnds_IsRetriedElsewhere")
+{
+    const uint64_t send = receiveCall("read", 1).sends_.at(0).send_;
+    receiveHead(send, makeUnsignedHead());
+    CHECK(flood(send, maxUselessBytes).sends_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "UnsignedAnswer_WhenItTricklesInForEver_IsRetriedElsewhere")
+{
+    const uint64_t send = receiveCall("read", 1).sends_.at(0).send_;
+    receiveHead(send, makeUnsignedHead());
+    CHECK(trickle(send, Milliseconds(2000)).sends_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "UnsignedAnswer_WhenItNeverEndsAndTheCallMayNotBeRetried_IsReplacedByAFailure")
+{
+    const uint64_t send = receiveCall("once", 1).sends_.at(0).send_;
+    receiveHead(send, makeUnsignedHead());
+    const GatewayOutbox outbox = flood(send, maxUselessBytes);
+    REQUIRE(outbox.refusals_.size() == 1);
+    CHECK(outbox.refusals_[0].reason_ == RefusalReason::UpstreamFailed);
+    CHECK_FALSE(outbox.refusals_[0].notRun_);
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "UpstreamRefusal_WhenItNeverEnds_IsPassedOnAsNotRun")
+{
+    state_.configuration_.routes_[1].attempts_ = 1;
+    const uint64_t send = receiveCall("once", 1).sends_.at(0).send_;
+    AnswerHead head = makeHead(503);
+    head.authentic_ = false;
+    head.notRun_ = true;
+    receiveHead(send, head);
+    const GatewayOutbox outbox = flood(send, maxUselessBytes);
+    REQUIRE(outbox.refusals_.size() == 1);
+    CHECK(outbox.refusals_[0].reason_ == RefusalReason::UpstreamRefused);
+    CHECK(outbox.refusals_[0].notRun_);
+}
