Bound the memory that buffered answers take together

Each answer may be 16 MiB long, but nothing limited their sum: a few upstreams that sent signed answers without end at the same time took a gateway beyond its memory, which ended it with all its calls. A call that was retried also kept the memory of its failed answer.

Buffered answers may now take a fifth of the memory setting. Above it, the send with the longest answer ends as malformed. The buffer of a failed send is freed before the call waits for the next upstream.

Answers_WhenTheyTakeTooMuchMemoryTogether_EndsTheLongest fails with the check of the sum taken out: no send is cancelled. The table had no such sum before. Answers_WhenSendsFailOrCallersLeave_TakeNoMemory checks the sum.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -11,6 +11,7 @@
 #include "gateway_event_stream_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Burdockfield::Gateway {
 
@@ -45,6 +46,12 @@
     eraseCall(state, id);
 }
 
+void eraseFromAnswer(GatewayState &state, Call &call, size_t length)
+{
+    call.body_.erase(0, length);
+    state.answerBytes_ -= length;
+}
+
 /**
  * Forwards all complete events of a call.
  * @param scanned length of the start of the call's body that contains no complete event, in bytes
@@ -60,7 +67,7 @@
         call.lastReceivedAt_ = now;
     }
     if (scan.bytes_.empty()) {
-        call.body_.erase(0, scan.consumed_);
+        eraseFromAnswer(state, call, scan.consumed_);
         return true;
     }
     if (!call.streamStarted_) {
@@ -71,7 +78,7 @@
     call.events_ += scan.events_;
     call.lastEvent_ = scan.lastEvent_;
     outbox.events_.push_back({ call.exchange_, scan.bytes_ });
-    call.body_.erase(0, scan.consumed_);
+    eraseFromAnswer(state, call, scan.consumed_);
     return true;
 }
 
@@ -162,7 +169,8 @@
 {
     const int status = call.head_.reply_.status_;
     HttpReply reply = std::move(call.head_.reply_);
-    reply.body_ = std::move(call.body_);
+    state.answerBytes_ -= call.body_.size();
+    reply.body_ = std::exchange(call.body_, {});
     outbox.answers_.push_back({ call.exchange_, std::move(reply) });
     finishCall(state, now, id, status < firstServerErrorStatus ? "ok" : "upstream-error", status, outbox);
 }
@@ -241,12 +249,25 @@
     return isStreamed(call) ? maxEventBytes : maxAnswerBytes;
 }
 
+CallId findLongestAnswer(GatewayState &state)
+{
+    CallId longest;
+    size_t length = 0;
+    forEachRow(state.calls_, [&](CallId id, const Call &call) {
+        if (call.body_.size() > length) {
+            longest = id;
+            length = call.body_.size();
+        }
+    });
+    return longest;
+}
+
 /// Ends a send whose answer is malformed or too long.
 void breakOffSend(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
 {
     logFailedSend(state, call, TransportErrc::Malformed, now, outbox);
     outbox.cancels_.push_back(call.send_);
-    call.body_.clear();
+    clearAnswer(state, call);
     if (isReportedNotRun(call)) {
         handleNotRun(state, now, id, call, outbox);
     } else {
@@ -264,12 +285,16 @@
     const size_t scanned = call->body_.size();
     const bool streamed = isForwardable(*call) && isStreamed(*call);
     call->body_ += event.bytes_;
+    state.answerBytes_ += event.bytes_.size();
     if (isForwardable(*call) && !streamed) {
         call->lastReceivedAt_ = now;
     }
     const bool valid = !streamed || forwardEvents(state, now, *call, scanned, outbox);
     if (!valid || call->body_.size() > bufferLimit(*call)) {
         breakOffSend(state, now, id, *call, outbox);
+    } else if (state.answerBytes_ > state.bounds_.answerBytes_) {
+        const CallId longest = findLongestAnswer(state);
+        breakOffSend(state, now, longest, *findRow(state.calls_, longest), outbox);
     }
 }
 
@@ -295,7 +320,7 @@
         if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
             recordBrokenCall(*upstream, now, call->fingerprint_);
         }
-        call->body_.clear();
+        clearAnswer(state, *call);
         handleFailure(state, now, id, *call, false, outbox);
     } else {
         handleCompleteAnswer(state, now, id, *call, outbox);
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -169,6 +169,7 @@
     double quotaTokenSlack_ = 0; ///< Tokens that may be used beyond a quota in addition to the overshoot.
     Milliseconds grace_{ 8000 }; ///< Time from SIGTERM to SIGKILL.
     size_t bodyBytes_ = 32U << 20U; ///< Most bytes that the bodies of all requests in progress may take together.
+    size_t answerBytes_ = 32U << 20U; ///< Most bytes of answers that all calls in progress may buffer together.
     Milliseconds rowReturnTimeout_{ 2000 }; ///< Time after a store outage to write rows again that expired in it.
 };
 
@@ -207,6 +208,7 @@
     std::unordered_map<uint64_t, CallId> callByExchange_; ///< Index of calls_ by exchange.
     std::unordered_map<uint64_t, CallId> callBySend_; ///< Index of calls_ by the number of the send in flight.
     size_t bodyBytes_ = 0; ///< Bytes of the request bodies of all calls.
+    size_t answerBytes_ = 0; ///< Bytes of answers that all calls buffer.
     std::vector<DeferredArrival> deferred_; ///< Calls that arrived before the first configuration.
     std::vector<CallId> waiting_; ///< Calls that wait for an upstream with free capacity.
     DeadlineQueue<Call> deadlines_; ///< Times at which calls have to be checked.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -29,6 +29,7 @@
 constexpr std::chrono::seconds housekeepingInterval{ 1 };
 constexpr Milliseconds exitDelay{ 60 }; ///< Time for the last answers to be transmitted before exit.
 constexpr double bodyMemoryShare = 0.25; ///< Share of the memory setting that request bodies may take.
+constexpr double answerMemoryShare = 0.2; ///< Share of the memory setting that buffered answers may take.
 
 void scheduleTick(GatewayDaemon &daemon);
 
@@ -355,6 +356,7 @@
     daemon.state_.bounds_ = daemon.settings_.gateway_.bounds_;
     const auto memory = static_cast<double>(daemon.settings_.gateway_.memoryBytes_);
     daemon.state_.bounds_.bodyBytes_ = static_cast<size_t>(memory * bodyMemoryShare);
+    daemon.state_.bounds_.answerBytes_ = static_cast<size_t>(memory * answerMemoryShare);
 }
 
 /// Reads the settings file again and applies its bounds and memory size. Address changes need a restart.
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -112,7 +112,7 @@
     call.sentAt_ = now;
     call.lastReceivedAt_ = now;
     call.headReceived_ = false;
-    call.body_.clear();
+    clearAnswer(state, call);
     ++call.attempts_;
     call.triedInstances_.push_back(upstream.id_);
     state.callBySend_[call.send_] = id;
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -111,6 +111,9 @@
 /// Detaches a call from the upstream that it was sent to, if any. @param cancel whether to cancel the send there
 void detachFromUpstream(GatewayState &state, Call &call, bool cancel, GatewayOutbox &outbox);
 
+/// Drops what is buffered of the answer to a call's latest send.
+void clearAnswer(GatewayState &state, Call &call);
+
 /// Removes an ended call from the tables.
 void eraseCall(GatewayState &state, CallId id);
 
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -155,14 +155,22 @@
 {
     if (const Call *call = findRow(state.calls_, id); call != nullptr) {
         state.bodyBytes_ -= call->request_.body_->size();
+        state.answerBytes_ -= call->body_.size();
         state.callByExchange_.erase(call->exchange_.value_);
         eraseRow(state.calls_, id);
     }
 }
 
+void clearAnswer(GatewayState &state, Call &call)
+{
+    state.answerBytes_ -= call.body_.size();
+    std::string().swap(call.body_); // unlike clear(), frees the memory
+}
+
 void requeue(GatewayState &state, TimePoint now, CallId id)
 {
     Call &call = *findRow(state.calls_, id);
+    clearAnswer(state, call);
     // Refusing a stream that has started would abort it, so it may wait as long as its caller does.
     call.waitUntil_
         = call.streamStarted_ ? call.deadline_ : std::min(call.deadline_, std::max(call.waitUntil_, now + requeueWait));
--- a/tests/gateway_endless_answer_test.cpp
+++ b/tests/gateway_endless_answer_test.cpp
@@ -155,3 +155,40 @@
     CHECK(outbox.refusals_[0].reason_ == RefusalReason::UpstreamRefused);
     CHECK(outbox.refusals_[0].notRun_);
 }
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answers_WhenTheyTakeTooMuchMemoryTogether_EndsTheLongest")
+{
+    state_.bounds_.answerBytes_ = 10 * pieceBytes;
+    const uint64_t endless = receiveCall("once", 1).sends_.at(0).send_;
+    const uint64_t other = receiveCall("read", 2).sends_.at(0).send_;
+    receiveHead(endless, makeHead(200));
+    receiveHead(other, makeHead(200));
+    receiveBytes(endless, std::string(9 * pieceBytes, 'a'));
+    const GatewayOutbox outbox = receiveBytes(other, std::string(2 * pieceBytes, 'a'));
+    CHECK(outbox.cancels_ == std::vector<uint64_t>{ endless });
+    REQUIRE(outbox.refusals_.size() == 1);
+    CHECK(outbox.refusals_[0].exchange_ == ExchangeId{ 1 });
+    const GatewayOutbox end = endSend(other, {});
+    REQUIRE(end.answers_.size() == 1);
+    CHECK(end.answers_[0].reply_.body_.size() == 2 * pieceBytes);
+    CHECK(state_.answerBytes_ == 0);
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answers_WhenSendsFailOrCallersLeave_TakeNoMemory")
+{
+    const uint64_t broken = receiveCall("read", 1).sends_.at(0).send_;
+    const uint64_t failed = receiveCall("read", 2).sends_.at(0).send_;
+    const uint64_t stream = receiveCall("stream", 3).sends_.at(0).send_;
+    receiveHead(broken, makeHead(200));
+    receiveBytes(broken, "a");
+    CHECK(state_.answerBytes_ == 1);
+    endSend(broken, TransportErrc::Lost);
+    receiveAnswer(failed, makeHead(500), "oops");
+    CHECK(state_.answerBytes_ == 0);
+    receiveStreamBytes(stream, "id: 1\ndata: a\n\nid: 2");
+    CHECK(state_.answerBytes_ == 5);
+    GatewayInbox inbox;
+    inbox.disconnects_.push_back(ExchangeId{ 3 });
+    tick(std::move(inbox));
+    CHECK(state_.answerBytes_ == 0);
+}
