Bound the memory of replies from the store, peers and engines

A store, peer or engine that sent a chunk extension or trailers without end made the process buffer them without limit, and a body could take 64 MiB, more than a gateway's memory has left. Such replies were reported as a broken connection, which an agent takes for a crash of its engine.

The client now buffers at most 32 KiB of a reply that is not parsed, and the body limit is set by its owner: 16 MiB, in a gateway 8 MiB. A reply that is no HTTP or exceeds a limit ends its call as malformed.

--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -28,6 +28,7 @@
 /// Time between checks of the settings file and of idle connections.
 constexpr std::chrono::seconds housekeepingInterval{ 1 };
 constexpr Milliseconds exitDelay{ 60 }; ///< Time for the last answers to be transmitted before exit.
+constexpr size_t maxReplyBytes = 8U << 20U; ///< 8 MiB: longest reply of the store or a peer.
 constexpr double bodyMemoryShare = 0.25; ///< Share of the memory setting that request bodies may take.
 constexpr double answerMemoryShare = 0.2; ///< Share of the memory setting that buffered answers may take.
 
@@ -426,6 +427,7 @@
     state.random_.seed(chooseSeed(settings));
     state.incarnation_ = state.random_();
     state.lastPeerDisruptionAt_ = Clock::now();
+    daemon.client_.responseBodyLimit_ = maxReplyBytes;
     applyBounds(daemon);
 }
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -26,7 +26,9 @@
 constexpr size_t maxIdlePerAddress = 16; ///< Idle connections kept for each address.
 constexpr std::chrono::seconds maxIdleTime{ 20 }; ///< Below the idle timeouts of servers.
 constexpr Milliseconds connectTimeout{ 1000 };
-constexpr size_t responseBodyLimit = 64U << 20U; ///< Longest response body.
+constexpr size_t streamBodyLimit = 64U << 20U; ///< Longest body of a stream.
+/// Most bytes buffered while the rest of a header, a chunk's header or trailers is missing.
+constexpr size_t maxUnparsedBytes = 32U << 10U;
 constexpr size_t streamBufferBytes = 16U << 10U; ///< Most bytes passed to onBytes_ at once.
 
 Http::request<Http::string_body> makeMessage(const std::string &address, const HttpRequest &request)
@@ -44,10 +46,19 @@
     return message;
 }
 
+/// @return whether the peer sent what is no response, or exceeds a limit.
+bool isMalformed(const boost::system::error_code &error)
+{
+    static const auto &category = make_error_code(Http::error::bad_version).category();
+    return error.category() == category && error != Http::error::end_of_stream && error != Http::error::partial_message;
+}
+
 std::error_code classifyError(const boost::system::error_code &error)
 {
-    const bool timedOut = error == Beast::error::timeout;
-    return timedOut ? make_error_code(TransportErrc::TimedOut) : make_error_code(TransportErrc::Lost);
+    if (error == Beast::error::timeout) {
+        return TransportErrc::TimedOut;
+    }
+    return isMalformed(error) ? TransportErrc::Malformed : TransportErrc::Lost;
 }
 
 StreamPointer takeIdleConnection(HttpClient &client, const std::string &address)
@@ -89,6 +100,16 @@
     return !error;
 }
 
+/// Reads a header.
+template<typename Body>
+void readHeader(Beast::tcp_stream &stream, Beast::flat_buffer &buffer, size_t bodyLimit,
+    std::optional<Http::response_parser<Body>> &parser, boost::system::error_code &error, Asio::yield_context yield)
+{
+    parser.emplace();
+    parser->body_limit(bodyLimit);
+    Http::async_read_header(stream, buffer, *parser, yield[error]);
+}
+
 /// Outcome of one exchange on one connection.
 struct CallResult
 {
@@ -107,7 +128,7 @@
 }
 
 CallResult callOnConnection(Beast::tcp_stream &stream, const std::string &address, const HttpRequest &request,
-    Milliseconds timeout, Asio::yield_context yield)
+    Milliseconds timeout, size_t bodyLimit, Asio::yield_context yield)
 {
     CallResult result;
     boost::system::error_code error;
@@ -118,16 +139,18 @@
         result.error_ = classifyError(error);
         return result;
     }
-    Beast::flat_buffer buffer;
-    Http::response_parser<Http::string_body> parser;
-    parser.body_limit(responseBodyLimit);
-    Http::async_read(stream, buffer, parser, yield[error]);
+    Beast::flat_buffer buffer(maxUnparsedBytes);
+    std::optional<Http::response_parser<Http::string_body>> parser;
+    readHeader(stream, buffer, bodyLimit, parser, error, yield);
+    if (!error) {
+        Http::async_read(stream, buffer, *parser, yield[error]);
+    }
     if (error) {
         result.error_ = classifyError(error);
         return result;
     }
-    result.keepAlive_ = parser.get().keep_alive();
-    result.reply_ = makeReply(parser.get());
+    result.keepAlive_ = parser->get().keep_alive();
+    result.reply_ = makeReply(parser->get());
     return result;
 }
 
@@ -137,7 +160,7 @@
     CallResult result;
     if (StreamPointer reused = use == ConnectionUse::Reuse ? takeIdleConnection(client, address) : nullptr;
         reused != nullptr) {
-        result = callOnConnection(*reused, address, request, timeout, yield);
+        result = callOnConnection(*reused, address, request, timeout, client.responseBodyLimit_, yield);
         if (!result.error_ && result.keepAlive_) {
             keepIdleConnection(client, address, std::move(reused));
         }
@@ -154,7 +177,7 @@
         result.error_ = maybeSent ? TransportErrc::Lost : TransportErrc::NotSent;
         return result;
     }
-    result = callOnConnection(*fresh, address, request, timeout, yield);
+    result = callOnConnection(*fresh, address, request, timeout, client.responseBodyLimit_, yield);
     if (!result.error_ && result.keepAlive_ && use == ConnectionUse::Reuse) {
         keepIdleConnection(client, address, std::move(fresh));
     }
@@ -166,7 +189,8 @@
     if (stream.cancelled_) {
         return TransportErrc::Cancelled;
     }
-    return error == Beast::error::timeout ? TransportErrc::Silent : TransportErrc::Lost;
+    const std::error_code kind = classifyError(error);
+    return kind == TransportErrc::TimedOut ? TransportErrc::Silent : kind;
 }
 
 /// Reads the body and passes it on. @return success at its end, else a TransportErrc
@@ -204,19 +228,19 @@
     if (error) {
         return classifyStreamError(stream, error);
     }
-    Http::response_parser<Http::buffer_body> parser;
-    parser.body_limit(responseBodyLimit);
-    Http::async_read_header(stream.stream_, stream.buffer_, parser, yield[error]);
+    std::optional<Http::response_parser<Http::buffer_body>> parser;
+    stream.buffer_.max_size(maxUnparsedBytes);
+    readHeader(stream.stream_, stream.buffer_, streamBodyLimit, parser, error, yield);
     if (error) {
         return classifyStreamError(stream, error);
     }
     HttpReply head;
-    head.status_ = static_cast<int>(parser.get().result_int());
-    head.headers_ = copyFields(parser.get());
+    head.status_ = static_cast<int>(parser->get().result_int());
+    head.headers_ = copyFields(parser->get());
     if (!stream.cancelled_) {
         handlers.onHead_(head);
     }
-    return readBody(stream, parser, silenceTimeout, handlers, yield);
+    return readBody(stream, *parser, silenceTimeout, handlers, yield);
 }
 
 } // namespace
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -59,6 +59,7 @@
     }
 
     Asio::io_context &io_; ///< Runs all I/O and handlers.
+    size_t responseBodyLimit_ = 16U << 20U; ///< 16 MiB: longest response body of fetch().
     std::map<std::string, std::vector<IdleConnection>> idle_; ///< Idle connections by address (IP:PORT).
     std::map<uint64_t, std::shared_ptr<ClientStream>> streams_; ///< Open streams by number.
     uint64_t nextStream_ = 1;
--- a/tests/endless_peer_fixture.h
+++ b/tests/endless_peer_fixture.h
@@ -8,6 +8,7 @@
 #include "fleet_parts_func.h"
 
 #include <array>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -99,6 +100,7 @@
     }
 
     boost::asio::io_context io_{ 1 };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{ io_.get_executor() };
     std::string address_ = takeAddresses(1)[0]; ///< Where the peer listens.
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::ip::tcp::socket peer_{ io_ }; ///< The peer's end of the latest connection.
--- /dev/null
+++ b/tests/http_client_test.cpp
@@ -0,0 +1,153 @@
+/**
+ * @file http_client_test.cpp
+ * @brief Tests of the HTTP client with servers that send bytes without end.
+ */
+#include "http_client.h"
+
+#include "endless_peer_fixture.h"
+#include "error_type.h"
+
+#include <optional>
+#include <thread>
+
+using namespace Burdockfield;
+using namespace Burdockfield::Testing;
+
+namespace {
+
+constexpr size_t maxHeaderBytes = 64U << 10U; ///< Bytes without a body after which a connection has to be closed.
+const std::string okHead = "HTTP/1.1 200 OK\r\n";
+const std::string chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n";
+
+/// Client of a server that has received the client's first request.
+struct HttpClientFixture : EndlessPeerFixture
+{
+    static constexpr Milliseconds callTimeout{ 2000 }; ///< Longer than any check waits for the end of a flood.
+    static constexpr size_t socketBytes = 64U << 10U; ///< Bytes that may be under way when the client closes.
+
+    void start()
+    {
+        end_.reset();
+        const auto done = [this](std::error_code error, HttpReply reply) {
+            end_ = error;
+            reply_ = std::move(reply);
+        };
+        fetch(client_, address_, HttpRequest(), callTimeout, ConnectionUse::Reuse, done);
+    }
+
+    void startAndAccept()
+    {
+        start();
+        acceptConnection();
+        receiveRequest();
+    }
+
+    void startStream()
+    {
+        StreamHandlers handlers;
+        handlers.onHead_ = [](const HttpReply & /*reply*/) {
+        };
+        handlers.onBytes_ = [this](std::string_view bytes) {
+            streamed_ += bytes.size();
+        };
+        handlers.onEnd_ = [this](std::error_code error) {
+            end_ = error;
+        };
+        openStream(client_, address_, HttpRequest(), callTimeout, std::move(handlers));
+        acceptConnection();
+        receiveRequest();
+    }
+
+    /// Checks that a flood ends the call with an error after at most @p most bytes and that its connection is closed.
+    void checkFloodEnds(const std::string &text, size_t most)
+    {
+        CHECK(flood(text) <= most + socketBytes);
+        CHECK(isClosed());
+        runUntil([this] { return end_.has_value(); });
+        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+    }
+
+    HttpClient client_{ io_ };
+    std::optional<std::error_code> end_; ///< How the last call ended.
+    HttpReply reply_; ///< Its response.
+    size_t streamed_ = 0; ///< Bytes of a stream's body received.
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenHeaderLinesNeverEnd_EndsTheCall")
+{
+    startAndAccept();
+    send(okHead);
+    checkFloodEnds("Name: value\r\n", maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenAChunkExtensionNeverEnds_EndsTheCall")
+{
+    startAndAccept();
+    send(chunkedHead + "1;a=");
+    checkFloodEnds(std::string(1000, 'a'), maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenTrailersNeverEnd_EndsTheCall")
+{
+    startAndAccept();
+    send(chunkedHead + "2\r\nok\r\n0\r\n");
+    checkFloodEnds("Name: value\r\n", maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenABodyNeverEnds_EndsTheCall")
+{
+    constexpr size_t maxBodyBytes = 16U << 20U;
+    startAndAccept();
+    send(okHead + "\r\n");
+    size_t sent = 0;
+    while (sent < 2 * maxBodyBytes && !isClosed()) {
+        sent += flood(std::string(60000, 'a'));
+    }
+    CHECK(sent <= maxBodyBytes + floodBytes);
+    runUntil([this] { return end_.has_value(); });
+    CHECK(end_ == make_error_code(TransportErrc::Malformed));
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenAContentLengthExceedsAnyMemory_EndsTheCall")
+{
+    startAndAccept();
+    CHECK_NOTHROW(send(okHead + "Content-Length: 4611686018427387904\r\n\r\nbody"));
+    runUntil([this] { return end_.has_value(); });
+    CHECK(end_ == make_error_code(TransportErrc::Malformed));
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenAnAnswerTricklesInForEver_EndsTheCallInTime")
+{
+    startAndAccept();
+    send(okHead + "Content-Length: 1000000\r\n\r\n");
+    const TimePoint start = Clock::now();
+    while (!end_ && Clock::now() - start < callTimeout + Milliseconds(500)) {
+        send("a");
+        std::this_thread::sleep_for(Milliseconds(10));
+    }
+    REQUIRE(end_.has_value());
+    CHECK(end_ == make_error_code(TransportErrc::TimedOut));
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Stream_WhenHeaderLinesNeverEnd_EndsTheStream")
+{
+    startStream();
+    send(okHead);
+    checkFloodEnds("Name: value\r\n", maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Stream_WhenAChunkExtensionNeverEnds_EndsTheStream")
+{
+    startStream();
+    send(chunkedHead + "1;a=");
+    checkFloodEnds(std::string(1000, 'a'), maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Stream_WhenTrailersNeverEnd_EndsTheStream")
+{
+    startStream();
+    send(chunkedHead + "2\r\nok\r\n0\r\n");
+    checkFloodEnds("Name: value\r\n", maxHeaderBytes);
+}
