Skip interim responses in replies from the store, peers and engines

The client took an interim response (1xx) for the reply and kept the connection, on which the next call then received the reply to this one.

Interim responses are now skipped, at most eight for each reply.

Failed before: Client_WhenAnInterimResponseComesFirst_ReceivesTheAnswer got status 100 and no body, Client_WhenInterimResponsesNeverEnd_EndsTheCall read 4 MiB without closing the connection.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -29,6 +29,8 @@
 constexpr size_t streamBodyLimit = 64U << 20U; ///< Longest body of a stream.
 /// Most bytes buffered while the rest of a header, a chunk's header or trailers is missing.
 constexpr size_t maxUnparsedBytes = 32U << 10U;
+constexpr int firstFinalStatus = 200; ///< Lower statuses (1xx) are interim responses.
+constexpr int maxInterimResponses = 8; ///< Interim responses after which a response is malformed.
 constexpr size_t streamBufferBytes = 16U << 10U; ///< Most bytes passed to onBytes_ at once.
 
 Http::request<Http::string_body> makeMessage(const std::string &address, const HttpRequest &request)
@@ -100,14 +102,20 @@
     return !error;
 }
 
-/// Reads a header.
+/// Reads a header; interim responses are skipped.
 template<typename Body>
 void readHeader(Beast::tcp_stream &stream, Beast::flat_buffer &buffer, size_t bodyLimit,
     std::optional<Http::response_parser<Body>> &parser, boost::system::error_code &error, Asio::yield_context yield)
 {
-    parser.emplace();
-    parser->body_limit(bodyLimit);
-    Http::async_read_header(stream, buffer, *parser, yield[error]);
+    for (int interim = 0; interim <= maxInterimResponses; ++interim) {
+        parser.emplace();
+        parser->body_limit(bodyLimit);
+        Http::async_read_header(stream, buffer, *parser, yield[error]);
+        if (error || parser->get().result_int() >= firstFinalStatus) {
+            return;
+        }
+    }
+    error = Http::error::bad_status;
 }
 
 /// Outcome of one exchange on one connection.
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -96,6 +96,22 @@
     checkFloodEnds("Name: value\r\n", maxHeaderBytes);
 }
 
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenInterimResponsesNeverEnd_EndsTheCall")
+{
+    startAndAccept();
+    checkFloodEnds("HTTP/1.1 100 Continue\r\n\r\n", maxHeaderBytes);
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenAnInterimResponseComesFirst_ReceivesTheAnswer")
+{
+    startAndAccept();
+    send("HTTP/1.1 100 Continue\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nok");
+    runUntil([this] { return end_.has_value(); });
+    CHECK_FALSE(*end_);
+    CHECK(reply_.status_ == 200);
+    CHECK(reply_.body_ == "ok");
+}
+
 TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenABodyNeverEnds_EndsTheCall")
 {
     constexpr size_t maxBodyBytes = 16U << 20U;
