Reuse no connection that has received more than its replies

Bytes that followed a reply from the store or a peer were dropped with the call's buffer or stayed in the socket, and the connection was kept: the next call on it could take a late or foreign reply for its own.

A connection is kept only if nothing follows the reply, and taken again only if nothing has arrived while it was idle.

Failed before: Client_WhenBytesFollowAnAnswer_DoesNotReuseTheConnection (it stayed open) and Client_WhenAnIdleConnectionHasReceivedAnAnswer_DoesNotTakeItForTheNext (the next call was made on the same connection).

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -69,7 +69,9 @@
     while (!idle.empty()) {
         IdleConnection connection = std::move(idle.back());
         idle.pop_back();
-        if (Clock::now() - connection.idleSince_ < maxIdleTime) {
+        boost::system::error_code error;
+        const bool quiet = connection.stream_->socket().available(error) == 0 && !error;
+        if (quiet && Clock::now() - connection.idleSince_ < maxIdleTime) {
             return std::move(connection.stream_);
         }
     }
@@ -157,7 +159,7 @@
         result.error_ = classifyError(error);
         return result;
     }
-    result.keepAlive_ = parser->get().keep_alive();
+    result.keepAlive_ = parser->get().keep_alive() && buffer.size() == 0;
     result.reply_ = makeReply(parser->get());
     return result;
 }
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -112,6 +112,29 @@
     CHECK(reply_.body_ == "ok");
 }
 
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenBytesFollowAnAnswer_DoesNotReuseTheConnection")
+{
+    startAndAccept();
+    send(okHead + "Content-Length: 2\r\n\r\nok" + okHead + "Content-Length: 5\r\n\r\n");
+    runUntil([this] { return end_.has_value(); });
+    CHECK(reply_.body_ == "ok");
+    runUntil([this] { return isClosed(); });
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenAnIdleConnectionHasReceivedAnAnswer_DoesNotTakeItForTheNext")
+{
+    startAndAccept();
+    send(okHead + "Content-Length: 2\r\n\r\nok");
+    runUntil([this] { return end_.has_value(); });
+    send(okHead + "Content-Length: 7\r\n\r\nforeign");
+    start();
+    acceptConnection();
+    receiveRequest();
+    send(okHead + "Content-Length: 3\r\n\r\nown");
+    runUntil([this] { return end_.has_value(); });
+    CHECK(reply_.body_ == "own");
+}
+
 TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenABodyNeverEnds_EndsTheCall")
 {
     constexpr size_t maxBodyBytes = 16U << 20U;
