Test gateways with upstreams whose answers never end

The stand-in upstream has a mode in which it runs a request and responds with a signed body that never ends. Idempotent calls and streams have to be served by another upstream, other calls end with 502, and the gateways go on serving.

--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -122,6 +122,25 @@
     CHECK(call("/stream/x", "r3").body_ == Standin::streamBody("/stream/x", "body"));
 }
 
+TEST_CASE_FIXTURE(
+    GatewayProcessFixture, "Gateway_WhenAnswersNeverEnd_RetriesIdempotentCallsElsewhereAndFailsOthersInTime")
+{
+    setMode("engines-1", "endless");
+    setMode("desk-1", "endless");
+    setMode("desk-2", "endless");
+    for (int index = 0; index < 4; ++index) {
+        const std::string number = std::to_string(index);
+        CHECK(call("/read/x", "read-" + number).body_ == Standin::echoBody("/read/x", "body"));
+        CHECK(call("/stream/x", "stream-" + number).body_ == Standin::streamBody("/stream/x", "body"));
+    }
+    const HttpReply reply = call("/once/x", "once-1");
+    CHECK(reply.status_ == 502);
+    CHECK(runsOf("once-1") == 1);
+    setMode("desk-1", "good");
+    setMode("desk-2", "good");
+    CHECK(call("/once/x", "once-2").body_ == Standin::echoBody("/once/x", "body"));
+}
+
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenUpstreamsAreFull_RefusesAsNotRunWithRetryAfter")
 {
     setMode("desk-1", "full");
--- a/tests/standins/platform_upstream.cpp
+++ b/tests/standins/platform_upstream.cpp
@@ -15,15 +15,18 @@
 
 namespace {
 
-constexpr std::array<std::pair<std::string_view, UpstreamMode>, 6> upstreamModeNames{ {
+constexpr std::array<std::pair<std::string_view, UpstreamMode>, 7> upstreamModeNames{ {
     { "good", UpstreamMode::Normal },
     { "mute", UpstreamMode::Silent },
     { "reset", UpstreamMode::Reset },
     { "failing", UpstreamMode::Failing },
     { "full", UpstreamMode::Full },
+    { "endless", UpstreamMode::Endless },
     { "crossed", UpstreamMode::MismatchedId },
 } };
 
+constexpr size_t endlessPieceBytes = 256U << 10U; ///< Bytes of a body without end that are sent at once.
+constexpr Milliseconds endlessPieceInterval{ 5 }; ///< Time between them.
 constexpr std::string_view streamPathPart = "/stream/"; ///< Requests with it in their target get a stream of events.
 
 /// Adds a line about a run to the ledger.
@@ -114,6 +117,20 @@
     pushDeadline(state.deadlines_, now + state.stepDelay_, id);
 }
 
+/// Sends the next piece of a body that never ends; its caller has to close the connection.
+void stepEndless(
+    UpstreamStandinState &state, TimePoint now, PoolId<UpstreamRun> id, UpstreamRun &run, StandinOutbox &outbox)
+{
+    if (run.dueAt_ != TimePoint{}) {
+        HttpReply head = makeReply(200, run);
+        head.headers_.emplace_back("Content-Type", run.streamed_ ? "text/event-stream" : "text/plain");
+        outbox.outputs_.push_back({ run.exchange_, ServerOutput::Kind::Head, std::move(head), {} });
+        run.dueAt_ = {};
+    }
+    outbox.outputs_.push_back({ run.exchange_, ServerOutput::Kind::Chunk, {}, std::string(endlessPieceBytes, '.') });
+    pushDeadline(state.deadlines_, now + endlessPieceInterval, id);
+}
+
 void stepRun(UpstreamStandinState &state, TimePoint now, PoolId<UpstreamRun> id, StandinOutbox &outbox)
 {
     UpstreamRun *run = findRow(state.runs_, id);
@@ -123,6 +140,8 @@
     if (run->mode_ == UpstreamMode::Failing) {
         outbox.outputs_.push_back({ run->exchange_, ServerOutput::Kind::Full, makeReply(500, *run), {} });
         finishRun(state, id, outbox);
+    } else if (run->mode_ == UpstreamMode::Endless) {
+        stepEndless(state, now, id, *run, outbox);
     } else if (run->streamed_) {
         stepStream(state, now, id, *run, outbox);
     } else if (run->mode_ == UpstreamMode::Reset) {
--- a/tests/standins/platform_upstream_base.h
+++ b/tests/standins/platform_upstream_base.h
@@ -21,6 +21,7 @@
     Reset, ///< Runs them and closes the connection before or in the middle of the response.
     Failing, ///< Runs them and responds with status 500.
     Full, ///< Refuses them with status 503 without running them.
+    Endless, ///< Runs them and responds with a body that never ends.
     MismatchedId, ///< Runs them and signs the response with the id of another request.
 };
 
