--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -11,12 +11,15 @@
 #include "gateway_event_stream_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Burdockfield::Gateway {
 
 namespace {
 
 constexpr size_t maxAnswerBytes = 16U << 20U; ///< 16 MiB: longest answer that is buffered; below any memory limit.
+constexpr size_t maxEventBytes = 256U << 10U; ///< Longest event of a stream.
+constexpr size_t maxUnusedBytes = 64U << 10U; ///< Longest body of an answer that is not forwarded.
 constexpr uint32_t maxConnectFailures = 4; ///< Failures to connect after which a call is refused.
 constexpr Milliseconds initialBackoff{ 250 }; ///< Time for which an upstream is not used after a failure to connect.
 constexpr Milliseconds maxBackoff{ 4000 }; ///< Longest such time, after several failures in a row.
@@ -43,15 +46,28 @@
     eraseCall(state, id);
 }
 
-/// Forwards all complete events of a call. @return false, and forwards nothing, if an event is missing between them
-bool forwardEvents(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox)
+void eraseFromAnswer(GatewayState &state, Call &call, size_t length)
 {
-    const EventScan scan = scanEvents(call.body_, call.lastEvent_);
+    call.body_.erase(0, length);
+    state.answerBytes_ -= length;
+}
+
+/**
+ * Forwards all complete events of a call.
+ * @param scanned length of the start of the call's body that contains no complete event, in bytes
+ * @return false, and forwards nothing, if an event is missing between them
+ */
+bool forwardEvents(GatewayState &state, TimePoint now, Call &call, size_t scanned, GatewayOutbox &outbox)
+{
+    const EventScan scan = scanEvents(call.body_, call.lastEvent_, scanned);
     if (scan.outOfOrder_) {
         return false;
     }
+    if (scan.consumed_ > 0) {
+        call.lastReceivedAt_ = now;
+    }
     if (scan.bytes_.empty()) {
-        call.body_.erase(0, scan.consumed_);
+        eraseFromAnswer(state, call, scan.consumed_);
         return true;
     }
     if (!call.streamStarted_) {
@@ -62,7 +78,7 @@
     call.events_ += scan.events_;
     call.lastEvent_ = scan.lastEvent_;
     outbox.events_.push_back({ call.exchange_, scan.bytes_ });
-    call.body_.erase(0, scan.consumed_);
+    eraseFromAnswer(state, call, scan.consumed_);
     return true;
 }
 
@@ -85,6 +101,12 @@
     return call.headReceived_ && (call.head_.notRun_ || call.head_.wrongInstance_);
 }
 
+/// @return whether the body of the answer may be forwarded.
+bool isForwardable(const Call &call)
+{
+    return call.head_.authentic_ && !isReportedNotRun(call) && (!call.streamStarted_ || call.head_.eventStream_);
+}
+
 void logFailedSend(
     const GatewayState &state, const Call &call, std::error_code error, TimePoint now, GatewayOutbox &outbox)
 {
@@ -147,7 +169,8 @@
 {
     const int status = call.head_.reply_.status_;
     HttpReply reply = std::move(call.head_.reply_);
-    reply.body_ = std::move(call.body_);
+    state.answerBytes_ -= call.body_.size();
+    reply.body_ = std::exchange(call.body_, {});
     outbox.answers_.push_back({ call.exchange_, std::move(reply) });
     finishCall(state, now, id, status < firstServerErrorStatus ? "ok" : "upstream-error", status, outbox);
 }
@@ -217,6 +240,41 @@
     }
 }
 
+/// @return the most bytes of the answer that may be buffered.
+size_t bufferLimit(const Call &call)
+{
+    if (!isForwardable(call)) {
+        return maxUnusedBytes;
+    }
+    return isStreamed(call) ? maxEventBytes : maxAnswerBytes;
+}
+
+CallId findLongestAnswer(GatewayState &state)
+{
+    CallId longest;
+    size_t length = 0;
+    forEachRow(state.calls_, [&](CallId id, const Call &call) {
+        if (call.body_.size() > length) {
+            longest = id;
+            length = call.body_.size();
+        }
+    });
+    return longest;
+}
+
+/// Ends a send whose answer is malformed or too long.
+void breakOffSend(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    logFailedSend(state, call, TransportErrc::Malformed, now, outbox);
+    outbox.cancels_.push_back(call.send_);
+    clearAnswer(state, call);
+    if (isReportedNotRun(call)) {
+        handleNotRun(state, now, id, call, outbox);
+    } else {
+        handleFailure(state, now, id, call, false, outbox);
+    }
+}
+
 void handleBytes(GatewayState &state, TimePoint now, BytesReceived &event, GatewayOutbox &outbox)
 {
     const CallId id = findCallBySend(state, event.send_);
@@ -224,16 +282,20 @@
     if (call == nullptr) {
         return;
     }
-    call->lastReceivedAt_ = now;
+    const size_t scanned = call->body_.size();
+    const bool streamed = isForwardable(*call) && isStreamed(*call);
     call->body_ += event.bytes_;
-    const bool valid = !isStreamed(*call) || forwardEvents(state, now, *call, outbox);
-    if (valid && call->body_.size() <= maxAnswerBytes) {
-        return;
+    state.answerBytes_ += event.bytes_.size();
+    if (isForwardable(*call) && !streamed) {
+        call->lastReceivedAt_ = now;
+    }
+    const bool valid = !streamed || forwardEvents(state, now, *call, scanned, outbox);
+    if (!valid || call->body_.size() > bufferLimit(*call)) {
+        breakOffSend(state, now, id, *call, outbox);
+    } else if (state.answerBytes_ > state.bounds_.answerBytes_) {
+        const CallId longest = findLongestAnswer(state);
+        breakOffSend(state, now, longest, *findRow(state.calls_, longest), outbox);
     }
-    logFailedSend(state, *call, TransportErrc::Malformed, now, outbox);
-    outbox.cancels_.push_back(call->send_);
-    call->body_.clear();
-    handleFailure(state, now, id, *call, false, outbox);
 }
 
 void handleSendEnd(GatewayState &state, TimePoint now, const SendEnded &event, GatewayOutbox &outbox)
@@ -258,7 +320,7 @@
         if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
             recordBrokenCall(*upstream, now, call->fingerprint_);
         }
-        call->body_.clear();
+        clearAnswer(state, *call);
         handleFailure(state, now, id, *call, false, outbox);
     } else {
         handleCompleteAnswer(state, now, id, *call, outbox);
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -51,7 +51,24 @@
         onEnd_; ///< Success at the end of the response, else a TransportErrc.
 };
 
-using LinkParser = Beast::http::response_parser<Beast::http::string_body>; ///< Parser of one response.
+/// Body of a response that takes no more memory than the bytes received, whatever length the header announces.
+struct LinkBody
+{
+    using value_type = std::string; // NOLINT(readability-identifier-naming): required by Beast
+
+    /// Appends received bytes.
+    struct reader : Beast::http::string_body::reader // NOLINT(readability-identifier-naming): required by Beast
+    {
+        using Beast::http::string_body::reader::reader;
+
+        void init(const boost::optional<uint64_t> & /*length*/, boost::system::error_code &error)
+        {
+            error = {};
+        }
+    };
+};
+
+using LinkParser = Beast::http::response_parser<LinkBody>; ///< Parser of one response.
 using LinkMessage = Beast::http::request<Beast::http::span_body<const char>>; ///< Request with a shared body.
 
 /// Connection to an upstream.
@@ -73,6 +90,7 @@
     bool requestWritten_ = false; ///< Whether the current request has been written completely.
     bool headHandled_ = false; ///< Whether the header of the current response has been handled.
     bool discarding_ = false; ///< Whether the current response is interim (1xx) or belongs to another call.
+    size_t overheadBytes_ = 0; ///< Bytes parsed for the current call beyond twice those of its answer's body.
     bool reusable_ = true; ///< Whether the connection may carry another call.
     bool closed_ = false; ///< Whether closed by this side; pending operations do nothing then.
     Milliseconds announcedIdleTimeout_{ 0 }; ///< Keep-Alive timeout of the upstream; 0 if it announced none.
