Wait for requests that are being received before a process exits

Callers could lose a request to a process that was stopping: the connection closed without an answer, although the request may already have been sent upstream.

A connection that was receiving a request was in neither idle_ nor exchanges_. closeIdleConnections() rightly left it open, but the exit condition of the gateway and onIdle_ of the entry and the agent looked only at exchanges_, so such a process counted as idle. The gateway's exit timer did not look again when it expired either.

The server now keeps a connection in busy_ from the first byte of a request to the end of its exchange or its rejection. isIdle() is false while a connection is busy or has bytes that have not been read yet; onIdle_ and the exit conditions use it, and the exit timer checks it again unless the grace period is over. A request that stays incomplete holds the process until the read timeout, or in a gateway until the end of its grace period. The log line "stopped" of a gateway names the connections that were busy at the exit.

The fault was found by review. Before the fix, the four new tests of the server failed, as it reported that it was idle during a request, and Gateway_WhenStoppedWhileARequestArrivesSlowly_AnswersItBeforeItExits received no answer (0 of 16 bytes; no run in the upstreams' ledgers). Gateway_WhenStoppedWhileARequestStaysIncomplete_ExitsWithinItsGrace passed before as well; it guards the bound.

--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -257,10 +257,10 @@
     respond(serverFor(daemon, command.exchange_), command.exchange_, serializeOperatorReply(command));
 }
 
-/// Stops the network thread once no exchange is open.
+/// Stops the network thread once no request is in progress.
 void exitWhenIdle(EntryDaemon &daemon)
 {
-    if (daemon.callerServer_->exchanges_.empty() && daemon.controlServer_->exchanges_.empty()) {
+    if (isIdle(*daemon.callerServer_) && isIdle(*daemon.controlServer_)) {
         daemon.io_.stop();
     }
 }
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -111,7 +111,7 @@
     daemon.callerServer_.limits_.idleTimeout_ = limits.idleTimeout_;
 }
 
-/// Ends the process after the time that the last answers need to be transmitted.
+/// Ends the process after the time that the last answers need to be transmitted, unless a request arrives meanwhile.
 void scheduleExit(GatewayDaemon &daemon)
 {
     if (daemon.exiting_) {
@@ -119,7 +119,12 @@
     }
     daemon.exiting_ = true;
     daemon.exitTimer_.expires_after(exitDelay);
-    daemon.exitTimer_.async_wait([&daemon](const boost::system::error_code & /*error*/) { daemon.io_.stop(); });
+    daemon.exitTimer_.async_wait([&daemon](const boost::system::error_code & /*error*/) {
+        daemon.exiting_ = false;
+        if (daemon.exitsImmediately_ || isIdle(daemon.callerServer_)) {
+            daemon.io_.stop();
+        }
+    });
 }
 
 void executeAnswers(GatewayDaemon &daemon, GatewayOutbox &outbox)
@@ -170,7 +175,8 @@
         stopListening(daemon.callerServer_);
         closeIdleConnections(daemon.callerServer_);
     }
-    if (outbox.exitImmediately_ || (outbox.exit_ && daemon.callerServer_.exchanges_.empty())) {
+    daemon.exitsImmediately_ = outbox.exitImmediately_;
+    if (outbox.exitImmediately_ || (outbox.exit_ && isIdle(daemon.callerServer_))) {
         scheduleExit(daemon);
     }
 }
@@ -492,7 +498,9 @@
     runHousekeeping(daemon);
     scheduleTick(daemon);
     daemon.io_.run();
-    logLine(LogLevel::Info, "stopped", { { "calls", std::to_string(daemon.state_.calls_.size_) } });
+    logLine(LogLevel::Info, "stopped",
+        { { "calls", std::to_string(daemon.state_.calls_.size_) },
+            { "busy_connections", std::to_string(daemon.callerServer_.busy_.size()) } });
     return 0;
 }
 
--- a/src/gateway_daemon_type.h
+++ b/src/gateway_daemon_type.h
@@ -39,6 +39,7 @@
     GatewayInbox inbox_; ///< Events collected for the next tick.
     bool tickPosted_ = false; ///< Whether a tick has been posted to io_ and has not run yet.
     bool exiting_ = false; ///< Whether exitTimer_ is running.
+    bool exitsImmediately_ = false; ///< Whether the process exits even if requests are in progress.
     Asio::steady_timer tickTimer_{ io_ }; ///< Expires at the next deadline of the tables.
     Asio::steady_timer housekeepingTimer_{ io_ }; ///< Expires when housekeeping is due.
     Asio::steady_timer exitTimer_{ io_ }; ///< Ends the process when it expires.
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -10,6 +10,7 @@
 #include "http_fields_func.h"
 #include "socket_func.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
@@ -54,6 +55,12 @@
     return RefusalErrc::BadRequest;
 }
 
+bool hasUnreadBytes(const ServerConnection &connection)
+{
+    boost::system::error_code ignored;
+    return connection.stream_.socket().available(ignored) > 0;
+}
+
 /// Waits for the first byte of a request. @return false if the peer closed or the idle timeout passed
 bool waitForFirstByte(HttpServer &server, const ConnectionPointer &pointer, Asio::yield_context yield)
 {
@@ -106,6 +113,7 @@
     if (!waitForFirstByte(server, pointer, yield)) {
         return ReadOutcome::Closed;
     }
+    server.busy_.insert(pointer);
     Http::request_parser<Http::string_body> parser;
     parser.header_limit(static_cast<uint32_t>(server.limits_.headerBytes_));
     parser.body_limit(server.limits_.bodyBytes_);
@@ -279,10 +287,10 @@
     }
 }
 
-/// Calls onIdle_ if the server is stopping and has no exchange left.
+/// Calls onIdle_ if the server is stopping and has no request in progress.
 void notifyIfIdle(const HttpServer &server)
 {
-    if (server.stopping_ && server.exchanges_.empty() && server.handlers_.onIdle_) {
+    if (server.stopping_ && isIdle(server) && server.handlers_.onIdle_) {
         server.handlers_.onIdle_();
     }
 }
@@ -300,7 +308,6 @@
     const bool complete = writeResponse(server, *connection, yield);
     server.exchanges_.erase(exchange);
     connection->exchange_ = ExchangeId{};
-    notifyIfIdle(server);
     if (!complete && !connection->peerClosed_) {
         server.handlers_.onDisconnect_(exchange);
     }
@@ -322,6 +329,8 @@
         if (outcome == ReadOutcome::Bad) {
             rejectBadRequest(server, *connection, failure, yield);
         }
+        server.busy_.erase(connection);
+        notifyIfIdle(server);
     }
     boost::system::error_code ignored;
     connection->stream_.socket().shutdown(Tcp::socket::shutdown_both, ignored);
@@ -332,12 +341,13 @@
 void endFailed(HttpServer &server, const ConnectionPointer &connection)
 {
     server.idle_.erase(connection);
+    server.busy_.erase(connection);
     connection->stream_.close();
     const ExchangeId exchange = std::exchange(connection->exchange_, ExchangeId{});
     if (server.exchanges_.erase(exchange) > 0) {
         server.handlers_.onDisconnect_(exchange);
-        notifyIfIdle(server);
     }
+    notifyIfIdle(server);
 }
 
 void acceptNext(HttpServer &server)
@@ -404,13 +414,20 @@
 void closeIdleConnections(HttpServer &server)
 {
     for (const ConnectionPointer &connection : server.idle_) {
-        boost::system::error_code error;
-        if (connection->stream_.socket().available(error) == 0) {
-            connection->stream_.socket().cancel(error);
+        if (!hasUnreadBytes(*connection)) {
+            boost::system::error_code ignored;
+            connection->stream_.socket().cancel(ignored);
         }
     }
 }
 
+bool isIdle(const HttpServer &server)
+{
+    return server.busy_.empty() && std::none_of(server.idle_.begin(), server.idle_.end(), [](const auto &connection) {
+        return hasUnreadBytes(*connection);
+    });
+}
+
 void respond(HttpServer &server, ExchangeId exchange, HttpReply reply)
 {
     queueOutput(server, exchange, { ServerOutput::Kind::Full, std::move(reply), {} });
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -45,7 +45,7 @@
     std::function<void(ExchangeId, HttpRequest)> onRequest_; ///< A complete request was received.
     std::function<void(ExchangeId)> onDisconnect_; ///< The exchange ended before its response was complete.
     std::function<HttpReply(std::error_code)> onBadRequest_; ///< Makes the response to a malformed request.
-    std::function<void()> onIdle_; ///< The last exchange has ended after stopListening().
+    std::function<void()> onIdle_; ///< No request is in progress after stopListening(); may be called repeatedly.
 };
 
 /// Part of a response, queued for writing.
@@ -102,6 +102,8 @@
     ServerHandlers handlers_;
     std::map<ExchangeId, std::shared_ptr<ServerConnection>> exchanges_; ///< Connections of the exchanges in progress.
     std::set<std::shared_ptr<ServerConnection>> idle_; ///< Connections that wait for a request.
+    /// Connections between the first byte of a request and the end of its exchange or rejection.
+    std::set<std::shared_ptr<ServerConnection>> busy_;
     uint64_t nextExchange_ = 1;
     bool announceClose_ = false; ///< Whether responses carry "Connection: close".
     bool stopping_ = false; ///< Whether connections close after their current exchange.
@@ -116,6 +118,9 @@
 /// Closes the connections that wait for a request, except those that have received part of one.
 void closeIdleConnections(HttpServer &server);
 
+/// @return whether no request is in progress, including those that have been received in part or not been read yet.
+bool isIdle(const HttpServer &server);
+
 /// Queues a complete response.
 void respond(HttpServer &server, ExchangeId exchange, HttpReply reply);
 
--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -24,13 +24,15 @@
 
 namespace {
 
-/// Caller that sends a request and does not read the answer before readAnswerBody().
+/// Caller that sends a request, or its start, and does not read the answer before readAnswerBody().
 struct SlowCaller
 {
-    SlowCaller(const std::string &address, const std::string &target)
+    /// @param unsentBytes how much of the end of the request is left out
+    SlowCaller(const std::string &address, const std::string &target, size_t unsentBytes = 0)
     {
-        const std::string text = "POST " + target + " HTTP/1.1\r\nHost: " + gatewayHost
+        std::string text = "POST " + target + " HTTP/1.1\r\nHost: " + gatewayHost
             + "\r\nRequest-Id: slow\r\nAuthorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbody";
+        text.resize(text.size() - unsentBytes);
         socket_.connect(*parseEndpoint(address));
         boost::asio::write(socket_, boost::asio::buffer(text));
     }
@@ -222,6 +224,25 @@
     CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(2000)) == 0);
 }
 
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenStoppedWhileARequestArrivesSlowly_AnswersItBeforeItExits")
+{
+    SlowCaller caller(fleet_.processes_.at("gateway-1").address_, "/once/x", 2);
+    signalProcess(fleet_, "gateway-1", SIGTERM);
+    std::this_thread::sleep_for(Milliseconds(3500)); // by then it has stopped listening
+    boost::system::error_code error;
+    boost::asio::write(caller.socket_, boost::asio::buffer("dy", 2), error);
+    CHECK(readAnswerBody(caller) == Standin::echoBody("/once/x", "body").size());
+    CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(2000)) == 0);
+    CHECK(runsOf("slow") == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenStoppedWhileARequestStaysIncomplete_ExitsWithinItsGrace")
+{
+    const SlowCaller caller(fleet_.processes_.at("gateway-1").address_, "/once/x", 2);
+    signalProcess(fleet_, "gateway-1", SIGTERM);
+    CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(5000)) == 0);
+}
+
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenReloadedSettingsAreInvalid_KeepsServing")
 {
     const std::string file = fleet_.folder_ + "/gateway-1.yaml";
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds shortTimeout{ 30 }; ///< Read and idle timeouts of the server.
 constexpr Milliseconds busyTime{ 60 }; ///< Time for which its thread handles nothing, longer than shortTimeout.
 
+constexpr Milliseconds longTimeout{ 10000 }; ///< Read timeout that does not pass during a test.
+
 /// Server whose handlers run only while the test runs them, and one connection to it.
 struct HttpServerFixture
 {
@@ -60,6 +62,9 @@
             reply.status_ = error == RefusalErrc::SlowRequest ? 408 : 400;
             return reply;
         };
+        handlers.onIdle_ = [this] {
+            idle_ = true;
+        };
         return handlers;
     }
 
@@ -84,6 +89,13 @@
         Asio::write(caller_, Asio::buffer(text));
     }
 
+    void stop()
+    {
+        stopListening(server_);
+        closeIdleConnections(server_);
+        io_.poll();
+    }
+
     /// Runs the server until it has received a request, then answers it and closes the connection.
     void answerRequest()
     {
@@ -113,6 +125,7 @@
     Asio::ip::tcp::socket caller_{ io_ };
     ExchangeId exchange_; ///< Exchange of the last request that the server has received.
     bool failsOnRequest_ = false; ///< Whether the handler of requests throws.
+    bool idle_ = false; ///< Whether the server has reported that it is idle.
     int disconnects_ = 0; ///< Exchanges that ended before their response.
 };
 
@@ -190,3 +203,51 @@
     CHECK(server_.exchanges_.empty());
     CHECK(disconnects_ == 1);
 }
+
+TEST_CASE_FIXTURE(HttpServerFixture, "Server_WhenStoppedWhileARequestIsBeingReceived_IsIdleOnlyAfterItsAnswer")
+{
+    server_.limits_.readTimeout_ = longTimeout;
+    send(requestHead + "bo");
+    runUntil([this] { return server_.idle_.empty(); });
+    stop();
+    CHECK_FALSE(idle_);
+    send("dy");
+    runUntil([this] { return exchange_ != ExchangeId{}; });
+    CHECK_FALSE(idle_);
+    answerRequest();
+    CHECK(receiveAll().find("HTTP/1.1 200 OK") == 0);
+    CHECK(idle_);
+}
+
+TEST_CASE_FIXTURE(HttpServerFixture, "Server_WhenStoppedBeforeAReceivedRequestIsRead_IsIdleOnlyAfterItsAnswer")
+{
+    server_.limits_.readTimeout_ = longTimeout;
+    send(requestHead + "body");
+    stopListening(server_);
+    CHECK_FALSE(idle_);
+    answerRequest();
+    CHECK(receiveAll().find("HTTP/1.1 200 OK") == 0);
+    CHECK(idle_);
+}
+
+TEST_CASE_FIXTURE(HttpServerFixture, "Server_WhenStoppedAndARequestStaysIncomplete_IsIdleAfterRejectingIt")
+{
+    send(requestHead + "bo");
+    runUntil([this] { return server_.idle_.empty(); });
+    stop();
+    CHECK_FALSE(idle_);
+    CHECK(receiveAll().find("HTTP/1.1 408") == 0);
+    caller_.close();
+    runUntil([this] { return idle_; });
+}
+
+TEST_CASE_FIXTURE(HttpServerFixture, "Server_WhenStoppedAndThePeerClosesDuringARequest_IsIdle")
+{
+    server_.limits_.readTimeout_ = longTimeout;
+    send(requestHead + "bo");
+    runUntil([this] { return server_.idle_.empty(); });
+    stop();
+    CHECK_FALSE(idle_);
+    caller_.close();
+    runUntil([this] { return idle_; });
+}
