Don't charge a call with what its connection received before

An upstream's answer and its close may arrive together. The read after the answer then completes at once, but its completion is handled after the gateway's tick, which was posted when the answer ended. The tick started a call on that connection, and the completion ended the call as lost: a call that must not be repeated was answered with 502, another spent a retry, and the upstream was suspected of a crash. Bytes that followed an answer were parsed as the answer to the next call.

A call now takes its connection in a handler of its own, after the completions that are queued already, and only if the connection has nothing to read. Both are needed: the first covers what has been read, the second what has arrived but has not been read. A call that is cancelled in between is never sent.

--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -11,6 +11,7 @@
 #include "socket_func.h"
 
 #include <algorithm>
+#include <array>
 
 namespace Burdockfield {
 
@@ -244,6 +245,8 @@
     }
     connection->connected_ = true;
     configureSocket(connection->socket_, outgoingUserTimeout);
+    boost::system::error_code ignored;
+    connection->socket_.non_blocking(true, ignored);
     sendRequest(link, connection);
     readSome(link, connection);
 }
@@ -280,6 +283,15 @@
     return retryable ? idle < maxIdleTime : idle < maxIdleTimeUnlessRetryable;
 }
 
+/// @return whether the upstream has neither closed the connection nor sent anything on it since its last call.
+bool isQuiet(LinkConnection &connection)
+{
+    std::array<char, 1> byte{};
+    boost::system::error_code error;
+    connection.socket_.receive(Asio::buffer(byte), Asio::socket_base::message_peek, error);
+    return error == Asio::error::would_block;
+}
+
 LinkPointer takeIdleConnection(UpstreamLink &link, const LinkCall &call)
 {
     const auto found = link.idle_.find(call.address_);
@@ -288,19 +300,22 @@
     }
     auto &idle = found->second;
     const TimePoint now = Clock::now();
-    for (auto candidate = idle.rbegin(); candidate != idle.rend(); ++candidate) {
-        if (isUsable(**candidate, call.retryable_, now)) {
-            LinkPointer connection = *candidate;
-            idle.erase(std::next(candidate).base());
+    const auto usable = [&call, now](const LinkPointer &connection) {
+        return isUsable(*connection, call.retryable_, now);
+    };
+    for (auto newest = std::find_if(idle.rbegin(), idle.rend(), usable); newest != idle.rend();
+         newest = std::find_if(idle.rbegin(), idle.rend(), usable)) {
+        LinkPointer connection = *newest;
+        idle.erase(std::next(newest).base());
+        if (isQuiet(*connection)) {
             return connection;
         }
+        closeConnection(connection);
     }
     return nullptr;
 }
 
-} // namespace
-
-void startCall(UpstreamLink &link, LinkCall call)
+void startPostedCall(UpstreamLink &link, LinkCall call)
 {
     const LinkPointer connection = takeIdleConnection(link, call);
     if (connection == nullptr) {
@@ -312,8 +327,24 @@
     sendRequest(link, connection);
 }
 
+} // namespace
+
+void startCall(UpstreamLink &link, LinkCall call)
+{
+    link.starting_.insert(call.send_);
+    // Reads that have completed already are handled before the call takes a connection.
+    Asio::post(link.io_, [&link, call = std::move(call)]() mutable {
+        if (link.starting_.erase(call.send_) > 0) {
+            startPostedCall(link, std::move(call));
+        }
+    });
+}
+
 void cancelCall(UpstreamLink &link, uint64_t send)
 {
+    if (link.starting_.erase(send) > 0) {
+        return;
+    }
     const auto found = link.busy_.find(send);
     if (found == link.busy_.end()) {
         return;
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -21,6 +21,7 @@
 #include <string>
 #include <system_error>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Burdockfield {
@@ -94,10 +95,11 @@
     LinkHandlers handlers_;
     std::unordered_map<std::string, std::vector<LinkPointer>> idle_; ///< Idle connections by address.
     std::unordered_map<uint64_t, LinkPointer> busy_; ///< Connections with a call, by number of the send.
+    std::unordered_set<uint64_t> starting_; ///< Sends that have no connection yet.
     uint64_t connectionsOpened_ = 0; ///< Connections opened since the start, failed attempts included.
 };
 
-/// Starts a call, on an idle connection if one is usable, else on a new one.
+/// Starts a call after the handlers that are ready now, on an idle connection if one is usable, else on a new one.
 void startCall(UpstreamLink &link, LinkCall call);
 
 /// Cancels a call and closes its connection; no callback is called for it any more.
