Send a TRACE request with a body

A caller's TRACE request with a body ended the gateway with all its streams. Beast's prepare_payload() throws invalid_argument for such a request, and the link calls it from the tick or from a connect handler, where nothing catches the exception. In the HTTP client the exception ended the call's coroutine, so that its handler was never called.

The length of the body is now set without prepare_payload(), by the same rule for all methods: Content-Length if there is a body or the method usually has one. The request is passed on as it came; what to answer is up to the upstream.

On the code before, Link_WhenATraceCallHasABody_SendsIt fails with the exception, and Client_WhenATraceCallHasABody_SendsIt because nothing is sent. The other new tests hold the rule for requests without a body.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -39,7 +39,7 @@
         message.set(name, value);
     }
     message.body() = request.body_;
-    message.prepare_payload();
+    setBodyLength(message, request.body_.size());
     return message;
 }
 
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -211,7 +211,7 @@
         message.insert(name, value);
     }
     message.body() = Beast::span<const char>(call.body_->data(), call.body_->size());
-    message.prepare_payload();
+    setBodyLength(message, call.body_->size());
     connection->requestWritten_ = false;
     const uint64_t send = call.send_;
     const auto done = [&link, connection, send, body = call.body_](const boost::system::error_code &error, size_t) {
