Bound the header limit by what Beast can store

A header field of 65,534 bytes or more makes Beast throw length_error while it reads, in a handler of its own, where nothing catches it: the gateway ended with all its streams. With a header limit above 64 KiB, which the operator may configure, a caller could send such a field. Beast doesn't apply the limit to the trailer of a chunked body, so that a caller could do the same there with any limit. A limit of 2^32 became 0, and all requests were rejected.

The limit of a header is now at most maxHeaderBytes, and a connection's buffer holds no more than that. Beast parses a header and a trailer only once they are in the buffer as a whole, so neither can hold a longer field; a longer one is rejected with 431. Bodies are parsed in pieces and may be longer. A gateway that is given a larger limit logs header-limit-bounded with the configuration.

--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -3,6 +3,7 @@
  * @brief Systems that keep the configuration and the list of upstreams up to date.
  */
 #include "gateway_func.h"
+#include "http_limit_type.h"
 
 #include <algorithm>
 
@@ -19,6 +20,10 @@
         { { "version", std::to_string(event.configuration_.version_) },
             { "before", std::to_string(state.configuration_.version_) }, { "source", event.source_ },
             { "routes", std::to_string(event.configuration_.routes_.size()) } } });
+    if (const size_t headerBytes = event.configuration_.limits_.headerBytes_; headerBytes > maxHeaderBytes) {
+        outbox.decisions_.push_back({ "header-limit-bounded",
+            { { "configured", std::to_string(headerBytes) }, { "applied", std::to_string(maxHeaderBytes) } }, true });
+    }
     state.configuration_ = std::move(event.configuration_);
     state.configurationText_ = std::move(event.text_);
     state.configurationAppliedAt_ = now;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -8,8 +8,10 @@
 #include "coroutine_func.h"
 #include "error_type.h"
 #include "http_fields_func.h"
+#include "http_limit_type.h"
 #include "socket_func.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
@@ -107,7 +109,7 @@
         return ReadOutcome::Closed;
     }
     Http::request_parser<Http::string_body> parser;
-    parser.header_limit(static_cast<uint32_t>(server.limits_.headerBytes_));
+    parser.header_limit(static_cast<uint32_t>(std::min(server.limits_.headerBytes_, maxHeaderBytes)));
     parser.body_limit(server.limits_.bodyBytes_);
     boost::system::error_code error;
     startReadTimeout(connection, server.limits_.readTimeout_);
@@ -349,6 +351,7 @@
         if (!error) {
             configureSocket(socket, incomingUserTimeout);
             auto connection = std::make_shared<ServerConnection>(std::move(socket));
+            connection->buffer_.max_size(maxHeaderBytes);
             const auto serve = [&server, connection](Asio::yield_context yield) {
                 serveConnection(server, connection, yield);
             };
--- a/tests/gateway_membership_test.cpp
+++ b/tests/gateway_membership_test.cpp
@@ -53,6 +53,18 @@
     CHECK(state_.configurationText_ == "text-5");
 }
 
+TEST_CASE_FIXTURE(MembershipFixture, "Configuration_WhenItsHeaderLimitIsTooLarge_IsAppliedWithAWarning")
+{
+    Configuration configuration = makeConfiguration(5);
+    configuration.limits_.headerBytes_ = size_t{ 1 } << 32U;
+    GatewayInbox inbox;
+    inbox.configurations_.push_back({ configuration, "text-5", "store" });
+    const GatewayOutbox outbox = tick(std::move(inbox));
+    CHECK(state_.configuration_.version_ == 5);
+    CHECK(std::any_of(outbox.decisions_.begin(), outbox.decisions_.end(),
+        [](const Decision &decision) { return decision.failure_ && decision.event_ == "header-limit-bounded"; }));
+}
+
 TEST_CASE_FIXTURE(MembershipFixture, "Upstream_WhenRemovedWithoutAnOutage_IsRemovedAtOnce")
 {
     receiveRows({ makeRemovedRow("engine-1") });
