--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -116,6 +116,12 @@
     TimePoint levelAt_{}; ///< When level_ was last updated.
     bool levelAssumed_ = false; ///< Whether the level at this start was assumed, as no peer has sent its level yet.
     uint64_t ownChargedUnits_ = 0; ///< Units charged by this gateway since its start, less refunds.
+
+    // Figures of the log, since the last report of the quota.
+    int64_t peerChargedUnits_ = 0; ///< Units charged for usage that peers reported, less refunds.
+    double lowestLevel_ = 0; ///< Lowest level, at most 0.
+    double forgivenUnits_ = 0; ///< Units of debt that were dropped.
+    uint64_t refusedCalls_ = 0; ///< Calls refused because of the quota.
 };
 
 /// Budget of retries at a service's upstreams.
@@ -213,6 +219,7 @@
     uint64_t nextSend_ = 1; ///< Number of the next send.
 
     std::unordered_map<std::string, WorkspaceQuota> quotaByWorkspace_; ///< Quotas by workspace.
+    TimePoint quotasReportedAt_{}; ///< When quotas were last reported to the log.
     std::unordered_map<std::string, RetryBudget> retryBudgets_; ///< Retry budgets by service.
     std::unordered_map<std::string, Milliseconds> longestWaitByRoute_; ///< Longest wait that callers asked for.
     std::unordered_map<uint64_t, CrashSuspect> suspects_; ///< Crash suspects by request fingerprint.
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -87,6 +87,9 @@
 /// Subtracts units that a peer has charged to a workspace from its quota; negative units are a refund.
 void chargePeerUsage(GatewayState &state, TimePoint now, const std::string &workspace, int64_t units);
 
+/// Logs quotas that refused calls or dropped debt, at most once a second.
+void reportQuotas(GatewayState &state, TimePoint now, GatewayOutbox &outbox);
+
 /// @return the share of all known gateways, this one included, from which updates were received recently.
 double reachableGatewayShare(const GatewayState &state, TimePoint now);
 
--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -21,6 +21,7 @@
 constexpr double overshootShare = 0.5; ///< Share of the allowed overshoot that is used; the rest covers lost updates.
 constexpr double stableOvershootShare = 0.8; ///< The same while no update can be lost; the rest covers delays.
 constexpr size_t smallClusterPeers = 8; ///< With more peers, usage that is not yet reported adds up to too much.
+constexpr std::chrono::seconds quotaReportInterval{ 1 }; ///< Minimum time between log lines of a workspace's quota.
 constexpr double retryRatioShare = 0.75; ///< Share of the allowed ratio that is used; the rest covers delayed counts.
 constexpr double retrySlackShare = 0.6; ///< The same for the allowed slack.
 
@@ -69,10 +70,18 @@
     }
     const double seconds = FractionalSeconds(now - quota.levelAt_).count();
     quota.levelAt_ = now;
-    quota.level_ = std::clamp(quota.level_ + seconds * rate * share, -size, size * share);
+    const double level = quota.level_ + seconds * rate * share;
+    quota.lowestLevel_ = std::min(quota.lowestLevel_, level);
+    quota.forgivenUnits_ += std::max(0.0, -size - level);
+    quota.level_ = std::clamp(level, -size, size * share);
     return quota;
 }
 
+std::string unitsText(double units)
+{
+    return std::to_string(static_cast<int64_t>(units));
+}
+
 } // namespace
 
 double reachableGatewayShare(const GatewayState &state, TimePoint now)
@@ -96,6 +105,7 @@
     // If the bucket had to hold the whole charge, small calls would use up the quota before a large one is admitted.
     const double needed = state.peers_.size_ <= smallClusterPeers ? 0 : static_cast<double>(units);
     if (quota.level_ <= 0 || quota.level_ < needed) {
+        ++quota.refusedCalls_;
         return false;
     }
     quota.level_ -= static_cast<double>(units);
@@ -140,7 +150,31 @@
 {
     const WorkspaceRule *rule = findWorkspaceByName(state.configuration_, workspace);
     if (rule != nullptr && rule->ratePerSecond_ > 0) {
-        refill(state, now, *rule).level_ -= static_cast<double>(units);
+        WorkspaceQuota &quota = refill(state, now, *rule);
+        quota.level_ -= static_cast<double>(units);
+        quota.peerChargedUnits_ += units;
+    }
+}
+
+void reportQuotas(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
+{
+    if (now - state.quotasReportedAt_ < quotaReportInterval) {
+        return;
+    }
+    state.quotasReportedAt_ = now;
+    for (auto &[workspace, quota] : state.quotaByWorkspace_) {
+        if (quota.refusedCalls_ > 0 || quota.forgivenUnits_ > 0) {
+            outbox.decisions_.push_back({ "quota",
+                { { "workspace", workspace }, { "level", unitsText(quota.level_) },
+                    { "lowest", unitsText(quota.lowestLevel_) }, { "forgiven", unitsText(quota.forgivenUnits_) },
+                    { "charged", std::to_string(quota.ownChargedUnits_) },
+                    { "peers_charged", std::to_string(quota.peerChargedUnits_) },
+                    { "refused", std::to_string(quota.refusedCalls_) } } });
+        }
+        quota.peerChargedUnits_ = 0;
+        quota.lowestLevel_ = 0;
+        quota.forgivenUnits_ = 0;
+        quota.refusedCalls_ = 0;
     }
 }
 
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -230,6 +230,7 @@
     runDeadlines(state, now, outbox);
     runDispatch(state, now, outbox);
     runPeerUpdates(state, now, outbox);
+    reportQuotas(state, now, outbox);
     return outbox;
 }
 
