Keep the debt of a quota that many gateways overdraw together

Callers of other workspaces compete with one that is served beyond its quota (QUOTA). Gateways whose updates are late admit calls at the same time and together overdraw a bucket. The level was clamped at the bucket's size below zero in every refill, so that the rest of the overdraft was never paid for, and the next one came on top.

Debt is now kept up to what a window refills; usage behind deeper debt has left every window once that is paid. Only usage of peers that were unreachable stays limited to the bucket's size, since their share of the rate was withheld for it.

--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -85,7 +85,7 @@
 void refundQuota(GatewayState &state, const std::string &workspace, uint64_t units);
 
 /// Subtracts units that a peer has charged to a workspace from its quota; negative units are a refund.
-void chargePeerUsage(GatewayState &state, TimePoint now, const std::string &workspace, int64_t units);
+void chargePeerUsage(GatewayState &state, TimePoint now, const Peer &peer, const std::string &workspace, int64_t units);
 
 /// Logs quotas that refused calls or dropped debt, at most once a second.
 void reportQuotas(GatewayState &state, TimePoint now, GatewayOutbox &outbox);
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -60,7 +60,7 @@
         // The first update of a peer holds usage that may be old. Only the increase after it is charged.
         const uint64_t base = previous == peer.chargedUnits_.end() ? (firstUpdate ? charged : 0) : previous->second;
         if (charged != base) {
-            chargePeerUsage(state, now, workspace, static_cast<int64_t>(charged) - static_cast<int64_t>(base));
+            chargePeerUsage(state, now, peer, workspace, static_cast<int64_t>(charged) - static_cast<int64_t>(base));
         }
     }
     peer.chargedUnits_ = update.chargedUnits_;
--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -25,6 +25,11 @@
 constexpr double retryRatioShare = 0.75; ///< Share of the allowed ratio that is used; the rest covers delayed counts.
 constexpr double retrySlackShare = 0.6; ///< The same for the allowed slack.
 
+bool isQuotaPeerReachable(const Peer &peer, TimePoint now)
+{
+    return now - peer.lastReceivedAt_ < quotaPeerTimeout;
+}
+
 /// Token bucket that keeps a workspace within its quota in every window.
 struct Bucket
 {
@@ -71,9 +76,11 @@
     const double seconds = FractionalSeconds(now - quota.levelAt_).count();
     quota.levelAt_ = now;
     const double level = quota.level_ + seconds * rate * share;
+    // Usage has left every window by the time at which a window's refill has paid for it.
+    const double mostDebt = rate * FractionalSeconds(state.bounds_.quotaWindow_).count();
     quota.lowestLevel_ = std::min(quota.lowestLevel_, level);
-    quota.forgivenUnits_ += std::max(0.0, -size - level);
-    quota.level_ = std::clamp(level, -size, size * share);
+    quota.forgivenUnits_ += std::max(0.0, -mostDebt - level);
+    quota.level_ = std::clamp(level, -mostDebt, size * share);
     return quota;
 }
 
@@ -90,7 +97,7 @@
     size_t known = 1;
     forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) {
         ++known;
-        reachable += now - peer.lastReceivedAt_ < quotaPeerTimeout ? 1 : 0;
+        reachable += isQuotaPeerReachable(peer, now) ? 1 : 0;
     });
     return static_cast<double>(reachable) / static_cast<double>(known);
 }
@@ -146,14 +153,20 @@
     found->second.ownChargedUnits_ -= std::min(units, found->second.ownChargedUnits_);
 }
 
-void chargePeerUsage(GatewayState &state, TimePoint now, const std::string &workspace, int64_t units)
+void chargePeerUsage(GatewayState &state, TimePoint now, const Peer &peer, const std::string &workspace, int64_t units)
 {
     const WorkspaceRule *rule = findWorkspaceByName(state.configuration_, workspace);
-    if (rule != nullptr && rule->ratePerSecond_ > 0) {
-        WorkspaceQuota &quota = refill(state, now, *rule);
-        quota.level_ -= static_cast<double>(units);
-        quota.peerChargedUnits_ += units;
+    if (rule == nullptr || rule->ratePerSecond_ <= 0) {
+        return;
     }
+    WorkspaceQuota &quota = refill(state, now, *rule);
+    const double level = quota.level_ - static_cast<double>(units);
+    // Usage of a peer that was unreachable was paid for by its own share of the rate.
+    const double mostDebt = computeBucket(state, now, *rule).size_;
+    const double lowest = isQuotaPeerReachable(peer, now) ? level : std::min(quota.level_, -mostDebt);
+    quota.level_ = std::max(level, lowest);
+    quota.forgivenUnits_ += quota.level_ - level;
+    quota.peerChargedUnits_ += units;
 }
 
 void reportQuotas(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
