Announce new peers at once, so that gateways that start together share quotas

A workspace was served beyond its quota (QUOTA) around a restart of all gateways. A starting gateway knows its seeds only, and learnt of the others from the seeds' next full update, up to a second later. Until then it neither heard their usage nor counted them as unreachable, and used the quota as if it were nearly alone.

A full update now follows within 100 ms when a peer has become known.

--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -227,6 +227,7 @@
     Pool<Peer> peers_; ///< Other gateways.
     std::map<std::string, PeerId> peerByAddress_; ///< Index of peers_ by address.
     uint64_t nextSequence_ = 1; ///< Number of the next update to peers.
+    TimePoint peerAddedAt_{}; ///< When the address of a peer last became known.
     TimePoint lastFullUpdateAt_{}; ///< When a full update, which lists all peers, was last sent.
     TimePoint nextSnapshotAt_{ noDeadline }; ///< When to fetch a snapshot; noDeadline while no peer has newer data.
 
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -19,6 +19,7 @@
 constexpr Milliseconds otherRegionInterval{ 40 }; ///< Minimum time to other regions; that traffic is expensive.
 constexpr Milliseconds heartbeatInterval{ 200 }; ///< Maximum time between updates; limits the delay of quota usage.
 constexpr Milliseconds fullUpdateInterval{ 1000 }; ///< Full updates add name, region, peers and suspects.
+constexpr Milliseconds newPeerInterval{ 100 }; ///< Minimum time between full updates that announce new peers.
 constexpr Milliseconds snapshotDelay{ 200 }; ///< Time for the store to deliver a newer version before a peer is asked.
 constexpr Milliseconds snapshotInterval{ 400 }; ///< Minimum time between snapshot fetches.
 
@@ -49,6 +50,7 @@
     peer.addedAt_ = now;
     const PeerId id = insertRow(state.peers_, std::move(peer));
     state.peerByAddress_[address] = id;
+    state.peerAddedAt_ = now;
     outbox.decisions_.push_back({ "peer", { { "peer", address }, { "change", "learnt" } } });
     return id;
 }
@@ -179,6 +181,13 @@
     return interval * static_cast<int64_t>(peers) / static_cast<int64_t>(maxPeersAtFullRate);
 }
 
+/// @return when the next full update is due: early if it announces a peer that others may not know.
+TimePoint nextFullUpdateTime(const GatewayState &state)
+{
+    const bool hasNewPeer = state.peerAddedAt_ > state.lastFullUpdateAt_;
+    return state.lastFullUpdateAt_ + (hasNewPeer ? newPeerInterval : fullUpdateInterval);
+}
+
 TimePoint nextUpdateTime(const GatewayState &state, const Peer &peer)
 {
     const Duration interval = peer.updatePending_ ? minUpdateInterval(state, peer) : Duration(heartbeatInterval);
@@ -209,7 +218,7 @@
 
 void runPeerUpdates(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
 {
-    const bool isFullUpdate = now - state.lastFullUpdateAt_ >= fullUpdateInterval;
+    const bool isFullUpdate = now >= nextFullUpdateTime(state);
     SendUpdate command;
     std::vector<std::string> all;
     forEachRow(state.peers_, [&](PeerId /*id*/, Peer &peer) {
@@ -244,6 +253,9 @@
 TimePoint nextPeerDeadline(const GatewayState &state)
 {
     TimePoint next = state.nextSnapshotAt_;
+    if (state.peers_.size_ > 0) {
+        next = std::min(next, nextFullUpdateTime(state));
+    }
     forEachRow(
         state.peers_, [&](PeerId /*id*/, const Peer &peer) { next = std::min(next, nextUpdateTime(state, peer)); });
     return next;
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -181,6 +181,18 @@
     CHECK(outbox.updates_[0].addresses_ == std::vector<std::string>{ "10.0.0.2:7000" });
 }
 
+TEST_CASE_FIXTURE(PeerFixture, "Update_WhenAPeerIsNew_AnnouncesItBeforeTheNextFullUpdate")
+{
+    receiveUpdate(makeUpdate());
+    tickAfter(Milliseconds(300));
+    PeerUpdate update = makeUpdate();
+    update.address_ = "10.0.0.3:7000";
+    const GatewayOutbox outbox = receiveUpdate(update);
+    REQUIRE(outbox.updates_.size() == 1);
+    CHECK(outbox.updates_[0].update_.peers_.size() == 2);
+    CHECK(outbox.updates_[0].addresses_.size() == 2);
+}
+
 TEST_CASE_FIXTURE(PeerFixture, "Suspect_WhenDifferentGatewaysCountCrashes_AddsThemUp")
 {
     PeerUpdate update = makeUpdate();
--- a/tests/gateway_quota_test.cpp
+++ b/tests/gateway_quota_test.cpp
@@ -207,6 +207,16 @@
     CHECK(largestWindowShare() <= 1);
 }
 
+TEST_CASE_FIXTURE(QuotaClusterFixture, "Quota_WhenAllGatewaysRestartAtOnce_StaysWithinEveryWindow")
+{
+    runFor(std::chrono::seconds(4));
+    for (size_t index = 0; index < clusterSize; ++index) {
+        restart(index, Milliseconds(600 + 10 * index));
+    }
+    runFor(std::chrono::seconds(12));
+    CHECK(largestWindowShare() <= 1);
+}
+
 TEST_CASE_FIXTURE(QuotaClusterFixture, "Quota_WhenGatewaysRestartOneByOne_StaysWithinEveryWindow")
 {
     for (size_t index = 0; index < clusterSize; ++index) {
