Charge the usage of a peer that started with or after this process

The usage in a peer's first update was taken as old and charged by nobody but the peer. After a restart of all gateways it is all new.

Updates now hold the sender's uptime in its first quota window. The share of its usage that falls after this process's start is charged; that of a peer that has run for longer is not, as before.

Without this change the two tests named HeardFirst that expect a charge see none.

--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -197,6 +197,7 @@
     Bounds bounds_; ///< Settings that decisions depend on.
     bool firstStart_ = false; ///< Whether the whole system starts for the first time, so that no quota is used yet.
     std::mt19937_64 random_; ///< Source of random choices.
+    TimePoint startedAt_{}; ///< When this process started.
     TimePoint lastPeerDisruptionAt_{}; ///< When a peer last restarted or was unreachable, or this node started.
 
     Configuration configuration_; ///< Configuration in force.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -423,7 +423,8 @@
     state.firstStart_ = settings.gateway_.firstStart_;
     state.random_.seed(chooseSeed(settings));
     state.incarnation_ = state.random_();
-    state.lastPeerDisruptionAt_ = Clock::now();
+    state.startedAt_ = Clock::now();
+    state.lastPeerDisruptionAt_ = state.startedAt_;
     applyBounds(daemon);
 }
 
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -7,6 +7,7 @@
 #include "gateway_base.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,7 @@
     std::string region_; ///< Region of the sender; in full updates only.
     uint64_t incarnation_ = 0; ///< Identifies the start of the sender's process.
     uint64_t sequence_ = 0; ///< Number of this update, rising within an incarnation.
+    std::optional<Milliseconds> uptime_; ///< Time since the sender's start; only in its first quota window.
     uint64_t configurationVersion_ = 0; ///< Version of the configuration that the sender holds.
     uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that the sender holds.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< The sender's calls in flight, by upstream id.
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -15,6 +15,7 @@
 // Fields of every update. They are short because traffic between regions is charged by the byte.
 constexpr std::string_view incarnationField = "i";
 constexpr std::string_view sequenceField = "n";
+constexpr std::string_view uptimeField = "t";
 constexpr std::string_view configurationField = "c";
 constexpr std::string_view upstreamsField = "u";
 constexpr std::string_view inFlightField = "f";
@@ -88,6 +89,9 @@
         { configurationField, update.configurationVersion_ }, { upstreamsField, update.upstreamsVersion_ },
         { inFlightField, serializeCounts(update.inFlight_) },
         { chargedUnitsField, serializeCounts(update.chargedUnits_) } };
+    if (update.uptime_) {
+        object[uptimeField] = update.uptime_->count();
+    }
     if (!update.name_.empty()) {
         object["name"] = update.name_;
         object["region"] = update.region_;
@@ -113,6 +117,9 @@
     read(reader, "region", update.region_, Presence::Optional);
     read(reader, incarnationField, update.incarnation_);
     read(reader, sequenceField, update.sequence_);
+    if (readValue(reader, uptimeField, Presence::Optional) != nullptr) {
+        read(reader, uptimeField, update.uptime_.emplace());
+    }
     read(reader, configurationField, update.configurationVersion_);
     read(reader, upstreamsField, update.upstreamsVersion_);
     parseCounts(reader, inFlightField, update.inFlight_);
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -55,12 +55,26 @@
     return id;
 }
 
+/// @return the share of a peer's usage that precedes this process's start, if it was used evenly; the assumed levels
+/// stand for it. All of it for a peer that has run for long.
+double usageShareBeforeStart(const GatewayState &state, TimePoint now, const PeerUpdate &update)
+{
+    if (!update.uptime_) {
+        return 1;
+    }
+    const double own = FractionalSeconds(now - state.startedAt_).count();
+    const double peers = FractionalSeconds(*update.uptime_).count();
+    return own >= peers ? 0 : 1 - own / peers;
+}
+
 void chargeReportedUsage(GatewayState &state, TimePoint now, Peer &peer, const PeerUpdate &update, bool firstUpdate)
 {
+    const double oldShare = firstUpdate ? usageShareBeforeStart(state, now, update) : 0;
     for (const auto &[workspace, charged] : update.chargedUnits_) {
         const auto previous = peer.chargedUnits_.find(workspace);
-        // The first update of a peer holds usage that may be old. Only the increase after it is charged.
-        const uint64_t base = previous == peer.chargedUnits_.end() ? (firstUpdate ? charged : 0) : previous->second;
+        const uint64_t base = previous == peer.chargedUnits_.end()
+            ? static_cast<uint64_t>(static_cast<double>(charged) * oldShare)
+            : previous->second;
         if (charged != base) {
             chargePeerUsage(state, now, peer, workspace, static_cast<int64_t>(charged) - static_cast<int64_t>(base));
         }
@@ -152,11 +166,14 @@
     }
 }
 
-PeerUpdate makePeerUpdate(GatewayState &state)
+PeerUpdate makePeerUpdate(GatewayState &state, TimePoint now)
 {
     PeerUpdate update;
     update.incarnation_ = state.incarnation_;
     update.sequence_ = state.nextSequence_++;
+    if (now - state.startedAt_ < state.bounds_.quotaWindow_) {
+        update.uptime_ = std::chrono::duration_cast<Milliseconds>(now - state.startedAt_);
+    }
     update.configurationVersion_ = state.configuration_.version_;
     update.upstreamsVersion_ = state.upstreamsVersion_;
     forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
@@ -232,7 +249,7 @@
     if (command.addresses_.empty()) {
         return;
     }
-    command.update_ = makePeerUpdate(state);
+    command.update_ = makePeerUpdate(state, now);
     if (isFullUpdate) {
         state.lastFullUpdateAt_ = now;
         command.update_.name_ = state.name_;
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -27,6 +27,7 @@
         state_.peerAddress_ = "10.0.0.1:7000";
         state_.incarnation_ = 1;
         state_.firstStart_ = true;
+        state_.startedAt_ = now_;
         state_.lastPeerDisruptionAt_ = now_;
         state_.bounds_.quotaTokenSlack_ = 0;
         GatewayInbox inbox;
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -115,6 +115,38 @@
     CHECK(state_.quotaByWorkspace_["workspace-1"].level_ == doctest::Approx(before - 700));
 }
 
+TEST_CASE_FIXTURE(PeerFixture, "Quota_WhenAPeerThatStartedLaterIsHeardFirst_IsChargedItsWholeUsage")
+{
+    receiveCall("read", 1);
+    const double before = state_.quotaByWorkspace_["workspace-1"].level_;
+    now_ += Milliseconds(400);
+    PeerUpdate update = makeUpdate();
+    update.uptime_ = Milliseconds(300);
+    update.chargedUnits_ = { { "workspace-1", 700 } };
+    receiveUpdate(update);
+    CHECK(state_.quotaByWorkspace_["workspace-1"].peerChargedUnits_ == 700);
+    CHECK(state_.quotaByWorkspace_["workspace-1"].level_ < before);
+}
+
+TEST_CASE_FIXTURE(PeerFixture, "Quota_WhenAPeerThatStartedEarlierIsHeardFirst_IsChargedTheShareSinceTheOwnStart")
+{
+    now_ += Milliseconds(400);
+    PeerUpdate update = makeUpdate();
+    update.uptime_ = Milliseconds(1600);
+    update.chargedUnits_ = { { "workspace-1", 800 } };
+    receiveUpdate(update);
+    CHECK(state_.quotaByWorkspace_["workspace-1"].peerChargedUnits_ == 200);
+}
+
+TEST_CASE_FIXTURE(PeerFixture, "Quota_WhenAPeerThatHasRunForLongIsHeardFirst_IsNotCharged")
+{
+    now_ += Milliseconds(400);
+    PeerUpdate update = makeUpdate();
+    update.chargedUnits_ = { { "workspace-1", 800 } };
+    receiveUpdate(update);
+    CHECK(state_.quotaByWorkspace_["workspace-1"].peerChargedUnits_ == 0);
+}
+
 TEST_CASE_FIXTURE(PeerFixture, "Quota_WhenARestartedProcessReceivesAPeersLevels_AppliesThem")
 {
     state_.firstStart_ = false;
@@ -208,12 +240,14 @@
     PeerUpdate update = makeUpdate();
     update.inFlight_ = { { "engine-1", 2 } };
     update.chargedUnits_ = { { "workspace-1", 700 } };
+    update.uptime_ = Milliseconds(300);
     update.suspects_ = { { UINT64_MAX, 2 } };
     update.peers_ = { "10.0.0.3:7000" };
     PeerUpdate read;
     REQUIRE_FALSE(parsePeerUpdate(serializePeerUpdate(update), read));
     CHECK(read.inFlight_ == update.inFlight_);
     CHECK(read.chargedUnits_ == update.chargedUnits_);
+    CHECK(read.uptime_ == update.uptime_);
     CHECK(read.suspects_ == update.suspects_);
     CHECK(read.peers_ == update.peers_);
     CHECK(read.sequence_ == update.sequence_);
--- a/tests/gateway_quota_test.cpp
+++ b/tests/gateway_quota_test.cpp
@@ -65,6 +65,7 @@
         state.peerAddress_ = addressOf(index);
         state.incarnation_ = random_() | 1U;
         state.firstStart_ = firstStart;
+        state.startedAt_ = startsAt;
         state.lastPeerDisruptionAt_ = startsAt;
         state.bounds_.quotaOvershoot_ = 0.1;
         state.bounds_.quotaTokenSlack_ = 72000;
