Soak: short timeouts, quiet connections, pauses over stops, exits checked

Only callers that keep to the limits count: reuse after up to four fifths of the least idle timeout, whole requests within the header timeout.

--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -87,7 +87,8 @@
 
 } // namespace
 
-void writeConfiguration(const Fleet &fleet, uint64_t version, const std::vector<std::string> &keys)
+void writeConfiguration(
+    const Fleet &fleet, uint64_t version, const std::vector<std::string> &keys, const Gateway::CallerLimits &limits)
 {
     const Json::array routes{ makeRoute("stream", "streaming", "engines"), makeRoute("read", "idempotent", "engines"),
         makeRoute("once", "non_idempotent", "desk") };
@@ -96,7 +97,11 @@
     const Json::array workspaces{ Json::object{
         { "name", "workspace-1" }, { "apiKeys", Json::array(keys.begin(), keys.end()) } } };
     const Json::object configuration{ { "version", version }, { "routes", routes }, { "services", services },
-        { "tenants", workspaces } };
+        { "tenants", workspaces },
+        { "limits",
+            Json::object{ { "maxHeaderBytes", limits.headerBytes_ }, { "maxBodyBytes", limits.bodyBytes_ },
+                { "headerTimeoutMs", limits.headerTimeout_.count() },
+                { "idleTimeoutMs", limits.idleTimeout_.count() } } } };
     writeRow(fleet,
         { { "table", Platform::operatorTable }, { "key", Platform::configurationKey },
             { "value", Json::serialize(configuration) } });
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "fleet_func.h"
+#include "gateway_configuration_type.h"
 
 #include <string>
 
@@ -41,7 +42,8 @@
 bool startGatewayFleet(Fleet &fleet, const GatewayFleetSpec &spec);
 
 /// Writes the operator's configuration into the store. @param keys API keys of the only workspace
-void writeConfiguration(const Fleet &fleet, uint64_t version, const std::vector<std::string> &keys);
+void writeConfiguration(const Fleet &fleet, uint64_t version, const std::vector<std::string> &keys,
+    const Gateway::CallerLimits &limits = {});
 
 /// Writes an upstream's row into the store, or removes the row.
 void writeUpstreamRow(
--- /dev/null
+++ b/tests/soak_faults.cpp
@@ -0,0 +1,294 @@
+/**
+ * @file soak_faults.cpp
+ * @brief Faults of a soak.
+ */
+#include "soak_parts_func.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <map>
+
+namespace Burdockfield::Testing {
+
+namespace {
+
+constexpr int endedBySigterm = 128 + SIGTERM; ///< Exit status of a process that does not handle the signal.
+constexpr Milliseconds stopWait{ 6000 }; ///< Time in which a gateway has to end after SIGTERM.
+constexpr Milliseconds leastRun = headerTimeout + Milliseconds(2000); ///< Time before a gateway may be ended again.
+constexpr Milliseconds pausedStop{ 3200 }; ///< Time after SIGTERM for which pauses go on.
+
+std::string gatewayName(uint64_t index)
+{
+    return "gateway-" + std::to_string(index + 1);
+}
+
+void addBreach(Soak &soak, SoakBreach breach)
+{
+    const std::lock_guard lock(soak.mutex_);
+    soak.report_.breaches_.push_back(std::move(breach));
+}
+
+void note(Soak &soak, const std::string &fault)
+{
+    const std::lock_guard lock(soak.mutex_);
+    soak.report_.faults_.push_back(fault);
+}
+
+std::string drawUpstream(Soak &soak)
+{
+    return soak.fleet_.upstreams_[soak.random_() % soak.fleet_.upstreams_.size()];
+}
+
+std::string drawOne(Soak &soak, std::initializer_list<const char *> names)
+{
+    return *(names.begin() + soak.random_() % names.size());
+}
+
+/// @return whether a gateway has begun to listen.
+bool answersAtAll(const Fleet &fleet, const std::string &gateway)
+{
+    return callNode(fleet.processes_.at(gateway).control_, "GET", "/healthz", {}, {}, Milliseconds(200)).status_ != 0;
+}
+
+/// @return whether a gateway has run for long enough for timeouts of its connections to pass, where these are tested.
+bool mayEnd(const Soak &soak, uint32_t gateway)
+{
+    return soak.spec_.quietCallers_ == 0 || Clock::now() - soak.started_[gateway] > leastRun;
+}
+
+void startAgain(Soak &soak, uint32_t gateway)
+{
+    ++soak.stops_[gateway];
+    soak.started_[gateway] = Clock::now();
+    startProcess(soak.fleet_, gatewayName(gateway));
+}
+
+/// Asks a gateway to stop. @return whether it had begun to listen
+bool beginStop(Soak &soak, uint32_t gateway)
+{
+    const bool listening = answersAtAll(soak.fleet_, gatewayName(gateway));
+    ++soak.stops_[gateway];
+    signalProcess(soak.fleet_, gatewayName(gateway), SIGTERM);
+    return listening;
+}
+
+/// Waits for the end of a planned stop, and starts the gateway again. @param listening what beginStop() returned
+void endStop(Soak &soak, uint32_t gateway, bool listening)
+{
+    const int status = awaitExit(soak.fleet_, gatewayName(gateway), stopWait);
+    // A process that has not begun to listen has taken nothing, and may end by the signal itself.
+    if (status != 0 && (listening || status != endedBySigterm)) {
+        addBreach(soak, { "planned stop ends well", gatewayName(gateway), std::to_string(status) });
+    }
+    startAgain(soak, gateway);
+}
+
+void pauseFor(Soak &soak, uint32_t gateway, Milliseconds time)
+{
+    signalProcess(soak.fleet_, gatewayName(gateway), SIGSTOP);
+    std::this_thread::sleep_for(time);
+    signalProcess(soak.fleet_, gatewayName(gateway), SIGCONT);
+}
+
+void strikeGateway(Soak &soak)
+{
+    const auto gateway = static_cast<uint32_t>(soak.random_() % soak.spec_.gateways_);
+    const std::string drawn = drawOne(soak, { "pause", "kill", "stop" });
+    const std::string how = mayEnd(soak, gateway) ? drawn : "pause";
+    note(soak, how + " " + gatewayName(gateway));
+    if (how == "pause") {
+        pauseFor(soak, gateway, Milliseconds(200 + soak.random_() % 1500));
+    } else if (how == "kill") {
+        checkRunning(soak);
+        ++soak.stops_[gateway];
+        signalProcess(soak.fleet_, gatewayName(gateway), SIGKILL);
+        startAgain(soak, gateway);
+    } else {
+        endStop(soak, gateway, beginStop(soak, gateway));
+    }
+}
+
+void strikeUpstream(Soak &soak)
+{
+    const std::string upstream = drawUpstream(soak);
+    if (soak.random_() % 3 == 0) {
+        note(soak, "kill " + upstream);
+        signalProcess(soak.fleet_, upstream, SIGKILL);
+        std::this_thread::sleep_for(Milliseconds(soak.random_() % 500));
+        startProcess(soak.fleet_, upstream);
+        return;
+    }
+    const std::string mode = drawOne(soak, { "mute", "reset", "failing", "full", "crossed", "good" });
+    note(soak, mode + " " + upstream);
+    controlStandin(soak.fleet_, upstream, R"({"mode":")" + mode + "\"}");
+}
+
+void strikeLink(Soak &soak)
+{
+    const std::string order = drawOne(soak, { "/silence", "/deafen", "/reset", "/slow", "/cut", "/mend" });
+    if (soak.random_() % 2 == 0) {
+        const std::string upstream = drawUpstream(soak);
+        note(soak, order + " link of " + upstream);
+        controlUpstreamLink(soak.fleet_, upstream, order);
+    } else {
+        const std::string gateway = gatewayName(soak.random_() % soak.spec_.gateways_);
+        note(soak, order + " link of " + gateway + " to the store");
+        controlStoreLink(soak.fleet_, gateway, order);
+    }
+}
+
+void strikeStore(Soak &soak)
+{
+    const std::string mode = drawOne(soak, { "down", "busy", "silent", "lose-answers", "up" });
+    note(soak, "store " + mode);
+    controlStandin(soak.fleet_, "platform",
+        R"({"forget_history":)" + std::string(soak.random_() % 3 == 0 ? "true" : "false") + R"(,"mode":")" + mode
+            + "\"}");
+}
+
+void changeConfiguration(Soak &soak)
+{
+    ++soak.version_;
+    const uint64_t next = soak.key_ + 1;
+    note(soak, "configuration " + std::to_string(soak.version_) + " with " + keyName(next));
+    writeConfiguration(soak.fleet_, soak.version_, { keyName(soak.key_), keyName(next) }, soak.limits_);
+    soak.key_ = next;
+}
+
+void drainUpstream(Soak &soak)
+{
+    const std::string upstream = drawUpstream(soak);
+    const std::string state = drawOne(soak, { "draining", "ready" });
+    note(soak, state + " " + upstream);
+    writeUpstreamRow(soak.fleet_, upstream, state, 4);
+}
+
+void changeTimeouts(Soak &soak)
+{
+    ++soak.version_;
+    const auto range = static_cast<uint64_t>((longestIdleTimeout - shortestIdleTimeout).count());
+    soak.limits_.idleTimeout_ = shortestIdleTimeout + Milliseconds(soak.random_() % (range + 1));
+    note(soak, "idle timeout " + std::to_string(soak.limits_.idleTimeout_.count()) + " ms");
+    writeConfiguration(soak.fleet_, soak.version_, { keyName(soak.key_) }, soak.limits_);
+}
+
+using Strike = void (*)(Soak &);
+
+/// Faults outside of gateways.
+constexpr std::array<Strike, 6> otherStrikes{ strikeUpstream, strikeLink, strikeStore, changeConfiguration,
+    changeTimeouts, drainUpstream };
+
+/// Stops gateways that are paused in series meanwhile, and causes other faults in between.
+void stopUnderPauses(Soak &soak)
+{
+    std::vector<uint32_t> gateways(
+        1 + soak.random_() % 2, static_cast<uint32_t>(soak.random_() % soak.spec_.gateways_));
+    gateways.back() = static_cast<uint32_t>((gateways.back() + gateways.size() - 1) % soak.spec_.gateways_);
+    const bool brief = soak.random_() % 2 == 0;
+    std::map<uint32_t, bool> listening;
+    for (const uint32_t gateway : gateways) {
+        note(soak, (brief ? "stop under brief pauses " : "stop under pauses ") + gatewayName(gateway));
+        pauseFor(soak, gateway, Milliseconds(soak.random_() % 1000));
+        if (!listening.contains(gateway) && mayEnd(soak, gateway)) {
+            listening[gateway] = beginStop(soak, gateway);
+        }
+    }
+    const TimePoint end = Clock::now() + pausedStop;
+    while (Clock::now() < end) {
+        const uint32_t gateway = gateways[soak.random_() % gateways.size()];
+        pauseFor(soak, gateway, Milliseconds(brief ? soak.random_() % 5 : soak.random_() % 900));
+        if (soak.random_() % (brief ? 100 : 4) == 0) {
+            otherStrikes[soak.random_() % otherStrikes.size()](soak);
+        }
+        std::this_thread::sleep_for(Milliseconds(soak.random_() % (brief ? 5 : 100)));
+    }
+    for (const auto &[gateway, listened] : listening) {
+        endStop(soak, gateway, listened);
+    }
+}
+
+/// Pauses all gateways at once, and causes other faults meanwhile.
+void pauseAll(Soak &soak)
+{
+    note(soak, "pause all gateways");
+    for (uint32_t gateway = 0; gateway < soak.spec_.gateways_; ++gateway) {
+        signalProcess(soak.fleet_, gatewayName(gateway), SIGSTOP);
+    }
+    otherStrikes[soak.random_() % otherStrikes.size()](soak);
+    std::this_thread::sleep_for(Milliseconds(200 + soak.random_() % 1000));
+    for (uint32_t gateway = 0; gateway < soak.spec_.gateways_; ++gateway) {
+        signalProcess(soak.fleet_, gatewayName(gateway), SIGCONT);
+    }
+}
+
+/// Draws one of the faults of a soak without short timeouts; the schedules of earlier seeds depend on their order.
+void strikeBasic(Soak &soak)
+{
+    static constexpr std::array<Strike, 6> strikes{ strikeGateway, strikeUpstream, strikeLink, strikeStore,
+        changeConfiguration, drainUpstream };
+    strikes[soak.random_() % strikes.size()](soak);
+}
+
+} // namespace
+
+void strike(Soak &soak)
+{
+    static constexpr std::array<Strike, 3> timeoutStrikes{ changeTimeouts, stopUnderPauses, pauseAll };
+    if (soak.spec_.quietCallers_ > 0 && soak.random_() % 3 == 0) {
+        timeoutStrikes[soak.random_() % timeoutStrikes.size()](soak);
+    } else {
+        strikeBasic(soak);
+    }
+    checkRunning(soak);
+    if (soak.random_() % 3 != 0) { // every third fault is followed by the next at once
+        std::this_thread::sleep_for(Milliseconds(50 + soak.random_() % 400));
+    }
+}
+
+/// Ends all faults.
+void heal(Soak &soak)
+{
+    note(soak, "all faults end");
+    controlStandin(soak.fleet_, "platform", R"({"mode":"up"})");
+    for (const std::string &upstream : soak.fleet_.upstreams_) {
+        controlStandin(soak.fleet_, upstream, R"({"mode":"good"})");
+        controlUpstreamLink(soak.fleet_, upstream, "/mend");
+        writeUpstreamRow(soak.fleet_, upstream, "ready", 4);
+    }
+    for (const std::string &gateway : soak.fleet_.entries_) {
+        controlStoreLink(soak.fleet_, gateway, "/mend");
+    }
+}
+
+void checkRunning(Soak &soak)
+{
+    for (auto &[name, process] : soak.fleet_.processes_) {
+        if (process.pid_ <= 0) {
+            continue;
+        }
+        if (const int status = awaitExit(soak.fleet_, name, Milliseconds(0)); status != -1) {
+            addBreach(soak, { "no process ends by itself", name, std::to_string(status) });
+            startProcess(soak.fleet_, name);
+        }
+    }
+}
+
+void checkLogs(Soak &soak)
+{
+    static constexpr std::array<const char *, 4> signs{ R"("event":"ended-by-exception")",
+        R"("event":"ended-by-signal")", "ERROR: AddressSanitizer", "runtime error:" };
+    for (const auto &[name, process] : soak.fleet_.processes_) {
+        std::ifstream log(soak.fleet_.folder_ + "/" + name + ".log");
+        for (std::string line; std::getline(log, line);) {
+            const auto appears = [&line](const char *sign) {
+                return line.find(sign) != std::string::npos;
+            };
+            if (std::any_of(signs.begin(), signs.end(), appears)) {
+                addBreach(soak, { "no process ends by itself", name, line });
+            }
+        }
+    }
+}
+
+} // namespace Burdockfield::Testing
--- a/tests/soak_fixture.h
+++ b/tests/soak_fixture.h
@@ -22,6 +22,8 @@
     uint32_t engines_ = 3; ///< Engines.
     uint32_t desks_ = 2; ///< Plain servers.
     uint32_t callers_ = 8; ///< Callers, each with a connection of its own.
+    uint32_t quietCallers_ = 0; ///< Further connections to each gateway, which idle or send requests slowly; with them,
+                                ///< timeouts are short and gateways are paused while they stop.
 };
 
 /// What a caller saw of one call.
@@ -32,6 +34,7 @@
     int status_ = 0; ///< Status; 0 when none came.
     bool whole_ = false; ///< Whether the answer came to its end.
     std::string body_; ///< What came of the body.
+    std::string dropped_; ///< How its connection ended without an answer, if its gateway had to give one.
 };
 
 /// Broken promise.
--- a/tests/soak_main.cpp
+++ b/tests/soak_main.cpp
@@ -20,6 +20,8 @@
     app.add_option("--gateways", spec.gateways_, "Gateways");
     app.add_option("--engines", spec.engines_, "Engines");
     app.add_option("--callers", spec.callers_, "Callers");
+    app.add_option("--quiet-callers", spec.quietCallers_,
+        "Connections to each gateway that idle or send slowly, under short timeouts");
     CLI11_PARSE(app, argc, argv);
     spec.length_ = std::chrono::seconds(seconds);
     size_t breaches = 0;
--- /dev/null
+++ b/tests/soak_parts_func.h
@@ -0,0 +1,58 @@
+/**
+ * @file soak_parts_func.h
+ * @brief Parts of a soak: its shared state, its callers and its faults.
+ */
+#pragma once
+
+#include "soak_fixture.h"
+
+#include <array>
+#include <atomic>
+#include <random>
+#include <thread>
+
+namespace Burdockfield::Testing {
+
+constexpr Milliseconds callerWait{ 4000 }; ///< How long callers wait.
+constexpr Milliseconds shortestIdleTimeout{ 500 }; ///< Least idle timeout that the soak configures.
+constexpr Milliseconds longestIdleTimeout{ 1500 }; ///< Greatest idle timeout that the soak configures.
+constexpr Milliseconds headerTimeout{ 10000 }; ///< Header timeout that the soak configures.
+
+/// State that the callers and the schedule share.
+struct Soak
+{
+    SoakSpec spec_; ///< What it consists of.
+    Fleet fleet_; ///< The fleet.
+    std::mt19937_64 random_; ///< Source of the schedule.
+    std::mutex mutex_; ///< Guards report_.
+    SoakReport report_; ///< Outcome.
+    std::atomic<bool> ended_ = false; ///< Whether callers stop.
+    std::atomic<uint64_t> key_ = 1; ///< Number of the key in force.
+    std::vector<std::atomic<uint64_t>> stops_; ///< Of each gateway: grows when it is told to end and when it has ended.
+    std::vector<TimePoint> started_; ///< When each gateway was started.
+    uint64_t version_ = 1; ///< Version of the configuration.
+    Gateway::CallerLimits limits_; ///< Limits of the configuration.
+};
+
+/// @return the API key with a number.
+std::string keyName(uint64_t number);
+
+/// Makes calls without pause, on a connection that is kept for as long as the gateway does, until the soak ends.
+void runCaller(Soak &soak, uint32_t index);
+
+/// Runs the connections to a gateway that idle and those that send requests slowly, until the soak ends.
+void runQuietCallers(Soak &soak, uint32_t gateway);
+
+/// Draws a fault and causes it.
+void strike(Soak &soak);
+
+/// Ends all faults.
+void heal(Soak &soak);
+
+/// Reports processes that have ended without being told to, and starts them again.
+void checkRunning(Soak &soak);
+
+/// Reports lines in the processes' logs about an end by an exception or a signal, or of a sanitizer.
+void checkLogs(Soak &soak);
+
+} // namespace Burdockfield::Testing
