--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -14,11 +14,12 @@
 /// Runs a seed and tells what it broke.
 struct SoakTestFixture
 {
-    void run(uint64_t seed, std::chrono::seconds length)
+    void run(uint64_t seed, std::chrono::seconds length, uint32_t quietCallers = 0)
     {
         SoakSpec spec;
         spec.seed_ = seed;
         spec.length_ = length;
+        spec.quietCallers_ = quietCallers;
         const SoakReport report = runSoak(spec);
         for (const SoakBreach &breach : report.breaches_) {
             FAIL_CHECK("seed " << seed << ": " << breach.promise_ << ": " << breach.request_ << ": " << breach.seen_);
@@ -40,3 +41,14 @@
 {
     run(20261204, std::chrono::seconds(8));
 }
+
+// The callback of a read timeout ran after its connection had ended, or after a request had come; so in the next case.
+TEST_CASE_FIXTURE(SoakTestFixture, "Gateway_WhenTimeoutsPassWhileItIsPaused_KeepsRunningAndAnswers")
+{
+    run(3, std::chrono::seconds(24), 40);
+}
+
+TEST_CASE_FIXTURE(SoakTestFixture, "Stop_WhenAReadTimeoutPassesWhileTheGatewayIsPaused_EndsWell")
+{
+    run(15, std::chrono::seconds(24), 40);
+}
