Write lines to standard error that are logged before the log is started

Programs without a log, such as the command line and test programs, queued such lines for a writer that does not run: they were lost, and the queue had no bound.

--- a/src/log.cpp
+++ b/src/log.cpp
@@ -9,9 +9,11 @@
 #include "utc_time_func.h"
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <cstdio>
 #include <glog/logging.h>
+#include <iostream>
 #include <mutex>
 #include <oneapi/tbb/concurrent_queue.h>
 #include <thread>
@@ -72,6 +74,7 @@
     std::mutex mutex_; ///< Guards rateLimit_ and ended_.
     std::condition_variable endedCondition_; ///< Notified when ended_ is set.
     LineRateLimit rateLimit_;
+    std::atomic<bool> started_ = false; ///< Whether the writer thread has been started.
     bool ended_ = false; ///< Whether the writer thread has written its last line.
 };
 
@@ -166,6 +169,10 @@
 
 void enqueueLine(LogLevel level, const Json::object &line)
 {
+    if (!writer().started_) {
+        std::cerr << Json::serialize(line) << '\n';
+        return;
+    }
     uint64_t dropped = 0;
     if (!consumeLineQuota(level, dropped)) {
         return;
@@ -197,6 +204,7 @@
     static const std::string name = program;
     google::InitGoogleLogging(name.c_str());
     writer().lines_.set_capacity(maxQueuedLines);
+    writer().started_ = true;
     std::thread(runWriter).detach();
 }
 
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -30,7 +30,8 @@
 /// Stops the log and waits briefly until the queued lines are written. @return false if the wait timed out
 bool stopLog();
 
-/// Queues a line for writing. @param event identifies what happened; a fixed string
+/// Queues a line for writing; before startLog() it goes to standard error. @param event identifies what happened; a
+/// fixed string
 void logLine(LogLevel level, const std::string &event, const LogFields &fields = {});
 
 /// Writes a line regardless of the rate limit, after the queued lines, and stops the log. @return whether it was
