--- a/src/error_type.h
+++ b/src/error_type.h
@@ -80,6 +80,7 @@
     Silent, ///< A stream received no data within its silence timeout.
     Malformed, ///< The peer's message could not be parsed.
     Cancelled, ///< Closed by this side.
+    ConnectionRefused, ///< As NotSent, since no process listens at the address.
 };
 
 /// Why an operation of the table service failed.
--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -311,11 +311,11 @@
     }
     if (notRun) {
         handleNotRun(state, now, id, *call, outbox);
-    } else if (event.error_ == TransportErrc::NotSent) {
+    } else if (event.error_ == TransportErrc::NotSent || event.error_ == TransportErrc::ConnectionRefused) {
         handleUnreachable(state, now, id, *call, outbox);
     } else if (event.error_) {
         if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
-            recordBrokenCall(*upstream, now, call->fingerprint_);
+            recordBrokenCall(*upstream, now, *call);
         }
         clearAnswer(state, *call);
         handleFailure(state, now, id, *call, false, outbox);
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -24,7 +24,11 @@
 /// Call whose connection to an upstream broke.
 struct BrokenCall
 {
+    std::string request_; ///< Id of its request.
     uint64_t fingerprint_ = 0; ///< Hash that identifies its request, see Call::fingerprint_.
+    std::vector<uint64_t> promptParts_; ///< Parts of its prompt, see CallRequest::promptParts_.
+    bool headReceived_ = false; ///< Whether the header of the answer had been received.
+    uint32_t events_ = 0; ///< Events that its caller had.
     TimePoint at_{}; ///< When the connection broke.
 };
 
--- a/src/gateway_call_type.h
+++ b/src/gateway_call_type.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <system_error>
+#include <vector>
 
 namespace Burdockfield::Gateway {
 
@@ -28,6 +29,7 @@
     std::optional<Milliseconds> wait_; ///< How long the caller waits, from the arrival of the request.
     std::optional<uint64_t> tokens_; ///< Sum of the prompt tokens and the limit on output tokens.
     std::optional<uint64_t> resumeAfter_; ///< Last event that the caller has, when it resumes a stream.
+    std::vector<uint64_t> promptParts_; ///< Hashes of the parts of its prompt that other requests may have as well.
     HttpHeaders forwardedHeaders_; ///< Headers forwarded unchanged to the upstream.
     std::shared_ptr<const std::string> body_; ///< Shared with the sends of the call.
 };
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -136,7 +136,7 @@
 double failureRateAt(const Upstream &upstream, TimePoint now);
 
 /// Records that a call's connection to an upstream broke.
-void recordBrokenCall(Upstream &upstream, TimePoint now, uint64_t fingerprint);
+void recordBrokenCall(Upstream &upstream, TimePoint now, const Call &call);
 
 /// Counts a crash against each call that recently broke at an upstream that turned out to be down.
 void recordUpstreamCrash(GatewayState &state, TimePoint now, Upstream &upstream, GatewayOutbox &outbox);
--- a/src/gateway_suspects.cpp
+++ b/src/gateway_suspects.cpp
@@ -9,6 +9,8 @@
  */
 #include "gateway_func.h"
 
+#include "digest_func.h"
+
 #include <algorithm>
 
 namespace Burdockfield::Gateway {
@@ -25,12 +27,26 @@
     std::erase_if(upstream.brokenCalls_, [now](const BrokenCall &call) { return now - call.at_ > crashWindow; });
 }
 
+/// Logs a call that was at an upstream when it crashed, how far its answer had come, and the parts of its prompt.
+void logBrokenCall(const Upstream &upstream, const BrokenCall &call, GatewayOutbox &outbox)
+{
+    std::string parts;
+    for (const uint64_t part : call.promptParts_) {
+        parts += (parts.empty() ? "" : ",") + toHex(part);
+    }
+    outbox.decisions_.push_back({ "crash-suspect",
+        { { "request", call.request_ }, { "upstream", upstream.id_ }, { "head", call.headReceived_ ? "yes" : "no" },
+            { "events", std::to_string(call.events_) }, { "parts", parts } },
+        true });
+}
+
 } // namespace
 
-void recordBrokenCall(Upstream &upstream, TimePoint now, uint64_t fingerprint)
+void recordBrokenCall(Upstream &upstream, TimePoint now, const Call &call)
 {
     removeExpiredBrokenCalls(upstream, now);
-    upstream.brokenCalls_.push_back({ fingerprint, now });
+    upstream.brokenCalls_.push_back(
+        { call.request_.id_, call.fingerprint_, call.request_.promptParts_, call.headReceived_, call.events_, now });
 }
 
 void recordUpstreamCrash(GatewayState &state, TimePoint now, Upstream &upstream, GatewayOutbox &outbox)
@@ -43,6 +59,7 @@
         CrashSuspect &suspect = state.suspects_[call.fingerprint_];
         ++suspect.crashes_;
         suspect.lastAt_ = now;
+        logBrokenCall(upstream, call, outbox);
     }
     outbox.decisions_.push_back({ "upstream-crashed",
         { { "upstream", upstream.id_ }, { "suspects", std::to_string(upstream.brokenCalls_.size()) } }, true });
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -252,7 +252,8 @@
     connection->timer_.cancel();
     if (error) {
         connection->parser_.reset();
-        endCall(link, connection, TransportErrc::NotSent);
+        endCall(link, connection,
+            error == Asio::error::connection_refused ? TransportErrc::ConnectionRefused : TransportErrc::NotSent);
         return;
     }
     connection->connected_ = true;
--- /dev/null
+++ b/tests/crash_fleet_fixture.cpp
@@ -0,0 +1,243 @@
+/**
+ * @file crash_fleet_fixture.cpp
+ * @brief Fleet of gateways and engines in one thread, for tests of requests that crash the engines that answer them.
+ */
+#include "crash_fleet_fixture.h"
+
+namespace Burdockfield::Testing {
+
+namespace {
+
+constexpr Milliseconds stepTime{ 10 }; ///< Simulated time of a step; also the delay of all messages.
+constexpr Milliseconds answerDelay{ 100 }; ///< Time until an answer begins, and from there to its end.
+constexpr Milliseconds downTime{ 3000 }; ///< Time for which a crashed engine is down.
+
+std::string peerAddress(size_t gateway)
+{
+    return "10.0.0." + std::to_string(gateway + 1) + ":7000";
+}
+
+} // namespace
+
+void CrashFleetFixture::start(const CrashFleetSpec &spec)
+{
+    engines_.clear();
+    runs_.clear();
+    for (size_t engine = 0; engine < spec.engines_; ++engine) {
+        UpstreamRow row = GatewayFixture::makeRow("engine-" + std::to_string(engine), "engines");
+        row.address_ = "10.0.1." + std::to_string(engine + 1) + ":80";
+        row.startedAtMs_ = 1;
+        engines_.push_back({ row, {} });
+    }
+    gateways_.clear();
+    gateways_.resize(spec.gateways_);
+    inboxes_.clear();
+    inboxes_.resize(spec.gateways_);
+    for (size_t gateway = 0; gateway < spec.gateways_; ++gateway) {
+        startGateway(gateway);
+    }
+    run(Milliseconds(1500), 0, 0);
+}
+
+void CrashFleetFixture::startGateway(size_t gateway)
+{
+    GatewayState &state = gateways_[gateway];
+    state = {};
+    state.name_ = "gateway-" + std::to_string(gateway + 1);
+    state.zone_ = "zone-1";
+    state.region_ = "region-1";
+    state.regionByZone_ = { { "zone-1", "region-1" } };
+    state.peerAddress_ = peerAddress(gateway);
+    state.incarnation_ = random_() | 1U;
+    state.random_.seed(gateway);
+    state.startedAt_ = now_;
+    state.bounds_.retrySlack_ = 1000;
+    GatewayInbox &inbox = inboxes_[gateway];
+    inbox = {};
+    Configuration configuration = GatewayFixture::makeConfiguration(1);
+    configuration.workspaces_[0].ratePerSecond_ = 0;
+    inbox.configurations_.push_back({ configuration, "text-1", "test" });
+    UpstreamsReceived list;
+    list.fullList_ = true;
+    list.version_ = listVersion_;
+    for (const SimulatedEngine &engine : engines_) {
+        if (!engine.row_.removed_) {
+            list.rows_.push_back(engine.row_);
+        }
+    }
+    inbox.upstreams_.push_back(std::move(list));
+    for (size_t peer = 0; peer < gateways_.size(); ++peer) {
+        inbox.peerAddresses_.push_back(peerAddress(peer));
+    }
+}
+
+void CrashFleetFixture::restartGateway(size_t gateway)
+{
+    std::erase_if(runs_, [gateway](const SimulatedRun &run) { return run.gateway_ == gateway; });
+    startGateway(gateway);
+}
+
+void CrashFleetFixture::run(Milliseconds time, double sound, double deadly)
+{
+    const TimePoint end = now_ + time;
+    const double stepSeconds = FractionalSeconds(stepTime).count();
+    std::uniform_real_distribution<double> draw;
+    while (now_ < end) {
+        const auto arrivals = [&](double rate, const std::vector<uint64_t> &parts) {
+            for (double expected = rate * stepSeconds; expected > 0; expected -= 1) {
+                if (draw(random_) < expected) {
+                    arrive(random_() % gateways_.size(), parts, "body-" + std::to_string(nextExchange_));
+                }
+            }
+        };
+        arrivals(sound, { firstPart });
+        arrivals(deadly, { firstPart, deadlyPart });
+        step();
+    }
+}
+
+void CrashFleetFixture::arrive(size_t gateway, const std::vector<uint64_t> &parts, const std::string &body)
+{
+    CallArrived arrival;
+    arrival.exchange_ = ExchangeId{ nextExchange_++ };
+    CallRequest &request = arrival.request_;
+    request.id_ = "request-" + std::to_string(arrival.exchange_.value_);
+    request.method_ = "POST";
+    request.path_ = "/stream/x";
+    request.target_ = request.path_;
+    request.host_ = "host";
+    request.key_ = "key-1";
+    request.wait_ = Milliseconds(4000);
+    request.promptParts_ = parts;
+    request.body_ = std::make_shared<const std::string>(body);
+    const bool deadly
+        = std::any_of(parts.begin(), parts.end(), [this](uint64_t part) { return deadlyParts_.contains(part); });
+    if (deadly) {
+        deadlyExchanges_.insert(arrival.exchange_.value_);
+    }
+    counts_.soundCalls_ += deadly ? 0 : 1;
+    inboxes_[gateway].arrivals_.push_back(std::move(arrival));
+}
+
+void CrashFleetFixture::step()
+{
+    now_ += stepTime;
+    stepEngines();
+    std::vector<GatewayInbox> inboxes(gateways_.size());
+    inboxes.swap(inboxes_);
+    for (size_t gateway = 0; gateway < gateways_.size(); ++gateway) {
+        GatewayOutbox outbox = tickGateway(gateways_[gateway], now_, std::move(inboxes[gateway]));
+        receive(gateway, outbox);
+    }
+}
+
+void CrashFleetFixture::receive(size_t gateway, GatewayOutbox &outbox)
+{
+    for (const uint64_t send : outbox.cancels_) {
+        std::erase_if(runs_, [&](const SimulatedRun &run) { return run.gateway_ == gateway && run.send_ == send; });
+    }
+    for (const SendCall &command : outbox.sends_) {
+        acceptSend(gateway, command);
+    }
+    for (SendUpdate &command : outbox.updates_) {
+        command.update_.address_ = peerAddress(gateway);
+        for (size_t peer = 0; peer < gateways_.size(); ++peer) {
+            const bool addressed = std::find(command.addresses_.begin(), command.addresses_.end(), peerAddress(peer))
+                != command.addresses_.end();
+            if (addressed && !isolated_.contains(peer) && !isolated_.contains(gateway)) {
+                inboxes_[peer].peerUpdates_.push_back(command.update_);
+            }
+        }
+    }
+    for (const ExchangeId exchange : outbox.streamEnds_) {
+        counts_.soundServed_ += deadlyExchanges_.contains(exchange.value_) ? 0 : 1;
+    }
+    refusals_.insert(refusals_.end(), outbox.refusals_.begin(), outbox.refusals_.end());
+    decisions_.insert(decisions_.end(), outbox.decisions_.begin(), outbox.decisions_.end());
+}
+
+void CrashFleetFixture::acceptSend(size_t gateway, const SendCall &command)
+{
+    const auto engine = std::find_if(engines_.begin(), engines_.end(),
+        [&](const SimulatedEngine &candidate) { return candidate.row_.address_ == command.address_; });
+    if (engine == engines_.end() || engine->row_.removed_) {
+        inboxes_[gateway].ends_.push_back({ command.send_, TransportErrc::ConnectionRefused });
+        return;
+    }
+    const bool deadly = deadlyExchanges_.contains(command.exchange_.value_);
+    counts_.deadlyRuns_ += deadly ? 1 : 0;
+    runs_.push_back(
+        { gateway, command.send_, static_cast<size_t>(engine - engines_.begin()), deadly, false, now_ + answerDelay });
+}
+
+void CrashFleetFixture::stepEngines()
+{
+    for (size_t engine = 0; engine < engines_.size(); ++engine) {
+        UpstreamRow &row = engines_[engine].row_;
+        if (row.removed_ && now_ >= engines_[engine].upAt_) {
+            announce(row);
+            row.removed_ = false;
+            row.id_ = "engine-" + std::to_string(engine) + "-" + std::to_string(++row.startedAtMs_);
+            announce(row);
+        }
+    }
+    for (size_t index = 0; index < runs_.size(); ++index) { // a crash erases runs
+        SimulatedRun &run = runs_[index];
+        if (run.dueAt_ > now_) {
+            continue;
+        }
+        GatewayInbox &inbox = inboxes_[run.gateway_];
+        if (!run.begun_) {
+            inbox.heads_.push_back({ run.send_, GatewayFixture::makeHead(200, true) });
+        }
+        if (run.deadly_) {
+            crash(run.engine_);
+            index = 0;
+            continue;
+        }
+        if (run.begun_) {
+            inbox.ends_.push_back({ run.send_, {} });
+            runs_.erase(runs_.begin() + static_cast<ptrdiff_t>(index--));
+            continue;
+        }
+        inbox.bytes_.push_back({ run.send_, "id: 1\ndata: a\n\n" });
+        run.begun_ = true;
+        run.dueAt_ = now_ + answerDelay;
+    }
+}
+
+void CrashFleetFixture::crashEngines(const std::vector<size_t> &engines)
+{
+    for (const size_t engine : engines) {
+        crash(engine);
+    }
+}
+
+void CrashFleetFixture::crash(size_t engine)
+{
+    if (engines_[engine].row_.removed_) {
+        return;
+    }
+    ++counts_.crashes_;
+    engines_[engine].row_.removed_ = true;
+    engines_[engine].upAt_ = now_ + downTime;
+    std::erase_if(runs_, [&](const SimulatedRun &run) {
+        if (run.engine_ == engine) {
+            inboxes_[run.gateway_].ends_.push_back({ run.send_, TransportErrc::Lost });
+        }
+        return run.engine_ == engine;
+    });
+}
+
+void CrashFleetFixture::announce(const UpstreamRow &row)
+{
+    ++listVersion_;
+    for (GatewayInbox &inbox : inboxes_) {
+        UpstreamsReceived change;
+        change.rows_ = { row };
+        change.version_ = listVersion_;
+        inbox.upstreams_.push_back(std::move(change));
+    }
+}
+
+} // namespace Burdockfield::Testing
--- /dev/null
+++ b/tests/crash_fleet_fixture.h
@@ -0,0 +1,106 @@
+/**
+ * @file crash_fleet_fixture.h
+ * @brief Fleet of gateways and engines in one thread, for tests of requests that crash the engines that answer them.
+ *
+ * The clock and the network are simulated: messages between gateways arrive with the next step. Engines crash when they
+ * begin to answer a request that has a deadly part in its prompt, and return after a time as another start.
+ */
+#pragma once
+
+#include "gateway_fixture.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace Burdockfield::Testing {
+
+/// Size of a simulated fleet.
+struct CrashFleetSpec
+{
+    size_t gateways_ = 5; ///< Gateways.
+    size_t engines_ = 9; ///< Engines, with four slots each.
+};
+
+/// Engine of a simulated fleet.
+struct SimulatedEngine
+{
+    UpstreamRow row_; ///< Row of its latest start; removed_ while it is down.
+    TimePoint upAt_{}; ///< When it is up again after a crash.
+};
+
+/// Request at an engine.
+struct SimulatedRun
+{
+    size_t gateway_ = 0; ///< Gateway that sent it.
+    uint64_t send_ = 0; ///< Number of the send there.
+    size_t engine_ = 0; ///< Engine that runs it.
+    bool deadly_ = false; ///< Whether the engine crashes when it begins to answer.
+    bool begun_ = false; ///< Whether its first event has been sent.
+    TimePoint dueAt_{}; ///< When its answer begins, or ends if it has begun.
+};
+
+/// What happened in a simulated fleet since the counts were last cleared.
+struct CrashFleetCounts
+{
+    size_t crashes_ = 0; ///< Engines that crashed.
+    size_t deadlyRuns_ = 0; ///< Requests with a deadly part that reached an engine.
+    size_t soundCalls_ = 0; ///< Requests without one.
+    size_t soundServed_ = 0; ///< Those of them whose answer was complete.
+};
+
+/// Simulated fleet, stepped by the test.
+struct CrashFleetFixture
+{
+    CrashFleetFixture()
+    {
+        start({});
+    }
+
+    /// Replaces the fleet by one of another size.
+    void start(const CrashFleetSpec &spec);
+
+    /// Replaces a gateway by a new process that knows the configuration and the list only.
+    void restartGateway(size_t gateway);
+
+    /// Runs the fleet for a time. @param sound, deadly requests a second with the shared first part, without and with
+    /// the deadly part
+    void run(Milliseconds time, double sound, double deadly);
+
+    /// Lets engines crash for a reason of their own.
+    void crashEngines(const std::vector<size_t> &engines);
+
+    /// Hands a request to a gateway.
+    void arrive(size_t gateway, const std::vector<uint64_t> &parts, const std::string &body);
+
+    static constexpr uint64_t firstPart = 1; ///< Part that all requests have.
+    static constexpr uint64_t deadlyPart = 666; ///< Part that crashes engines.
+
+    std::vector<GatewayState> gateways_; ///< Gateways.
+    std::vector<GatewayInbox> inboxes_; ///< What each of them receives in the next step.
+    std::vector<SimulatedEngine> engines_; ///< Engines.
+    std::vector<SimulatedRun> runs_; ///< Requests at engines.
+    std::set<size_t> isolated_; ///< Gateways whose messages to and from peers are lost.
+    std::set<uint64_t> deadlyParts_{ deadlyPart }; ///< Parts that crash engines.
+    std::set<uint64_t> deadlyExchanges_; ///< Requests that have one of them.
+    std::vector<Decision> decisions_; ///< Log records of all gateways.
+    std::vector<RefuseCall> refusals_; ///< Refusals by all gateways.
+    CrashFleetCounts counts_; ///< What happened.
+    TimePoint now_{ std::chrono::hours(1) }; ///< Simulated time.
+
+private:
+    void startGateway(size_t gateway);
+    void step();
+    void stepEngines();
+    void receive(size_t gateway, GatewayOutbox &outbox);
+    void acceptSend(size_t gateway, const SendCall &command);
+    void crash(size_t engine);
+    void announce(const UpstreamRow &row);
+
+    std::mt19937_64 random_{ 1 }; ///< Source of arrivals.
+    uint64_t nextExchange_ = 1; ///< Number of the next request.
+    uint64_t listVersion_ = 10; ///< Version of the list of engines.
+};
+
+} // namespace Burdockfield::Testing
