Compare requests by the parts of their prompts; count a crash once, and what was answered

Cause: a request was recognised by its whole content only, so that requests that differ were never counted together; and crashes were added up over the gateways that saw them, while nothing spoke for what had been answered, so that counting parts the same way would have blamed every shared part at once. Change: crash_evidence keeps what crashes have in common, with no I/O. Requests are compared by traits: the hash of the whole request and of each part of the prompt but the last. A crash is named by the start of the upstream, so that all gateways count it once. An answer whose upstream survives its first event clears its traits, in every gateway. A trait that explains three crashes, not counting those that another one explains or that were simultaneous, is condemned: its requests are refused as not run, with the time of the next trial as Retry-After, and those in progress are ended. Verdicts have numbers, so that they merge in any order; an answer withdraws them. Two trials, after 15 s and 60 s, are sent by one gateway, and only while all are reachable. An upstream is checked by a connection as soon as a call breaks there, and only a refused connection shows a crash: dark or cut-off upstreams, and those that leave, count for nothing. Suspect_WhenThreeUpstreamsCrashedWithIt_IsRefused took time-outs of connections for crashes and one start of an upstream for three crashes; it is replaced by a case that wants refused connections, three starts and the Retry-After. Suspect_WhenDifferentGatewaysCountCrashes_AddsThemUp added up counts; its two successors want different crashes to add up and one crash to count once.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -77,6 +77,7 @@
     }
     call.events_ += scan.events_;
     call.lastEvent_ = scan.lastEvent_;
+    recordAnswerProgress(state, now, call, outbox);
     outbox.events_.push_back({ call.exchange_, scan.bytes_ });
     eraseFromAnswer(state, call, scan.consumed_);
     return true;
@@ -91,8 +92,8 @@
 
 bool consumeRetryIfAllowed(GatewayState &state, TimePoint now, const Call &call)
 {
-    return call.attempts_ < call.attemptLimit_ && call.deadline_ - now > minRetryTime
-        && !isCrashSuspect(state, now, call.fingerprint_) && consumeRetry(state, call.service_);
+    return call.attempts_ < call.attemptLimit_ && call.deadline_ - now > minRetryTime && !isLikelyToCrash(state, call)
+        && consumeRetry(state, call.service_);
 }
 
 /// @return whether the answer's header reports that the call has not run. It counts only once the answer is complete.
@@ -126,12 +127,21 @@
     ++upstream.connectFailures_;
 }
 
+void handleFailedConnect(
+    GatewayState &state, TimePoint now, Upstream &upstream, std::error_code error, GatewayOutbox &outbox)
+{
+    backOffUpstream(upstream, now);
+    if (error == TransportErrc::ConnectionRefused) {
+        recordUpstreamCrash(state, now, upstream, outbox);
+    }
+}
+
 /// Handles a send that reached no upstream. The call has not run, so it may be sent to any other upstream.
-void handleUnreachable(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+void handleUnreachable(
+    GatewayState &state, TimePoint now, CallId id, Call &call, std::error_code error, GatewayOutbox &outbox)
 {
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
-        backOffUpstream(*upstream, now);
-        recordUpstreamCrash(state, now, *upstream, outbox);
+        handleFailedConnect(state, now, *upstream, error, outbox);
     }
     --call.attempts_;
     ++call.connectFailures_;
@@ -212,6 +222,9 @@
         recordOutcome(*upstream, now, status >= firstServerErrorStatus);
     }
     detachFromUpstream(state, call, false, outbox);
+    if (status < firstServerErrorStatus) {
+        recordAnswered(state, now, call, outbox);
+    }
     if (!streamed) {
         forwardAnswer(state, now, id, call, outbox);
         return;
@@ -295,6 +308,18 @@
     }
 }
 
+void handleCheck(GatewayState &state, TimePoint now, const UpstreamChecked &event, GatewayOutbox &outbox)
+{
+    Upstream *upstream = findUpstream(state, event.upstream_);
+    if (upstream == nullptr) {
+        return;
+    }
+    upstream->checking_ = false;
+    if (event.error_) {
+        handleFailedConnect(state, now, *upstream, event.error_, outbox);
+    }
+}
+
 void handleSendEnd(GatewayState &state, TimePoint now, const SendEnded &event, GatewayOutbox &outbox)
 {
     const CallId id = findCallBySend(state, event.send_);
@@ -312,11 +337,9 @@
     if (notRun) {
         handleNotRun(state, now, id, *call, outbox);
     } else if (event.error_ == TransportErrc::NotSent || event.error_ == TransportErrc::ConnectionRefused) {
-        handleUnreachable(state, now, id, *call, outbox);
+        handleUnreachable(state, now, id, *call, event.error_, outbox);
     } else if (event.error_) {
-        if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
-            recordBrokenCall(*upstream, now, *call);
-        }
+        recordBrokenCall(state, now, *call, outbox);
         clearAnswer(state, *call);
         handleFailure(state, now, id, *call, false, outbox);
     } else {
@@ -328,6 +351,9 @@
 
 void runAnswers(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
 {
+    for (const UpstreamChecked &event : inbox.checks_) {
+        handleCheck(state, now, event, outbox);
+    }
     for (HeadReceived &event : inbox.heads_) {
         handleHead(state, now, event, outbox);
     }
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "crash_evidence_type.h"
 #include "deadline_type.h"
 #include "gateway_call_type.h"
 #include "gateway_configuration_type.h"
@@ -21,14 +22,12 @@
 
 namespace Burdockfield::Gateway {
 
-/// Call whose connection to an upstream broke.
+/// Call whose connection to an upstream broke before its answer was under way.
 struct BrokenCall
 {
     std::string request_; ///< Id of its request.
-    uint64_t fingerprint_ = 0; ///< Hash that identifies its request, see Call::fingerprint_.
-    std::vector<uint64_t> promptParts_; ///< Parts of its prompt, see CallRequest::promptParts_.
+    std::vector<Trait> traits_; ///< What it may have in common with others, see Call::traits_.
     bool headReceived_ = false; ///< Whether the header of the answer had been received.
-    uint32_t events_ = 0; ///< Events that its caller had.
     TimePoint at_{}; ///< When the connection broke.
 };
 
@@ -60,6 +59,7 @@
     TimePoint avoidUntil_{};
     uint32_t connectFailures_ = 0; ///< Consecutive failures to connect.
     std::vector<BrokenCall> brokenCalls_; ///< Recently broken calls; suspects if the upstream is found to be down.
+    bool checking_ = false; ///< Whether a connection is being made to find out whether it is down.
     TimePoint missingSince_{ noDeadline }; ///< Since when its row is missing after a store outage; else noDeadline.
 };
 
@@ -96,7 +96,8 @@
     Milliseconds latencyTarget_{ 0 }; ///< Target response time; an answer within it earns its full credit.
     Milliseconds gapTarget_{ 0 }; ///< Longest time between two events of a stream that counts as on time.
     uint64_t charge_ = 0; ///< Units charged to the workspace's quota.
-    uint64_t fingerprint_ = 0; ///< Hash of path, workspace and body, the same for every retry by the caller.
+    std::vector<Trait> traits_; ///< Hash of path, workspace and body, then the shareable parts of the prompt.
+    bool onTrial_ = false; ///< Whether it was admitted to find out whether a condemned trait still crashes upstreams.
     TimePoint arrivedAt_{}; ///< When it arrived.
     TimePoint deadline_{}; ///< When the final answer is due.
     TimePoint waitUntil_{}; ///< Until when it may wait for an upstream with free capacity.
@@ -105,6 +106,8 @@
     uint64_t send_ = 0; ///< Number of the latest send; every send to an upstream has its own.
     UpstreamId upstream_; ///< Upstream of the latest send.
     TimePoint sentAt_{}; ///< Time of the latest send.
+    TimePoint answerBegunAt_{ noDeadline }; ///< When the first event of the latest send was received, if any.
+    bool answered_ = false; ///< Whether its traits have been recorded as answered.
     TimePoint lastReceivedAt_{}; ///< When the answer last made progress, a stream by a whole event; at first sentAt_.
     uint32_t attempts_ = 0; ///< Sends that reached, or may have reached, an upstream.
     uint32_t connectFailures_ = 0; ///< Sends that reached no upstream, or another instance than the intended one.
@@ -167,7 +170,6 @@
     uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that it holds.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< Its calls in flight, by upstream id.
     std::unordered_map<std::string, uint64_t> chargedUnits_; ///< Units charged since its start, by workspace.
-    std::map<uint64_t, uint32_t> suspects_; ///< Crashes that the peer has counted, by request fingerprint.
 };
 
 using PeerId = PoolId<Peer>; ///< Index of a peer.
@@ -214,11 +216,11 @@
     Milliseconds rowReturnTimeout_{ 2000 }; ///< Time after a store outage to write rows again that expired in it.
 };
 
-/// Request whose connections broke at upstreams that then turned out to be down, as seen by this gateway.
-struct CrashSuspect
+/// What this gateway has seen of crashes and has to tell its peers.
+struct CrashNews
 {
-    uint32_t crashes_ = 0; ///< Upstreams found down shortly after its connection to them broke.
-    TimePoint lastAt_{}; ///< Time of the last crash.
+    std::vector<CrashReport> crashes_; ///< Crashes that it saw recently.
+    std::map<Trait, TimePoint> answered_; ///< Suspects found to have been answered, with the time of that finding.
 };
 
 /// All tables of a gateway.
@@ -261,7 +263,9 @@
     TimePoint quotasReportedAt_{}; ///< When quotas were last reported to the log.
     std::unordered_map<std::string, RetryBudget> retryBudgets_; ///< Retry budgets by service.
     std::unordered_map<std::string, Milliseconds> longestWaitByRoute_; ///< Longest wait that callers asked for.
-    std::unordered_map<uint64_t, CrashSuspect> suspects_; ///< Crash suspects by request fingerprint.
+    CrashEvidence crashEvidence_; ///< Crashes of upstreams, and what requests are refused because of them.
+    CrashNews crashNews_; ///< Part of the evidence that peers may not have yet.
+    bool verdictsChanged_ = false; ///< Whether a verdict came into force whose calls in progress have to be ended.
 
     Pool<Peer> peers_; ///< Other gateways.
     std::map<std::string, PeerId> peerByAddress_; ///< Index of peers_ by address.
--- a/src/gateway_command_type.h
+++ b/src/gateway_command_type.h
@@ -25,6 +25,13 @@
     uint32_t connectionShare_ = 0; ///< Connections to the upstream that this gateway may hold; 0 for no limit.
 };
 
+/// Connects to an upstream to find out whether it is down. The end has to be reported, see GatewayInbox::checks_.
+struct CheckUpstream
+{
+    std::string upstream_; ///< Id of the upstream.
+    std::string address_; ///< Its IP:PORT.
+};
+
 /// Forwards the complete answer of an upstream to a caller.
 struct ForwardAnswer
 {
@@ -82,6 +89,7 @@
 struct GatewayOutbox
 {
     std::vector<SendCall> sends_; ///< Requests to send to upstreams.
+    std::vector<CheckUpstream> checks_; ///< Upstreams to check.
     std::vector<uint64_t> cancels_; ///< Numbers of the sends to cancel.
     std::vector<StartStream> streamStarts_; ///< Streams to start.
     std::vector<SendEvents> events_; ///< Events to send to callers.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -46,6 +46,14 @@
     startCall(daemon.link_, std::move(call));
 }
 
+void execute(GatewayDaemon &daemon, const CheckUpstream &command)
+{
+    checkAddress(daemon.link_, command.address_, [&daemon, id = command.upstream_](std::error_code error) {
+        daemon.inbox_.checks_.push_back({ id, error });
+        scheduleTick(daemon);
+    });
+}
+
 void applyLimits(GatewayDaemon &daemon)
 {
     const CallerLimits &limits = daemon.state_.configuration_.limits_;
@@ -111,6 +119,9 @@
             scheduleTick(daemon);
         }
     }
+    for (const CheckUpstream &command : outbox.checks_) {
+        execute(daemon, command);
+    }
     for (const SendUpdate &command : outbox.updates_) {
         sendPeerUpdate(daemon, command);
     }
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -124,6 +124,7 @@
     call.sentAt_ = now;
     call.lastReceivedAt_ = now;
     call.headReceived_ = false;
+    call.answerBegunAt_ = noDeadline;
     clearAnswer(state, call);
     ++call.attempts_;
     state.callBySend_[call.send_] = id;
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -49,6 +49,13 @@
     std::error_code error_; ///< Success when the complete answer was received, else a TransportErrc.
 };
 
+/// The check of an upstream ended.
+struct UpstreamChecked
+{
+    std::string upstream_; ///< Id of the upstream.
+    std::error_code error_; ///< Success if a connection was made, else a TransportErrc.
+};
+
 /// A configuration was received from the store or from a peer.
 struct ConfigurationReceived
 {
@@ -80,7 +87,25 @@
     Duration took_{}; ///< Time from the call to its end.
 };
 
-/// Update that one gateway sends to others. Full updates also hold names, suspects and peers.
+/// Crash that a peer saw.
+struct PeerCrash
+{
+    UpstreamStart upstream_; ///< What crashed.
+    Milliseconds age_{ 0 }; ///< Time since the crash.
+    std::vector<Trait> traits_; ///< See CrashReport::traits_.
+};
+
+/// Verdict as a peer knows it, see CrashVerdict.
+struct PeerVerdict
+{
+    uint32_t number_ = 0; ///< How often the trait has been condemned.
+    bool withdrawn_ = false; ///< Whether it has been answered since.
+    uint32_t trials_ = 0; ///< Trials so far.
+
+    bool operator==(const PeerVerdict &) const = default;
+};
+
+/// Update that one gateway sends to others. Full updates also hold names, crashes and peers.
 struct PeerUpdate
 {
     std::string address_; ///< IP:PORT of the sender, taken from the datagram's source.
@@ -93,7 +118,9 @@
     uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that the sender holds.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< The sender's calls in flight, by upstream id.
     std::unordered_map<std::string, uint64_t> chargedUnits_; ///< Units charged since the sender's start, by workspace.
-    std::map<uint64_t, uint32_t> suspects_; ///< The sender's crash counts by request fingerprint; full updates only.
+    std::vector<PeerCrash> crashes_; ///< Crashes that the sender saw recently; in full updates only.
+    std::map<Trait, Milliseconds> answered_; ///< Suspects answered there, with the time since then; full updates only.
+    std::map<Trait, PeerVerdict> verdicts_; ///< Verdicts that the sender knows; in full updates only.
     std::vector<std::string> peers_; ///< Addresses of the sender's peers; in full updates only.
 };
 
@@ -112,6 +139,7 @@
     std::vector<HeadReceived> heads_; ///< Headers of answers.
     std::vector<BytesReceived> bytes_; ///< Parts of answers' bodies.
     std::vector<SendEnded> ends_; ///< Ended sends.
+    std::vector<UpstreamChecked> checks_; ///< Ended checks of upstreams.
     bool stopRequested_ = false; ///< Whether the process was asked to stop.
 };
 
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -42,6 +42,9 @@
 /// Applies updates of peers, removes peers that timed out, and fetches a snapshot from a peer with newer data.
 void runPeers(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox);
 
+/// @return whether an update was received from a peer recently.
+bool isReachable(const Peer &peer, TimePoint now);
+
 /// @return the peers from which an update was received recently.
 size_t countReachablePeers(const GatewayState &state, TimePoint now);
 
@@ -135,17 +138,35 @@
 /// @return an upstream's failure rate as of @p now.
 double failureRateAt(const Upstream &upstream, TimePoint now);
 
-/// Records that a call's connection to an upstream broke.
-void recordBrokenCall(Upstream &upstream, TimePoint now, const Call &call);
+/// Records that a call's connection to its upstream broke, and has the upstream checked.
+void recordBrokenCall(GatewayState &state, TimePoint now, const Call &call, GatewayOutbox &outbox);
 
-/// Counts a crash against each call that recently broke at an upstream that turned out to be down.
+/// Records the crash of an upstream that refuses connections, if calls broke there recently. A planned end is no crash.
 void recordUpstreamCrash(GatewayState &state, TimePoint now, Upstream &upstream, GatewayOutbox &outbox);
 
-/// @return the crashes that this gateway has seen recently, by request fingerprint.
-std::map<uint64_t, uint32_t> recentCrashSuspects(const GatewayState &state, TimePoint now);
+/// Records that events of a call's answer were received; once its upstream has survived that, its traits are sound.
+void recordAnswerProgress(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox);
+
+/// Records that a call was answered, so that its traits are sound.
+void recordAnswered(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox);
+
+/// @return whether a call has a condemned trait and must not be admitted. It is admitted as a trial when one is due.
+bool isRefusedAsCrashSuspect(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox);
+
+/// @return whether a call that failed may crash another upstream and is not sent again.
+bool isLikelyToCrash(const GatewayState &state, const Call &call);
+
+/// @return when a caller whose request has a condemned trait should retry.
+Milliseconds retryTimeOfCrashSuspect(const GatewayState &state, TimePoint now, const Call &call);
+
+/// Reviews crashes, and ends calls in progress whose traits have been condemned.
+void runCrashReview(GatewayState &state, TimePoint now, GatewayOutbox &outbox);
+
+/// Adds crashes, answered suspects and verdicts to a full update.
+void addCrashNews(GatewayState &state, TimePoint now, PeerUpdate &update);
 
-/// @return whether a request has crashed too many upstreams to be run again.
-bool isCrashSuspect(const GatewayState &state, TimePoint now, uint64_t fingerprint);
+/// Applies the crashes, answered suspects and verdicts of a peer.
+void applyCrashNews(GatewayState &state, TimePoint now, const PeerUpdate &update, GatewayOutbox &outbox);
 
 /// @return the id of a call's last upstream for log lines; "none" if it was not sent, "gone" if that was removed.
 std::string lastUpstreamId(const GatewayState &state, const Call &call);
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -93,9 +93,12 @@
     return workspace->countsTokens_ ? request.tokens_.value_or(workspace->defaultTokens_) : 1;
 }
 
-uint64_t requestFingerprint(const CallRequest &request, const std::string &workspace)
+/// @return what a request may have in common with others that crash upstreams.
+std::vector<Trait> makeTraits(const CallRequest &request, const std::string &workspace)
 {
-    return fastHash(*request.body_, fastHash(request.target_, fastHash(workspace)));
+    std::vector<Trait> traits{ fastHash(*request.body_, fastHash(request.target_, fastHash(workspace))) };
+    traits.insert(traits.end(), request.promptParts_.begin(), request.promptParts_.end());
+    return traits;
 }
 
 Call makeCall(GatewayState &state, TimePoint now, CallArrived &arrival, const IntakeResult &intake)
@@ -116,7 +119,7 @@
     call.latencyTarget_ = route.latencyTarget_;
     call.gapTarget_ = route.gapTarget_;
     call.lastEvent_ = call.request_.resumeAfter_;
-    call.fingerprint_ = requestFingerprint(call.request_, call.workspace_);
+    call.traits_ = makeTraits(call.request_, call.workspace_);
     call.arrivedAt_ = now - arrival.age_;
     const Milliseconds wait = call.request_.wait_.value_or(route.timeout_);
     call.callerRetry_ = isCallerRetry(state, route, wait);
@@ -156,7 +159,7 @@
     Call &row = *findRow(state.calls_, id);
     state.callByExchange_[row.exchange_.value_] = id;
     state.bodyBytes_ += row.request_.body_->size();
-    if (isCrashSuspect(state, now, row.fingerprint_)) {
+    if (isRefusedAsCrashSuspect(state, now, row, outbox)) {
         refuse(state, now, id, RefusalReason::CrashSuspect, outbox);
         return;
     }
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -6,11 +6,13 @@
 
 #include "base64_func.h"
 #include "compression_func.h"
+#include "digest_func.h"
 #include "gateway_func.h"
 #include "http_func.h"
 #include "json_func.h"
 
 #include <array>
+#include <charconv>
 #include <utility>
 
 namespace Burdockfield::Gateway {
@@ -26,6 +28,7 @@
 constexpr std::string_view inFlightField = "f";
 constexpr std::string_view chargedUnitsField = "w";
 
+constexpr int traitBase = 16; ///< Traits are written in hexadecimal.
 constexpr size_t minCompressedBytes = 4U << 10U; ///< Size from which a configuration is compressed.
 constexpr size_t maxConfigurationBytes = 32U << 20U; ///< Longest configuration that is taken from a peer.
 
@@ -61,18 +64,106 @@
     fail(reader, nested.error_);
 }
 
-void parseSuspects(JsonReader &reader, std::map<uint64_t, uint32_t> &suspects)
+std::optional<Trait> parseTrait(std::string_view text)
 {
-    std::unordered_map<std::string, uint32_t> crashesByName;
-    parseCounts(reader, "suspects", crashesByName);
-    for (const auto &[name, crashes] : crashesByName) {
-        const auto fingerprint = parseNumber(name);
-        if (!fingerprint) {
+    Trait trait = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), trait, traitBase);
+    return error == std::errc() && end == text.data() + text.size() ? std::optional<Trait>(trait) : std::nullopt;
+}
+
+/// Calls @p add with each trait and value of an optional object whose keys are traits.
+template<typename Add>
+void parseByTrait(JsonReader &reader, std::string_view field, Add add)
+{
+    const Json::value *value = readValue(reader, field, Presence::Optional);
+    if (value == nullptr) {
+        return;
+    }
+    JsonReader nested = readObject(*value);
+    for (const auto &item : nested.error_ ? Json::object() : *nested.object_) {
+        if (const auto trait = parseTrait({ item.key().data(), item.key().size() }); trait) {
+            add(nested, *trait, std::string(item.key().data(), item.key().size()));
+        } else {
+            fail(nested, WireErrc::WrongType);
+        }
+    }
+    fail(reader, nested.error_);
+}
+
+Json::object serializeCrash(const PeerCrash &crash)
+{
+    Json::array traits;
+    for (const Trait trait : crash.traits_) {
+        traits.emplace_back(toHex(trait));
+    }
+    return { { "id", crash.upstream_.id_ }, { "born_ms", crash.upstream_.startedAtMs_ },
+        { "age_ms", crash.age_.count() }, { "traits", std::move(traits) } };
+}
+
+std::error_code parseCrash(const Json::value &value, PeerCrash &crash)
+{
+    JsonReader reader = readObject(value);
+    std::vector<std::string> names;
+    read(reader, "id", crash.upstream_.id_);
+    read(reader, "born_ms", crash.upstream_.startedAtMs_);
+    read(reader, "age_ms", crash.age_);
+    read(reader, "traits", names);
+    for (const std::string &name : names) {
+        if (const auto trait = parseTrait(name); trait) {
+            crash.traits_.push_back(*trait);
+        } else {
             fail(reader, WireErrc::WrongType);
-            return;
         }
-        suspects[*fingerprint] = crashes;
     }
+    return reader.error_;
+}
+
+void serializeCrashNews(const PeerUpdate &update, Json::object &object)
+{
+    Json::array crashes;
+    for (const PeerCrash &crash : update.crashes_) {
+        crashes.push_back(serializeCrash(crash));
+    }
+    Json::object answered;
+    for (const auto &[trait, age] : update.answered_) {
+        answered[toHex(trait)] = age.count();
+    }
+    Json::object verdicts;
+    for (const auto &[trait, verdict] : update.verdicts_) {
+        verdicts[toHex(trait)]
+            = { { "number", verdict.number_ }, { "withdrawn", verdict.withdrawn_ }, { "trials", verdict.trials_ } };
+    }
+    const auto add = [&object](std::string_view field, auto items) {
+        if (!items.empty()) {
+            object[field] = std::move(items);
+        }
+    };
+    add("crashes", std::move(crashes));
+    add("answered", std::move(answered));
+    add("verdicts", std::move(verdicts));
+}
+
+void parseCrashNews(JsonReader &reader, PeerUpdate &update)
+{
+    const Json::array *crashes = readArray(reader, "crashes", Presence::Optional);
+    for (const Json::value &value : crashes == nullptr ? Json::array() : *crashes) {
+        fail(reader, parseCrash(value, update.crashes_.emplace_back()));
+    }
+    parseByTrait(reader, "answered", [&update](JsonReader &nested, Trait trait, const std::string &name) {
+        read(nested, name, update.answered_[trait]);
+    });
+    parseByTrait(reader, "verdicts", [&update](JsonReader &nested, Trait trait, const std::string &name) {
+        const Json::value *value = readValue(nested, name);
+        if (value == nullptr) {
+            return;
+        }
+        PeerVerdict &verdict = update.verdicts_[trait];
+        JsonReader fields = readObject(*value);
+        read(fields, "number", verdict.number_);
+        read(fields, "withdrawn", verdict.withdrawn_);
+        read(fields, "trials", verdict.trials_);
+        fail(nested, fields.error_);
+    });
 }
 
 void parseCompressed(JsonReader &reader, std::string_view field, std::string &text)
@@ -122,13 +213,7 @@
         object["name"] = update.name_;
         object["region"] = update.region_;
     }
-    if (!update.suspects_.empty()) {
-        Json::object suspects;
-        for (const auto &[fingerprint, crashes] : update.suspects_) {
-            suspects[std::to_string(fingerprint)] = crashes;
-        }
-        object["suspects"] = std::move(suspects);
-    }
+    serializeCrashNews(update, object);
     if (!update.peers_.empty()) {
         object["peers"] = Json::value_from(update.peers_);
     }
@@ -150,7 +235,7 @@
     read(reader, upstreamsField, update.upstreamsVersion_);
     parseCounts(reader, inFlightField, update.inFlight_);
     parseCounts(reader, chargedUnitsField, update.chargedUnits_);
-    parseSuspects(reader, update.suspects_);
+    parseCrashNews(reader, update);
     read(reader, "peers", update.peers_, Presence::Optional);
     return reader.error_;
 }
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -110,7 +110,7 @@
     if (!update.name_.empty()) {
         peer->name_ = update.name_;
         peer->region_ = update.region_;
-        peer->suspects_ = std::move(update.suspects_);
+        applyCrashNews(state, now, update, outbox);
     }
     peer->incarnation_ = update.incarnation_;
     peer->sequence_ = update.sequence_;
@@ -144,11 +144,6 @@
     }
 }
 
-bool isReachable(const Peer &peer, TimePoint now)
-{
-    return now - peer.lastReceivedAt_ < countsTimeout;
-}
-
 /// @return whether a peer holds a newer version of a part of the snapshot.
 bool isAhead(const GatewayState &state, const Peer &peer, SnapshotPart part)
 {
@@ -277,6 +272,11 @@
     requestNewerSnapshot(state, now, SnapshotPart::Upstreams, outbox);
 }
 
+bool isReachable(const Peer &peer, TimePoint now)
+{
+    return now - peer.lastReceivedAt_ < countsTimeout;
+}
+
 size_t countReachablePeers(const GatewayState &state, TimePoint now)
 {
     size_t reachable = 0;
@@ -306,7 +306,7 @@
         command.update_.name_ = state.name_;
         command.update_.region_ = state.region_;
         command.update_.peers_ = std::move(all);
-        command.update_.suspects_ = recentCrashSuspects(state, now);
+        addCrashNews(state, now, command.update_);
     }
     outbox.updates_.push_back(std::move(command));
 }
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -184,6 +184,8 @@
     RefuseCall refusal{ call.exchange_, reason, !call.mayHaveRun_, {}, call.request_.id_ };
     if (refusal.notRun_ && suggestsRetry(reason)) {
         refusal.retryAfter_ = drawRetryAfter(state, now, call);
+    } else if (refusal.notRun_ && reason == RefusalReason::CrashSuspect) {
+        refusal.retryAfter_ = retryTimeOfCrashSuspect(state, now, call);
     }
     if (refusal.notRun_) {
         refundQuota(state, call.workspace_, call.charge_);
@@ -235,6 +237,7 @@
     runIntake(state, now, inbox, outbox);
     runCallerDisconnects(state, now, inbox, outbox); // after the intake: a caller may leave in the tick of its request
     runAnswers(state, now, inbox, outbox);
+    runCrashReview(state, now, outbox);
     runDeadlines(state, now, outbox);
     runDispatch(state, now, outbox);
     runPeerUpdates(state, now, outbox);
@@ -245,7 +248,7 @@
 TimePoint nextGatewayDeadline(const GatewayState &state)
 {
     return std::min({ nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state),
-        nextDeferredDeadline(state) });
+        nextDeferredDeadline(state), state.crashEvidence_.reviewAt_ });
 }
 
 } // namespace Burdockfield::Gateway
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -244,46 +244,60 @@
     writeRequest(link, connection);
 }
 
-void handleConnect(UpstreamLink &link, const LinkPointer &connection, const boost::system::error_code &error)
+using ConnectHandler = std::function<void(std::error_code)>; ///< Called once, see connect().
+
+void finishConnect(
+    const LinkPointer &connection, const boost::system::error_code &error, const ConnectHandler &onConnect)
 {
-    if (connection->closed_) {
+    if (connection->closed_ || connection->connected_) {
         return;
     }
     connection->timer_.cancel();
     if (error) {
-        connection->parser_.reset();
-        endCall(link, connection,
-            error == Asio::error::connection_refused ? TransportErrc::ConnectionRefused : TransportErrc::NotSent);
+        onConnect(error == Asio::error::connection_refused ? TransportErrc::ConnectionRefused : TransportErrc::NotSent);
         return;
     }
     connection->connected_ = true;
     configureSocket(connection->socket_, outgoingUserTimeout);
     boost::system::error_code ignored;
     connection->socket_.non_blocking(true, ignored);
-    sendRequest(link, connection);
-    readSome(link, connection);
+    onConnect({});
 }
 
-void openConnection(UpstreamLink &link, LinkCall call)
+/// Connects to the address of the connection's call, unless the connection is closed meanwhile.
+void connect(UpstreamLink &link, const LinkPointer &connection, const ConnectHandler &onConnect)
 {
-    auto connection = std::make_shared<LinkConnection>(link.io_);
-    const auto endpoint = parseEndpoint(call.address_);
-    const uint64_t send = call.send_;
-    connection->call_ = std::move(call);
-    link.busy_[send] = connection;
+    const auto endpoint = parseEndpoint(connection->call_.address_);
     ++link.connectionsOpened_;
     if (!endpoint) {
-        Asio::post(link.io_, [&link, connection] { handleConnect(link, connection, Asio::error::invalid_argument); });
+        Asio::post(
+            link.io_, [connection, onConnect] { finishConnect(connection, Asio::error::invalid_argument, onConnect); });
         return;
     }
     connection->timer_.expires_after(connectTimeout);
-    connection->timer_.async_wait([&link, connection](const boost::system::error_code &error) {
-        if (!error && !connection->closed_ && !connection->connected_) {
-            handleConnect(link, connection, Asio::error::timed_out);
+    connection->timer_.async_wait([connection, onConnect](const boost::system::error_code &error) {
+        if (!error) {
+            finishConnect(connection, Asio::error::timed_out, onConnect);
         }
     });
-    connection->socket_.async_connect(*endpoint,
-        [&link, connection](const boost::system::error_code &error) { handleConnect(link, connection, error); });
+    connection->socket_.async_connect(*endpoint, [connection, onConnect](const boost::system::error_code &error) {
+        finishConnect(connection, error, onConnect);
+    });
+}
+
+void openConnection(UpstreamLink &link, LinkCall call)
+{
+    auto connection = std::make_shared<LinkConnection>(link.io_);
+    connection->call_ = std::move(call);
+    link.busy_[connection->call_.send_] = connection;
+    connect(link, connection, [&link, connection](std::error_code error) {
+        if (error) {
+            endCall(link, connection, error);
+            return;
+        }
+        sendRequest(link, connection);
+        readSome(link, connection);
+    });
 }
 
 bool isUsable(const LinkConnection &connection, bool retryable, TimePoint now)
@@ -353,6 +367,22 @@
     });
 }
 
+void checkAddress(UpstreamLink &link, const std::string &address, std::function<void(std::error_code)> onEnd)
+{
+    auto connection = std::make_shared<LinkConnection>(link.io_);
+    connection->call_.address_ = address;
+    connect(link, connection, [&link, connection, onEnd = std::move(onEnd)](std::error_code error) {
+        if (error) {
+            closeConnection(connection);
+        } else {
+            connection->idleSince_ = Clock::now();
+            link.idle_[connection->call_.address_].push_back(connection);
+            readSome(link, connection);
+        }
+        onEnd(error);
+    });
+}
+
 void cancelCall(UpstreamLink &link, uint64_t send)
 {
     if (link.starting_.erase(send) > 0) {
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -121,6 +121,12 @@
 /// Starts a call after the handlers that are ready now, on an idle connection if one is usable, else on a new one.
 void startCall(UpstreamLink &link, LinkCall call);
 
+/**
+ * Connects to an address, and keeps the connection for later calls.
+ * @param onEnd called once, with success when the connection was made, else NotSent or ConnectionRefused
+ */
+void checkAddress(UpstreamLink &link, const std::string &address, std::function<void(std::error_code)> onEnd);
+
 /// Cancels a call and closes its connection; no callback is called for it any more.
 void cancelCall(UpstreamLink &link, uint64_t send);
 
--- a/tests/crash_fleet_fixture.cpp
+++ b/tests/crash_fleet_fixture.cpp
@@ -12,6 +12,8 @@
 constexpr Milliseconds answerDelay{ 100 }; ///< Time until an answer begins, and from there to its end.
 constexpr Milliseconds downTime{ 3000 }; ///< Time for which a crashed engine is down.
 
+constexpr const char *firstEvent = "id: 1\ndata: a\n\n"; ///< First event of every answer.
+
 std::string peerAddress(size_t gateway)
 {
     return "10.0.0." + std::to_string(gateway + 1) + ":7000";
@@ -139,6 +141,10 @@
     for (const SendCall &command : outbox.sends_) {
         acceptSend(gateway, command);
     }
+    for (const CheckUpstream &command : outbox.checks_) {
+        inboxes_[gateway].checks_.push_back({ command.upstream_,
+            isUp(command.address_) ? std::error_code() : make_error_code(TransportErrc::ConnectionRefused) });
+    }
     for (SendUpdate &command : outbox.updates_) {
         command.update_.address_ = peerAddress(gateway);
         for (size_t peer = 0; peer < gateways_.size(); ++peer) {
@@ -156,6 +162,12 @@
     decisions_.insert(decisions_.end(), outbox.decisions_.begin(), outbox.decisions_.end());
 }
 
+bool CrashFleetFixture::isUp(const std::string &address) const
+{
+    return std::any_of(engines_.begin(), engines_.end(),
+        [&](const SimulatedEngine &engine) { return engine.row_.address_ == address && !engine.row_.removed_; });
+}
+
 void CrashFleetFixture::acceptSend(size_t gateway, const SendCall &command)
 {
     const auto engine = std::find_if(engines_.begin(), engines_.end(),
@@ -191,6 +203,9 @@
             inbox.heads_.push_back({ run.send_, GatewayFixture::makeHead(200, true) });
         }
         if (run.deadly_) {
+            if (crashesAfterFirstEvent_) {
+                inbox.bytes_.push_back({ run.send_, firstEvent });
+            }
             crash(run.engine_);
             index = 0;
             continue;
@@ -200,7 +215,7 @@
             runs_.erase(runs_.begin() + static_cast<ptrdiff_t>(index--));
             continue;
         }
-        inbox.bytes_.push_back({ run.send_, "id: 1\ndata: a\n\n" });
+        inbox.bytes_.push_back({ run.send_, firstEvent });
         run.begun_ = true;
         run.dueAt_ = now_ + answerDelay;
     }
--- a/tests/crash_fleet_fixture.h
+++ b/tests/crash_fleet_fixture.h
@@ -81,6 +81,7 @@
     std::vector<GatewayInbox> inboxes_; ///< What each of them receives in the next step.
     std::vector<SimulatedEngine> engines_; ///< Engines.
     std::vector<SimulatedRun> runs_; ///< Requests at engines.
+    bool crashesAfterFirstEvent_ = false; ///< Whether engines send the first event of an answer before they crash.
     std::set<size_t> isolated_; ///< Gateways whose messages to and from peers are lost.
     std::set<uint64_t> deadlyParts_{ deadlyPart }; ///< Parts that crash engines.
     std::set<uint64_t> deadlyExchanges_; ///< Requests that have one of them.
@@ -94,6 +95,7 @@
     void step();
     void stepEngines();
     void receive(size_t gateway, GatewayOutbox &outbox);
+    bool isUp(const std::string &address) const;
     void acceptSend(size_t gateway, const SendCall &command);
     void crash(size_t engine);
     void announce(const UpstreamRow &row);
--- a/tests/gateway_answer_test.cpp
+++ b/tests/gateway_answer_test.cpp
@@ -290,26 +290,40 @@
     CHECK(outbox.cancels_.size() == 1);
 }
 
-TEST_CASE_FIXTURE(GatewayFixture, "Suspect_WhenThreeUpstreamsCrashedWithIt_IsRefused")
+TEST_CASE_FIXTURE(GatewayFixture, "Suspect_WhenThreeUpstreamsCrashedWithIt_IsRefusedWithTheTimeOfTheNextTrial")
 {
     state_.configuration_.routes_[2].attempts_ = 1;
     for (uint64_t exchange = 1; exchange <= 3; ++exchange) {
-        const uint64_t send = receiveCall("read", exchange).sends_.at(0).send_;
-        // The connection to the upstream breaks; a call with another body then finds this upstream unreachable.
-        const std::string crashed = findRow(state_.calls_, state_.callBySend_.at(send))->triedInstances_.back();
-        endSend(send, TransportErrc::Lost);
-        CallArrived probe = makeCall("read", 100 + exchange);
-        probe.request_.body_ = std::make_shared<const std::string>("another");
-        const uint64_t second = receiveCall(probe).sends_.at(0).send_;
-        findRow(state_.calls_, state_.callBySend_.at(second))->upstream_ = state_.upstreamById_.at(crashed);
-        endSend(second, TransportErrc::NotSent);
-        now_ += std::chrono::seconds(5);
-        tick();
+        CHECK(crashUpstream(receiveCall("read", exchange), TransportErrc::ConnectionRefused));
     }
     const GatewayOutbox outbox = receiveCall("read", 50);
     REQUIRE(outbox.refusals_.size() == 1);
     CHECK(outbox.refusals_[0].reason_ == RefusalReason::CrashSuspect);
     CHECK(outbox.refusals_[0].notRun_);
+    CHECK(outbox.refusals_[0].retryAfter_ > Milliseconds(9000));
+    CHECK(outbox.refusals_[0].retryAfter_ <= Milliseconds(15000));
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "Suspect_WhenItsUpstreamsAreSilentOrCutOff_IsStillSent")
+{
+    state_.configuration_.routes_[2].attempts_ = 1;
+    for (uint64_t exchange = 1; exchange <= 5; ++exchange) {
+        CHECK(crashUpstream(receiveCall("read", exchange), TransportErrc::NotSent));
+    }
+    CHECK(receiveCall("read", 50).sends_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "Suspect_WhenItsUpstreamsWereLeaving_IsStillSent")
+{
+    state_.configuration_.routes_[2].attempts_ = 1;
+    for (uint64_t exchange = 1; exchange <= 5; ++exchange) {
+        const GatewayOutbox sent = receiveCall("read", exchange);
+        for (const char *engine : { "engine-1", "engine-2" }) {
+            upstream(engine).draining_ = true;
+        }
+        CHECK(crashUpstream(sent, TransportErrc::ConnectionRefused));
+    }
+    CHECK(receiveCall("read", 50).sends_.size() == 1);
 }
 
 TEST_CASE_FIXTURE(GatewayFixture, "Suspect_WhenItsConnectionsAreOnlyReset_IsStillSent")
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -4,6 +4,8 @@
  */
 #include "crash_fleet_fixture.h"
 
+#include "crash_evidence_func.h"
+
 using namespace Burdockfield;
 using namespace Burdockfield::Testing;
 
@@ -17,7 +19,7 @@
 /// those of sound calls start once the engines are back.
 void runUntilSettled(CrashFleetFixture &fleet, double sound, double deadly)
 {
-    const TimePoint end = fleet.now_ + std::chrono::seconds(60);
+    const TimePoint end = fleet.now_ + std::chrono::seconds(12);
     while (fleet.counts_.crashes_ < 5 && fleet.now_ < end) {
         fleet.run(Milliseconds(10), sound, deadly);
     }
@@ -52,6 +54,122 @@
     CHECK(counts_.soundServed_ * 10 >= counts_.soundCalls_ * 9);
 }
 
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyPart_WhenEnginesSendAnEventBeforeTheyCrash_ReachesEnginesNoMore")
+{
+    crashesAfterFirstEvent_ = true;
+    runUntilSettled(*this, 100, 2);
+    run(Milliseconds(5000), 100, 2);
+    CHECK(counts_.deadlyRuns_ <= allowedRuns);
+    CHECK(counts_.soundServed_ * 10 >= counts_.soundCalls_ * 9);
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyPart_WhenItsRequestsAreRare_ReachesEnginesNoMore")
+{
+    for (int request = 0; request < 20; ++request) {
+        arrive(request % gateways_.size(), { firstPart, deadlyPart }, "rare-" + std::to_string(request));
+        run(std::chrono::seconds(10), 5, 0);
+    }
+    CHECK(counts_.crashes_ <= 5 + allowedRuns);
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyPart_WhenItWasAnsweredBefore_ReachesEnginesNoMore")
+{
+    deadlyParts_.clear();
+    run(Milliseconds(5000), 20, 5);
+    deadlyParts_ = { deadlyPart };
+    run(std::chrono::seconds(20), 20, 2);
+    counts_ = {};
+    run(std::chrono::seconds(10), 20, 2);
+    CHECK(counts_.deadlyRuns_ <= allowedRuns);
+    CHECK(counts_.soundServed_ * 10 >= counts_.soundCalls_ * 9);
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyPart_WhileGatewaysRestart_ReachesEnginesNoMore")
+{
+    runUntilSettled(*this, 50, 2);
+    for (size_t gateway = 0; gateway < gateways_.size(); ++gateway) {
+        restartGateway(gateway);
+        run(Milliseconds(1200), 50, 0); // requests within contactMs of a start are not held against it
+        run(Milliseconds(4000), 50, 2);
+    }
+    CHECK(counts_.deadlyRuns_ <= allowedRuns);
+    CHECK(isCondemned(gateways_[0].crashEvidence_, deadlyPart));
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyPart_WhileItIsRequestedForMinutes_IsTriedAtMostThreeTimes")
+{
+    runUntilSettled(*this, 20, 2);
+    run(std::chrono::seconds(150), 20, 2);
+    CHECK(counts_.deadlyRuns_ <= allowedRuns);
+    CHECK(counts_.deadlyRuns_ >= 1);
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "Trial_WhileTheGatewayThatSendsItIsReplaced_IsSentAtMostThreeTimes")
+{
+    runUntilSettled(*this, 20, 2);
+    for (int second = 0; second < 100; ++second) {
+        if (second % 7 == 0) {
+            restartGateway(static_cast<size_t>(second / 7) % gateways_.size());
+            isolated_ = { static_cast<size_t>(second / 7 + 2) % gateways_.size() };
+            run(Milliseconds(500), 20, 0);
+            isolated_.clear();
+        }
+        run(Milliseconds(1000), 20, 2);
+    }
+    CHECK(counts_.deadlyRuns_ <= allowedRuns);
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "Verdict_WhenItsCauseIsMended_IsWithdrawn")
+{
+    runUntilSettled(*this, 20, 2);
+    deadlyParts_.clear();
+    run(std::chrono::seconds(70), 20, 2); // until the next trial
+    counts_ = {};
+    refusals_.clear();
+    run(std::chrono::seconds(5), 20, 2);
+    CHECK(refusals_.empty());
+    CHECK(counts_.soundServed_ * 10 >= counts_.soundCalls_ * 9);
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "Verdict_WhenACutOffGatewayIsWrong_IsWithdrawnOnceItsPeersAreBack")
+{
+    constexpr Trait soundPart = 2;
+    isolated_ = { 0 };
+    gateways_[0].crashEvidence_.verdicts_[soundPart] = { 1, false, 0, noDeadline, now_ };
+    arrive(1, { firstPart, soundPart }, "sound");
+    run(Milliseconds(3000), 10, 0);
+    isolated_.clear();
+    run(Milliseconds(3000), 10, 0);
+    for (const GatewayState &gateway : gateways_) {
+        CHECK_FALSE(isCondemned(gateway.crashEvidence_, soundPart));
+    }
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "RarePart_WhenEnginesCrashInWaves_IsNotBlamed")
+{
+    constexpr Trait rarePart = 3;
+    for (size_t wave = 0; wave < 6; ++wave) {
+        arrive(wave % gateways_.size(), { firstPart, rarePart }, "rare-" + std::to_string(wave));
+        run(Milliseconds(50), 100, 0);
+        crashEngines({ wave % 9, (wave + 3) % 9, (wave + 6) % 9 });
+        run(Milliseconds(1000), 100, 0);
+    }
+    CHECK(std::none_of(refusals_.begin(), refusals_.end(),
+        [](const RefuseCall &refusal) { return refusal.reason_ == RefusalReason::CrashSuspect; }));
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyRequest_WhenItIsSentAgainAndAgain_IsRefusedWithoutBlameForItsParts")
+{
+    constexpr Trait ownPart = 4;
+    deadlyParts_ = { ownPart };
+    for (int request = 0; request < 40; ++request) {
+        arrive(request % gateways_.size(), { firstPart, ownPart }, "the same body");
+        run(Milliseconds(500), 50, 0);
+    }
+    CHECK(counts_.crashes_ <= 5 + allowedRuns);
+    CHECK_FALSE(isCondemned(gateways_[0].crashEvidence_, firstPart));
+}
+
 TEST_CASE_FIXTURE(CrashFleetFixture, "SharedPart_WhenEnginesCrashInWaves_IsNotBlamed")
 {
     for (size_t wave = 0; wave < 6; ++wave) {
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -156,6 +156,28 @@
         return tick(std::move(inbox));
     }
 
+    /**
+     * Breaks the only call sent by a tick, then lets the check of its upstream end, which returns as another start.
+     * @return whether the upstream was checked
+     */
+    bool crashUpstream(const GatewayOutbox &sent, std::error_code checkError)
+    {
+        const SendCall &command = sent.sends_.at(0);
+        const std::string id = command.parameters_.instance_;
+        const GatewayOutbox broken = endSend(command.send_, TransportErrc::Lost);
+        GatewayInbox inbox;
+        inbox.checks_.push_back({ id, checkError });
+        tick(std::move(inbox));
+        tickAfter(Milliseconds(5000));
+        UpstreamsReceived change;
+        change.rows_ = { makeRow(id, "engines") };
+        change.rows_[0].startedAtMs_ = ++starts_;
+        GatewayInbox listed;
+        listed.upstreams_.push_back(change);
+        tick(std::move(listed));
+        return broken.checks_.size() == 1 && broken.checks_[0].upstream_ == id;
+    }
+
     /// Runs a tick that receives a full update of a peer with its calls in flight.
     GatewayOutbox receivePeerCounts(const std::string &address, std::unordered_map<std::string, uint32_t> inFlight)
     {
@@ -179,6 +201,7 @@
 
     GatewayState state_; ///< Tables of the gateway under test.
     TimePoint now_{ std::chrono::hours(1) }; ///< Current time; advanced by the test.
+    uint64_t starts_ = 1; ///< Start time of the last upstream that crashUpstream() started again.
     uint64_t peerSequence_ = 0; ///< Sequence number of the last peer update.
 };
 
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -4,6 +4,7 @@
  */
 #include "gateway_fixture.h"
 
+#include "crash_evidence_func.h"
 #include "gateway_peer_wire.h"
 
 #include <algorithm>
@@ -282,14 +283,32 @@
     CHECK(outbox.updates_[0].addresses_.size() == 2);
 }
 
-TEST_CASE_FIXTURE(PeerFixture, "Suspect_WhenDifferentGatewaysCountCrashes_AddsThemUp")
+TEST_CASE_FIXTURE(PeerFixture, "Suspect_WhenGatewaysReportDifferentCrashes_AddsThemUp")
 {
-    PeerUpdate update = makeUpdate();
-    update.suspects_ = { { 42, 2 } };
-    receiveUpdate(update);
-    CHECK_FALSE(isCrashSuspect(state_, now_, 42));
-    state_.suspects_[42] = { 1, now_ };
-    CHECK(isCrashSuspect(state_, now_, 42));
+    constexpr Trait trait = 42;
+    for (const uint64_t crash : { 1, 2, 3 }) {
+        CHECK_FALSE(isCondemned(state_.crashEvidence_, trait));
+        PeerUpdate update = makeUpdate();
+        update.address_ = "10.0.0." + std::to_string(1 + crash) + ":7000";
+        update.crashes_ = { { { "engine-1", crash }, Milliseconds(0), { trait } } };
+        receiveUpdate(update);
+        tickAfter(Milliseconds(300));
+    }
+    CHECK(isCondemned(state_.crashEvidence_, trait));
+}
+
+TEST_CASE_FIXTURE(PeerFixture, "Suspect_WhenSeveralGatewaysReportTheSameCrash_CountsItOnce")
+{
+    constexpr Trait trait = 42;
+    for (const uint64_t peer : { 2, 3, 4, 5 }) {
+        PeerUpdate update = makeUpdate();
+        update.address_ = "10.0.0." + std::to_string(peer) + ":7000";
+        update.crashes_ = { { { "engine-1", 1 }, Milliseconds(0), { trait } },
+            { { "engine-2", 1 }, Milliseconds(200), { trait } } };
+        receiveUpdate(update);
+        tickAfter(Milliseconds(300));
+    }
+    CHECK_FALSE(isCondemned(state_.crashEvidence_, trait));
 }
 
 TEST_CASE_FIXTURE(PeerFixture, "Update_WhenSerializedAndParsed_IsTheSame")
@@ -298,14 +317,21 @@
     update.inFlight_ = { { "engine-1", 2 } };
     update.chargedUnits_ = { { "workspace-1", 700 } };
     update.uptime_ = Milliseconds(300);
-    update.suspects_ = { { UINT64_MAX, 2 } };
+    update.crashes_ = { { { "engine-1", 5 }, Milliseconds(40), { UINT64_MAX, 7 } } };
+    update.answered_ = { { 7, Milliseconds(9000) } };
+    update.verdicts_ = { { UINT64_MAX, { 2, true, 1 } } };
     update.peers_ = { "10.0.0.3:7000" };
     PeerUpdate read;
     REQUIRE_FALSE(parsePeerUpdate(serializePeerUpdate(update), read));
     CHECK(read.inFlight_ == update.inFlight_);
     CHECK(read.chargedUnits_ == update.chargedUnits_);
     CHECK(read.uptime_ == update.uptime_);
-    CHECK(read.suspects_ == update.suspects_);
+    REQUIRE(read.crashes_.size() == 1);
+    CHECK(read.crashes_[0].upstream_ == update.crashes_[0].upstream_);
+    CHECK(read.crashes_[0].age_ == update.crashes_[0].age_);
+    CHECK(read.crashes_[0].traits_ == update.crashes_[0].traits_);
+    CHECK(read.answered_ == update.answered_);
+    CHECK(read.verdicts_ == update.verdicts_);
     CHECK(read.peers_ == update.peers_);
     CHECK(read.sequence_ == update.sequence_);
 }
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -80,6 +80,29 @@
     CHECK(call_.tokens_ == 1540);
 }
 
+TEST_CASE_FIXTURE(CallWireFixture, "Call_WhenItsPromptHasParts_HasAllButTheLast")
+{
+    request_.headers_.emplace_back("Prefix-Hash", "5c1e07a2:800,91BD3F06:410,e4402b7d:250");
+    REQUIRE_FALSE(parseCall(request_, call_));
+    REQUIRE(call_.promptParts_.size() == 2);
+    CHECK(call_.promptParts_[0] != call_.promptParts_[1]);
+    Gateway::CallRequest other;
+    HttpRequest request{ "POST", "/a", { { "Host", "h" }, { "Prefix-Hash", "91bd3f06:1, 77:5" } }, {} };
+    REQUIRE_FALSE(parseCall(request, other));
+    CHECK(other.promptParts_ == std::vector<uint64_t>{ call_.promptParts_[1] });
+}
+
+TEST_CASE_FIXTURE(CallWireFixture, "Call_WhenItsPromptHasManyParts_HasTheFirstOfThem")
+{
+    std::string parts;
+    for (int part = 0; part < 1000; ++part) {
+        parts += std::to_string(part) + ":1,";
+    }
+    request_.headers_.emplace_back("Prefix-Hash", parts + "last:1");
+    REQUIRE_FALSE(parseCall(request_, call_));
+    CHECK(call_.promptParts_.size() == 16);
+}
+
 TEST_CASE_FIXTURE(CallWireFixture, "UpstreamRequest_WhenMade_HasNoKeyAndNoForgedHeaders")
 {
     const HttpHeaders headers = sendHeaders();
--- a/tests/upstream_link_reuse_test.cpp
+++ b/tests/upstream_link_reuse_test.cpp
@@ -4,6 +4,7 @@
  * once.
  */
 #include "address_func.h"
+#include "error_type.h"
 #include "fleet_parts_func.h"
 #include "upstream_link.h"
 
@@ -208,3 +209,35 @@
     CHECK(socket.available(error) == 0);
     CHECK_FALSE(ends_.contains(2));
 }
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Check_WhenNothingListens_ReportsARefusedConnection")
+{
+    acceptor_.close();
+    std::optional<std::error_code> end;
+    checkAddress(link_, address_, [&end](std::error_code error) { end = error; });
+    runUntil([&end] { return end.has_value(); });
+    CHECK(end == make_error_code(TransportErrc::ConnectionRefused));
+    CHECK(link_.idle_[address_].empty());
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Check_WhenAConnectionIsMade_LeavesItToTheNextCall")
+{
+    std::optional<std::error_code> end;
+    checkAddress(link_, address_, [&end](std::error_code error) { end = error; });
+    runUntil([&end] { return end.has_value(); });
+    CHECK_FALSE(*end);
+    start(1);
+    Asio::ip::tcp::socket socket = acceptRequest();
+    answer(socket, "first");
+    runUntil([this] { return ends_.contains(1); });
+    CHECK_FALSE(ends_[1]);
+    CHECK(link_.connectionsOpened_ == 1);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Call_WhenNothingListens_EndsAsRefusedConnection")
+{
+    acceptor_.close();
+    start(1);
+    runUntil([this] { return ends_.contains(1); });
+    CHECK(ends_[1] == make_error_code(TransportErrc::ConnectionRefused));
+}
