Don't take a stream that ends with its connection before any event for a complete one

Fault: a caller could get an empty stream, framed as whole, from an upstream that closed its connection after the header of an answer with neither length nor chunks. Cause: the end of the connection is the end of such an answer, and an upstream that crashes as it begins to answer may close in the same way. Change: such a stream counts as broken off if neither this nor an earlier send brought an event. Tests: Stream_WhenItsConnectionEndsBeforeAnyEvent_IsNotComplete failed before. A header that is cut off was never taken for an answer: Link_WhenTheUpstreamClosesWithinTheHeader_HasNoAnswer and the same of the client used by entries, the store and peers pass on the code before, at every length of three headers; so do the two of answers without length that end or are reset.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -212,7 +212,9 @@
 {
     const bool streamed = isStreamed(call);
     const int status = call.head_.reply_.status_;
-    const bool truncated = streamed && !call.body_.empty();
+    // An upstream that crashes as it begins a stream may close the connection in the same way as one that ends it.
+    const bool neverBegun = streamed && call.head_.endsWithConnection_ && !call.lastEvent_;
+    const bool truncated = neverBegun || (streamed && !call.body_.empty());
     const bool retryable = status >= firstServerErrorStatus && call.retryable_;
     if (!call.head_.authentic_ || truncated || retryable || (call.streamStarted_ && !streamed)) {
         handleFailure(state, now, id, call, true, outbox);
--- a/src/gateway_call_type.h
+++ b/src/gateway_call_type.h
@@ -53,6 +53,7 @@
     bool upstreamLeaving_ = false; ///< Whether the upstream is going to stop and wants no further requests.
     Milliseconds upstreamPause_{ 0 }; ///< Time for which the upstream wants no requests from this gateway.
     bool eventStream_ = false; ///< Whether the body is a stream of events.
+    bool endsWithConnection_ = false; ///< Whether nothing but the end of its connection shows the end of the body.
 };
 
 /// Why the gateway itself answered a request.
--- a/tests/gateway_answer_test.cpp
+++ b/tests/gateway_answer_test.cpp
@@ -178,6 +178,29 @@
     CHECK(outbox.abortedExchanges_.size() == 1);
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "Stream_WhenItsConnectionEndsBeforeAnyEvent_IsNotComplete")
+{
+    state_.configuration_.routes_[0].attempts_ = 1;
+    AnswerHead head = makeHead(200, true);
+    head.endsWithConnection_ = true;
+    const uint64_t send = receiveCall("stream", 1).sends_.at(0).send_;
+    const GatewayOutbox outbox = receiveAnswer(send, head, "");
+    CHECK(outbox.streamStarts_.empty());
+    CHECK(outbox.streamEnds_.empty());
+    REQUIRE(outbox.refusals_.size() == 1);
+    CHECK_FALSE(outbox.refusals_[0].notRun_);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "Stream_WhenItsConnectionEndsAfterItsLastEvent_IsComplete")
+{
+    AnswerHead head = makeHead(200, true);
+    head.endsWithConnection_ = true;
+    const uint64_t send = receiveCall("stream", 1).sends_.at(0).send_;
+    const GatewayOutbox outbox = receiveAnswer(send, head, "id: 1\ndata: a\n\n");
+    CHECK(outbox.events_.size() == 1);
+    CHECK(outbox.streamEnds_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "Stream_WhenAnEventIsMissing_IsAborted")
 {
     state_.configuration_.routes_[0].resumable_ = false;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -205,3 +205,17 @@
     send(chunkedHead + "2\r\nok\r\n0\r\n");
     checkFloodEnds("Name: value\r\n", maxHeaderBytes);
 }
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenTheServerClosesWithinTheHeader_HasNoAnswer")
+{
+    for (const std::string &head : { okHead + "Content-Length: 2\r\n\r\n", okHead + "\r\n", chunkedHead }) {
+        for (size_t length = 1; length < head.size(); ++length) {
+            CAPTURE(head.substr(0, length));
+            startAndAccept();
+            send(head.substr(0, length));
+            peer_.close();
+            runUntil([this] { return end_.has_value(); });
+            CHECK(end_ == make_error_code(TransportErrc::Lost));
+        }
+    }
+}
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -134,6 +134,15 @@
     CHECK_FALSE(hasMismatchedRequestId(reply_, "r1"));
 }
 
+TEST_CASE_FIXTURE(AnswerWireFixture, "Answer_WhenItHasNeitherLengthNorChunks_EndsWithItsConnection")
+{
+    CHECK(parseAnswerHead(reply_, "r1").endsWithConnection_);
+    reply_.headers_.emplace_back("Content-Length", "0");
+    CHECK_FALSE(parseAnswerHead(reply_, "r1").endsWithConnection_);
+    reply_.headers_.back() = { "Transfer-Encoding", "chunked" };
+    CHECK_FALSE(parseAnswerHead(reply_, "r1").endsWithConnection_);
+}
+
 TEST_CASE_FIXTURE(AnswerWireFixture, "Answer_WhenItHasAnotherRequestId_IsMismatched")
 {
     CHECK(hasMismatchedRequestId(reply_, "r2"));
--- a/tests/upstream_link_test.cpp
+++ b/tests/upstream_link_test.cpp
@@ -222,3 +222,42 @@
     runUntil([this] { return received_ == 2; });
     CHECK(heads_ == 1);
 }
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenTheUpstreamClosesWithinTheHeader_HasNoAnswer")
+{
+    for (const std::string &head : { okHead + "Content-Length: 2\r\n\r\n", okHead + "\r\n", chunkedHead }) {
+        for (size_t length = 0; length < head.size(); ++length) {
+            CAPTURE(head.substr(0, length));
+            start(2);
+            acceptConnection();
+            receiveRequest();
+            send(head.substr(0, length));
+            end_.reset();
+            peer_.close();
+            runUntil([this] { return end_.has_value(); });
+            CHECK(end_ == make_error_code(TransportErrc::Lost));
+            CHECK(heads_ == 0);
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAnAnswerWithoutLengthEndsWithItsConnection_IsComplete")
+{
+    send(okHead + "\r\nanswer");
+    runUntil([this] { return received_ == 6; });
+    CHECK_FALSE(end_.has_value());
+    peer_.close();
+    runUntil([this] { return end_.has_value(); });
+    CHECK(end_ == std::error_code());
+    CHECK(link_.idle_[address_].empty());
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAnAnswerWithoutLengthIsReset_IsLost")
+{
+    send(okHead + "\r\nanswer");
+    runUntil([this] { return received_ == 6; });
+    peer_.set_option(boost::asio::socket_base::linger(true, 0)); // closes with a reset
+    peer_.close();
+    runUntil([this] { return end_.has_value(); });
+    CHECK(end_ == make_error_code(TransportErrc::Lost));
+}
