Blame the narrowest of the traits that explain the same crashes

Cause: all traits that explain the same crashes were condemned. Where sound requests with the same first part are rare, none had been answered when the third crash was reviewed; once its requests are refused, nothing can clear a part before the next trial. Change: traits have a depth, their position in the prompt, the whole request being deepest. Of those that explain the same crashes the deepest is condemned. If it was another one, crashes follow that only that one explains; the other way round nothing would follow. Verdicts in force no longer hide crashes from a review. Tests: RareFirstPart_WhenDeadlyRequestsHaveIt_IsNotBlamed and two of the evidence; DeadlyRequest_WhenItIsSentAgainAndAgain_… now wants its own part not to be blamed either.

--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
+#include <utility>
 
 namespace Burdockfield {
 
@@ -41,10 +43,10 @@
 
 void dropCrash(CrashEvidence &evidence, const UpstreamStart &upstream)
 {
-    for (auto &[trait, crashes] : evidence.suspects_) {
-        crashes.erase(upstream);
+    for (auto &[trait, suspect] : evidence.suspects_) {
+        suspect.crashes_.erase(upstream);
     }
-    std::erase_if(evidence.suspects_, [](const auto &item) { return item.second.empty(); });
+    std::erase_if(evidence.suspects_, [](const auto &item) { return item.second.crashes_.empty(); });
     evidence.crashes_.erase(upstream);
 }
 
@@ -84,25 +86,37 @@
     verdict.nextTrialAt_ = trialTime(verdict, now);
 }
 
-/// @return the settled crashes that no condemned trait was at. Schedules a review of those that have to settle.
-std::set<UpstreamStart> findUnexplainedCrashes(CrashEvidence &evidence, TimePoint now)
+/// @return the crashes whose reports have all arrived. Schedules a review of the others.
+std::set<UpstreamStart> findSettledCrashes(CrashEvidence &evidence, TimePoint now)
 {
-    std::set<UpstreamStart> unexplained;
+    std::set<UpstreamStart> settled;
     evidence.reviewAt_ = noDeadline;
     for (const auto &[upstream, at] : evidence.crashes_) {
         if (now - at >= settleTime) {
-            unexplained.insert(upstream);
+            settled.insert(upstream);
         } else {
             evidence.reviewAt_ = std::min(evidence.reviewAt_, at + settleTime);
         }
     }
-    for (const auto &[trait, verdict] : evidence.verdicts_) {
-        const auto found = evidence.suspects_.find(trait);
-        if (isInForce(verdict) && found != evidence.suspects_.end()) {
-            std::erase_if(unexplained, [&](const auto &upstream) { return found->second.contains(upstream); });
+    return settled;
+}
+
+/// @return the trait that explains the most of the crashes, the deepest of several; none if too few are explained.
+std::optional<Trait> findBestExplanation(const CrashEvidence &evidence, const std::set<UpstreamStart> &unexplained)
+{
+    std::optional<Trait> best;
+    std::pair<size_t, TraitDepth> bestRank{ crashLimit, 0 };
+    for (const auto &[trait, suspect] : evidence.suspects_) {
+        if (suspect.crashes_.size() < bestRank.first) {
+            continue;
+        }
+        const std::pair rank(countMoments(evidence, suspect.crashes_, &unexplained), suspect.depth_);
+        if (rank > bestRank || (rank == bestRank && (!best || trait < *best))) { // the same one in every gateway
+            best = trait;
+            bestRank = rank;
         }
     }
-    return unexplained;
+    return best;
 }
 
 } // namespace
@@ -113,10 +127,10 @@
     answeredAt = std::max(answeredAt, at);
     bool changed = false;
     if (const auto found = evidence.suspects_.find(trait); found != evidence.suspects_.end()) {
-        const size_t cleared = std::erase_if(found->second,
+        const size_t cleared = std::erase_if(found->second.crashes_,
             [&](const UpstreamStart &upstream) { return evidence.crashes_.at(upstream) < at + answerValidity; });
         changed = cleared > 0;
-        if (found->second.empty()) {
+        if (found->second.crashes_.empty()) {
             evidence.suspects_.erase(found);
         }
     }
@@ -138,12 +152,14 @@
     at = std::min(at, report.at_);
     evidence.reviewAt_ = std::min(evidence.reviewAt_, at + settleTime);
     std::vector<Trait> answered;
-    for (const Trait trait : report.traits_) {
+    for (const auto &[trait, depth] : report.traits_) {
         const auto found = evidence.answeredAt_.find(trait);
         if (found != evidence.answeredAt_.end() && at < found->second + answerValidity) {
             answered.push_back(trait);
         } else {
-            evidence.suspects_[trait].insert(report.upstream_);
+            CrashSuspect &suspect = evidence.suspects_.try_emplace(trait, CrashSuspect{ depth, {} }).first->second;
+            suspect.depth_ = std::min(suspect.depth_, depth);
+            suspect.crashes_.insert(report.upstream_);
         }
     }
     return answered;
@@ -152,28 +168,13 @@
 std::vector<Trait> reviewSuspects(CrashEvidence &evidence, TimePoint now)
 {
     std::vector<Trait> condemned;
-    std::set<UpstreamStart> unexplained = findUnexplainedCrashes(evidence, now);
-    while (unexplained.size() >= crashLimit) {
-        size_t most = crashLimit;
-        std::vector<Trait> candidates;
-        for (const auto &[trait, crashes] : evidence.suspects_) {
-            const size_t moments = crashes.size() >= most ? countMoments(evidence, crashes, &unexplained) : 0;
-            if (moments > most) {
-                candidates.clear();
-            }
-            if (moments >= most) {
-                most = moments;
-                candidates.push_back(trait);
-            }
-        }
-        if (candidates.empty()) {
-            break;
-        }
-        for (const Trait trait : candidates) {
-            condemn(evidence, trait, now);
-            condemned.push_back(trait);
-            std::erase_if(
-                unexplained, [&](const auto &upstream) { return evidence.suspects_.at(trait).contains(upstream); });
+    std::set<UpstreamStart> unexplained = findSettledCrashes(evidence, now);
+    while (const auto trait = findBestExplanation(evidence, unexplained)) {
+        const std::set<UpstreamStart> &explained = evidence.suspects_.at(*trait).crashes_;
+        std::erase_if(unexplained, [&explained](const auto &upstream) { return explained.contains(upstream); });
+        if (!isCondemned(evidence, *trait)) {
+            condemn(evidence, *trait, now);
+            condemned.push_back(*trait);
         }
     }
     return condemned;
@@ -208,7 +209,7 @@
 bool isStrongSuspect(const CrashEvidence &evidence, Trait trait)
 {
     const auto found = evidence.suspects_.find(trait);
-    return found != evidence.suspects_.end() && countMoments(evidence, found->second) >= strongSuspectLimit;
+    return found != evidence.suspects_.end() && countMoments(evidence, found->second.crashes_) >= strongSuspectLimit;
 }
 
 bool isTrialDue(const CrashVerdict &verdict, TimePoint now)
--- a/src/crash_evidence_func.h
+++ b/src/crash_evidence_func.h
@@ -21,7 +21,8 @@
 std::vector<Trait> recordCrash(CrashEvidence &evidence, const CrashReport &report);
 
 /**
- * Condemns the traits that explain the most crashes, if these are enough.
+ * Condemns the traits that explain the most crashes, if these are enough. Of those that explain the same ones, the
+ * deepest is condemned: if that is wrong, crashes will follow that only another one explains.
  * @return the traits condemned now
  */
 std::vector<Trait> reviewSuspects(CrashEvidence &evidence, TimePoint now);
--- a/src/crash_evidence_type.h
+++ b/src/crash_evidence_type.h
@@ -22,6 +22,12 @@
 
 using Trait = uint64_t; ///< Hash of something that requests may have in common.
 
+/// How few requests have a trait: the position of a part in the prompt, which only requests with the parts before
+/// share.
+using TraitDepth = uint32_t;
+constexpr TraitDepth wholeRequestDepth = 255; ///< Depth of the hash of a whole request.
+using TraitDepths = std::map<Trait, TraitDepth>; ///< Traits with their depths.
+
 /// Start of an upstream, which crashes at most once. Gateways that see the same crash name it by this.
 struct UpstreamStart
 {
@@ -36,7 +42,14 @@
 {
     UpstreamStart upstream_; ///< What crashed.
     TimePoint at_{}; ///< When the first connection to it broke.
-    std::vector<Trait> traits_; ///< Traits of the calls that were there and had no answer under way.
+    TraitDepths traits_; ///< Traits of the calls that were there and had no answer under way.
+};
+
+/// Trait that was at crashes and has not been answered.
+struct CrashSuspect
+{
+    TraitDepth depth_ = 0; ///< How few requests have it.
+    std::set<UpstreamStart> crashes_; ///< Crashes at which it was.
 };
 
 /// Decision that a trait causes crashes. Gateways exchange verdicts; the higher number, then a withdrawal, prevails.
@@ -53,8 +66,7 @@
 struct CrashEvidence
 {
     std::map<UpstreamStart, TimePoint> crashes_; ///< Recent crashes of all gateways, with their times.
-    /// Crashes at which a trait was, as long as it has not been answered.
-    std::unordered_map<Trait, std::set<UpstreamStart>> suspects_;
+    std::unordered_map<Trait, CrashSuspect> suspects_; ///< Traits that were at them, as long as they are not answered.
     std::unordered_map<Trait, TimePoint> answeredAt_; ///< When a trait was last answered, if that was recently.
     std::map<Trait, CrashVerdict> verdicts_; ///< Verdicts, withdrawn ones included.
     TimePoint reviewAt_{ noDeadline }; ///< When the suspects have to be reviewed next.
--- a/src/gateway_crashes.cpp
+++ b/src/gateway_crashes.cpp
@@ -51,7 +51,7 @@
 {
     const auto verdict = state.crashEvidence_.verdicts_.find(trait);
     const auto crashes = state.crashEvidence_.suspects_.find(trait);
-    const size_t known = crashes == state.crashEvidence_.suspects_.end() ? 0 : crashes->second.size();
+    const size_t known = crashes == state.crashEvidence_.suspects_.end() ? 0 : crashes->second.crashes_.size();
     outbox.decisions_.push_back({ "crash-verdict",
         { { "trait", toHex(trait) }, { "change", change }, { "crashes", std::to_string(known) },
             { "number", std::to_string(verdict->second.number_) },
@@ -59,20 +59,29 @@
         true });
 }
 
-/// @return the report of a crash, with the traits of calls first whose answer had begun.
+/// Adds the traits of a call to a report: its whole request, then the parts of its prompt in order.
+void addTraits(CrashReport &report, const std::vector<Trait> &traits)
+{
+    TraitDepth depth = wholeRequestDepth;
+    for (const Trait trait : traits) {
+        if (report.traits_.size() < maxReportedTraits) {
+            report.traits_.try_emplace(trait, depth);
+        }
+        depth = depth == wholeRequestDepth ? 0 : depth + 1;
+    }
+}
+
+/// @return the report of a crash, which is limited, so that calls whose answer had begun come first.
 CrashReport makeCrashReport(const Upstream &upstream)
 {
     CrashReport report{ { upstream.id_, upstream.startedAtMs_ }, upstream.brokenCalls_.front().at_, {} };
     for (const bool begun : { true, false }) {
         for (const BrokenCall &call : upstream.brokenCalls_) {
             if (call.headReceived_ == begun) {
-                report.traits_.insert(report.traits_.end(), call.traits_.begin(), call.traits_.end());
+                addTraits(report, call.traits_);
             }
         }
     }
-    std::set<Trait> seen;
-    std::erase_if(report.traits_, [&seen](Trait trait) { return !seen.insert(trait).second; });
-    report.traits_.resize(std::min(report.traits_.size(), maxReportedTraits));
     return report;
 }
 
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -92,7 +92,7 @@
 {
     UpstreamStart upstream_; ///< What crashed.
     Milliseconds age_{ 0 }; ///< Time since the crash.
-    std::vector<Trait> traits_; ///< See CrashReport::traits_.
+    TraitDepths traits_; ///< See CrashReport::traits_.
 };
 
 /// Verdict as a peer knows it, see CrashVerdict.
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -92,9 +92,9 @@
 
 Json::object serializeCrash(const PeerCrash &crash)
 {
-    Json::array traits;
-    for (const Trait trait : crash.traits_) {
-        traits.emplace_back(toHex(trait));
+    Json::object traits;
+    for (const auto &[trait, depth] : crash.traits_) {
+        traits[toHex(trait)] = depth;
     }
     return { { "id", crash.upstream_.id_ }, { "born_ms", crash.upstream_.startedAtMs_ },
         { "age_ms", crash.age_.count() }, { "traits", std::move(traits) } };
@@ -103,18 +103,12 @@
 std::error_code parseCrash(const Json::value &value, PeerCrash &crash)
 {
     JsonReader reader = readObject(value);
-    std::vector<std::string> names;
     read(reader, "id", crash.upstream_.id_);
     read(reader, "born_ms", crash.upstream_.startedAtMs_);
     read(reader, "age_ms", crash.age_);
-    read(reader, "traits", names);
-    for (const std::string &name : names) {
-        if (const auto trait = parseTrait(name); trait) {
-            crash.traits_.push_back(*trait);
-        } else {
-            fail(reader, WireErrc::WrongType);
-        }
-    }
+    parseByTrait(reader, "traits", [&crash](JsonReader &nested, Trait trait, const std::string &name) {
+        read(nested, name, crash.traits_[trait]);
+    });
     return reader.error_;
 }
 
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -16,7 +16,7 @@
 struct CrashEvidenceFixture
 {
     /// Records a crash now, and reviews it when its reports have arrived. @return the traits condemned by the review
-    std::vector<Trait> crash(const std::vector<Trait> &traits, Milliseconds pause = Milliseconds(500))
+    std::vector<Trait> crash(const TraitDepths &traits, Milliseconds pause = Milliseconds(500))
     {
         recordCrash(evidence_, { { "engine-" + std::to_string(++crashes_), 1 }, now_, traits });
         now_ += pause;
@@ -37,60 +37,60 @@
 
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenAtThreeCrashes_IsCondemned")
 {
-    CHECK(crash({ 1 }).empty());
-    CHECK(crash({ 1 }).empty());
-    CHECK(crash({ 1 }) == std::vector<Trait>{ 1 });
+    CHECK(crash({ { 1, 0 } }).empty());
+    CHECK(crash({ { 1, 0 } }).empty());
+    CHECK(crash({ { 1, 0 } }) == std::vector<Trait>{ 1 });
 }
 
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenItsCrashesAreSimultaneous_IsNotCondemned")
 {
-    crash({ 1 }, Milliseconds(20));
-    crash({ 1 }, Milliseconds(20));
-    CHECK(crash({ 1 }).empty());
+    crash({ { 1, 0 } }, Milliseconds(20));
+    crash({ { 1, 0 } }, Milliseconds(20));
+    CHECK(crash({ { 1, 0 } }).empty());
 }
 
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenItWasAnsweredBetweenCrashes_IsNotCondemned")
 {
     for (int round = 0; round < 10; ++round) {
         answer(1);
-        CHECK(crash({ 1 }).empty());
+        CHECK(crash({ { 1, 0 } }).empty());
     }
 }
 
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenItWasAnsweredAfterTheCrash_IsCleared")
 {
-    crash({ 1 });
-    crash({ 1 });
+    crash({ { 1, 0 } });
+    crash({ { 1, 0 } });
     answer(1);
     now_ += std::chrono::seconds(20);
-    CHECK(crash({ 1 }).empty());
-    CHECK(crash({ 1 }).empty());
-    CHECK(crash({ 1 }) == std::vector<Trait>{ 1 });
+    CHECK(crash({ { 1, 0 } }).empty());
+    CHECK(crash({ { 1, 0 } }).empty());
+    CHECK(crash({ { 1, 0 } }) == std::vector<Trait>{ 1 });
 }
 
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenAnotherOneExplainsItsCrashes_IsNotCondemned")
 {
-    crash({ 1, 2 });
-    crash({ 1 });
-    crash({ 1, 2 }, Milliseconds(200));
-    CHECK(crash({ 1, 2 }) == std::vector<Trait>{ 1 });
-    CHECK(crash({ 1, 2 }).empty());
+    crash({ { 1, 0 }, { 2, 0 } });
+    crash({ { 1, 0 } });
+    crash({ { 1, 0 }, { 2, 0 } }, Milliseconds(200));
+    CHECK(crash({ { 1, 0 }, { 2, 0 } }) == std::vector<Trait>{ 1 });
+    CHECK(crash({ { 1, 0 }, { 2, 0 } }).empty());
 }
 
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenTwoCauseCrashes_AreBothCondemned")
 {
-    crash({ 1 });
-    crash({ 2 });
-    crash({ 1 });
-    crash({ 2 });
-    CHECK(crash({ 1 }) == std::vector<Trait>{ 1 });
-    CHECK(crash({ 2 }) == std::vector<Trait>{ 2 });
+    crash({ { 1, 0 } });
+    crash({ { 2, 0 } });
+    crash({ { 1, 0 } });
+    crash({ { 2, 0 } });
+    CHECK(crash({ { 1, 0 } }) == std::vector<Trait>{ 1 });
+    CHECK(crash({ { 2, 0 } }) == std::vector<Trait>{ 2 });
 }
 
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Crash_WhenReportedSeveralTimes_CountsOnce")
 {
     for (int report = 0; report < 5; ++report) {
-        recordCrash(evidence_, { { "engine-1", 1 }, now_, { 1 } });
+        recordCrash(evidence_, { { "engine-1", 1 }, now_, { { 1, 0 } } });
         now_ += Milliseconds(500);
         CHECK(reviewSuspects(evidence_, now_).empty());
     }
@@ -98,16 +98,16 @@
 
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Crash_WhenReportsStillArrive_IsNotReviewed")
 {
-    crash({ 1 });
-    crash({ 1 });
-    CHECK(crash({ 1 }, Milliseconds(100)).empty());
+    crash({ { 1, 0 } });
+    crash({ { 1, 0 } });
+    CHECK(crash({ { 1, 0 } }, Milliseconds(100)).empty());
     CHECK(evidence_.reviewAt_ == now_ + Milliseconds(200));
 }
 
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Crashes_WhenThereAreMany_AreDroppedOldestFirst")
 {
     for (int round = 0; round < 1000; ++round) {
-        crash({ static_cast<Trait>(1000 + round) }, Milliseconds(10));
+        crash({ { static_cast<Trait>(1000 + round), 0 } }, Milliseconds(10));
     }
     CHECK(evidence_.crashes_.size() == 128);
     CHECK(evidence_.suspects_.size() == 128);
@@ -116,19 +116,19 @@
 
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Crashes_WhenOutdated_AreForgotten")
 {
-    crash({ 1 });
-    crash({ 1 });
+    crash({ { 1, 0 } });
+    crash({ { 1, 0 } });
     now_ += std::chrono::minutes(11);
     expireCrashEvidence(evidence_, now_);
     CHECK(evidence_.suspects_.empty());
-    CHECK(crash({ 1 }).empty());
+    CHECK(crash({ { 1, 0 } }).empty());
 }
 
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Verdict_WhenTheTraitIsAnswered_IsWithdrawnEvenIfReceivedAgain")
 {
-    crash({ 1 });
-    crash({ 1 });
-    crash({ 1 });
+    crash({ { 1, 0 } });
+    crash({ { 1, 0 } });
+    crash({ { 1, 0 } });
     const CrashVerdict stale = evidence_.verdicts_.at(1);
     CHECK(isCondemned(evidence_, 1));
     answer(1);
@@ -147,9 +147,9 @@
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Verdict_WhenTheTraitCrashesAgainAfterItsWithdrawal_IsRenewed")
 {
     mergeVerdict(evidence_, 1, { 1, true, 2, {}, now_ }, now_);
-    crash({ 1 });
-    crash({ 1 });
-    crash({ 1 });
+    crash({ { 1, 0 } });
+    crash({ { 1, 0 } });
+    crash({ { 1, 0 } });
     CHECK(isCondemned(evidence_, 1));
     CHECK(evidence_.verdicts_.at(1).number_ == 2);
     CHECK(evidence_.verdicts_.at(1).trials_ == 0);
@@ -180,3 +180,22 @@
     expireCrashEvidence(evidence_, now_);
     CHECK(evidence_.verdicts_.empty());
 }
+
+TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenADeeperOneIsAtTheSameCrashes_IsNotCondemned")
+{
+    const TraitDepths traits{ { 1, 0 }, { 2, 1 } };
+    crash(traits);
+    crash(traits);
+    CHECK(crash(traits) == std::vector<Trait>{ 2 });
+    CHECK(crash(traits).empty());
+    CHECK_FALSE(isCondemned(evidence_, 1));
+}
+
+TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenItIsAtMoreCrashesThanADeeperOne_IsCondemnedToo")
+{
+    const TraitDepths traits{ { 1, 0 }, { 2, 1 } };
+    crash(traits);
+    crash(traits);
+    CHECK(crash(traits) == std::vector<Trait>{ 2 });
+    CHECK(crash({ { 1, 0 }, { 3, 1 } }) == std::vector<Trait>{ 1 });
+}
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -168,6 +168,22 @@
     }
     CHECK(counts_.crashes_ <= 5 + allowedRuns);
     CHECK_FALSE(isCondemned(gateways_[0].crashEvidence_, firstPart));
+    CHECK_FALSE(isCondemned(gateways_[0].crashEvidence_, ownPart));
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "RareFirstPart_WhenDeadlyRequestsHaveIt_IsNotBlamed")
+{
+    constexpr Trait rareFirstPart = 5;
+    for (int second = 0; second < 30; ++second) {
+        arrive(second % gateways_.size(), { rareFirstPart, deadlyPart }, "deadly-" + std::to_string(second));
+        if (second % 5 == 4) {
+            arrive(second % gateways_.size(), { rareFirstPart }, "sound-" + std::to_string(second));
+        }
+        run(std::chrono::seconds(1), 50, 0);
+        CHECK_FALSE(isCondemned(gateways_[0].crashEvidence_, rareFirstPart));
+    }
+    CHECK(isCondemned(gateways_[0].crashEvidence_, deadlyPart));
+    CHECK(counts_.crashes_ <= 5 + allowedRuns);
 }
 
 TEST_CASE_FIXTURE(CrashFleetFixture, "SharedPart_WhenEnginesCrashInWaves_IsNotBlamed")
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -290,7 +290,7 @@
         CHECK_FALSE(isCondemned(state_.crashEvidence_, trait));
         PeerUpdate update = makeUpdate();
         update.address_ = "10.0.0." + std::to_string(1 + crash) + ":7000";
-        update.crashes_ = { { { "engine-1", crash }, Milliseconds(0), { trait } } };
+        update.crashes_ = { { { "engine-1", crash }, Milliseconds(0), { { trait, 0 } } } };
         receiveUpdate(update);
         tickAfter(Milliseconds(300));
     }
@@ -303,8 +303,8 @@
     for (const uint64_t peer : { 2, 3, 4, 5 }) {
         PeerUpdate update = makeUpdate();
         update.address_ = "10.0.0." + std::to_string(peer) + ":7000";
-        update.crashes_ = { { { "engine-1", 1 }, Milliseconds(0), { trait } },
-            { { "engine-2", 1 }, Milliseconds(200), { trait } } };
+        update.crashes_ = { { { "engine-1", 1 }, Milliseconds(0), { { trait, 0 } } },
+            { { "engine-2", 1 }, Milliseconds(200), { { trait, 0 } } } };
         receiveUpdate(update);
         tickAfter(Milliseconds(300));
     }
@@ -317,7 +317,7 @@
     update.inFlight_ = { { "engine-1", 2 } };
     update.chargedUnits_ = { { "workspace-1", 700 } };
     update.uptime_ = Milliseconds(300);
-    update.crashes_ = { { { "engine-1", 5 }, Milliseconds(40), { UINT64_MAX, 7 } } };
+    update.crashes_ = { { { "engine-1", 5 }, Milliseconds(40), { { UINT64_MAX, 255 }, { 7, 1 } } } };
     update.answered_ = { { 7, Milliseconds(9000) } };
     update.verdicts_ = { { UINT64_MAX, { 2, true, 1 } } };
     update.peers_ = { "10.0.0.3:7000" };
