Answer every call of a stopping gateway before it exits

Fault (report of the users): in a planned stop, requests that came late were passed on and cut off with no answer when the process exited, among them those that may not be repeated. Cause: a call kept its own deadline, whatever was left of the grace period; at the end the process exited with calls in progress. Requests whose first bytes had come before the end of listening were taken until the last moment. Change: while a gateway stops, no call has a deadline later than 0.7 s before the end of its grace period, so that each gets a final answer and its upstream is told the time that is left. A call that would probably last longer, by the longest recent answer of its route, is refused at once as not run, with a short Retry-After, while its caller can still turn to another gateway. Tests: Gateway_WhenARequestOutlastsItsStop_AnswersItBeforeItExits (real processes) gets no answer on the code before; four Stop_When cases of decisions are new.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -43,6 +43,7 @@
             { "took_ms", millisecondsText(now - call.arrivedAt_) } } });
     count(state.metrics_, "calls_ended", outcome);
     observe(state.metrics_, "call_seconds", call.routeName_, now - call.arrivedAt_);
+    recordDuration(state, now, call);
     eraseCall(state, id);
 }
 
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -262,6 +262,7 @@
     std::unordered_map<std::string, WorkspaceQuota> quotaByWorkspace_; ///< Quotas by workspace.
     TimePoint quotasReportedAt_{}; ///< When quotas were last reported to the log.
     std::unordered_map<std::string, RetryBudget> retryBudgets_; ///< Retry budgets by service.
+    std::unordered_map<std::string, Duration> longestDurationByRoute_; ///< Longest recent time to a whole answer.
     std::unordered_map<std::string, Milliseconds> longestWaitByRoute_; ///< Longest wait that callers asked for.
     CrashEvidence crashEvidence_; ///< Crashes of upstreams, and what requests are refused because of them.
     CrashNews crashNews_; ///< Part of the evidence that peers may not have yet.
--- a/src/gateway_call_type.h
+++ b/src/gateway_call_type.h
@@ -65,6 +65,7 @@
     ReadLate, ///< The request was read after its caller's wait had passed.
     OverQuota, ///< The workspace has used up its quota.
     Overloaded, ///< No upstream had free capacity in time, or request bodies take too much memory.
+    Stopping, ///< This gateway stops, probably before the request would be answered.
     NoUpstream, ///< Several sends of the request reached no upstream.
     UpstreamRefused, ///< Upstreams refused, and no further attempt is allowed.
     CrashSuspect, ///< The request has crashed upstreams.
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -63,6 +63,15 @@
 /// Starts a graceful stop when requested and carries it out.
 void runStop(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox);
 
+/// @return the time by which a gateway that stops has answered all calls; noDeadline if it does not stop.
+TimePoint lastAnswerTime(const GatewayState &state);
+
+/// Records how long a call of a route took to be answered.
+void recordDuration(GatewayState &state, TimePoint now, const Call &call);
+
+/// @return whether a new call will probably be answered before this gateway exits, if it stops.
+bool canEndBeforeExit(const GatewayState &state, TimePoint now, const Call &call);
+
 /// Admits or refuses new calls.
 void runIntake(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox);
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -1,6 +1,6 @@
 /**
  * @file gateway_intake.cpp
- * @brief Systems that admit new calls, end calls whose caller has disconnected, and stop the node.
+ * @brief Systems that admit new calls, and end calls whose caller has disconnected.
  */
 #include "gateway_func.h"
 
@@ -19,9 +19,6 @@
 constexpr Milliseconds callerRetryMargin{ 60 }; ///< Wait below the route's longest that marks a caller's retry.
 constexpr Milliseconds maxDeferral{ 200 }; ///< Longest wait for the first configuration; it takes about ten ms.
 constexpr size_t maxDeferredCalls = 200; ///< Calls that may wait for the first configuration at once.
-/// Time from a stop request to the end of listening. The balancer stops sending after two failed checks, 1 s apart.
-constexpr Milliseconds listenDrainTime{ 2600 };
-constexpr Milliseconds killMargin{ 400 }; ///< Time reserved before SIGKILL to write the last answers.
 
 /// Result of validating a request before a call is inserted for it.
 struct IntakeResult
@@ -123,7 +120,7 @@
     call.arrivedAt_ = now - arrival.age_;
     const Milliseconds wait = call.request_.wait_.value_or(route.timeout_);
     call.callerRetry_ = isCallerRetry(state, route, wait);
-    call.deadline_ = call.arrivedAt_ + std::min(wait, route.timeout_);
+    call.deadline_ = std::min(call.arrivedAt_ + std::min(wait, route.timeout_), lastAnswerTime(state));
     const FractionalSeconds queueWait = FractionalSeconds(route.latencyTarget_) * queueWaitShare;
     call.waitUntil_ = std::min(call.deadline_, now + std::chrono::duration_cast<Milliseconds>(queueWait));
     return call;
@@ -163,6 +160,10 @@
         refuse(state, now, id, RefusalReason::CrashSuspect, outbox);
         return;
     }
+    if (!canEndBeforeExit(state, now, row)) {
+        refuse(state, now, id, RefusalReason::Stopping, outbox);
+        return;
+    }
     if (charge > 0 && !chargeQuota(state, now, *intake.workspace_, charge)) {
         refuse(state, now, id, RefusalReason::OverQuota, outbox);
         return;
@@ -228,32 +229,6 @@
     }
 }
 
-void runStop(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
-{
-    if (inbox.stopRequested_ && !state.stopping_) {
-        state.stopping_ = true;
-        state.stopAt_ = now;
-        outbox.decisions_.push_back({ "stopping", { { "calls", std::to_string(state.calls_.size_) } } });
-    }
-    if (!state.stopping_) {
-        return;
-    }
-    if (state.listening_ && now - state.stopAt_ >= listenDrainTime) {
-        state.listening_ = false;
-        outbox.stopListening_ = true;
-    }
-    outbox.exit_ = !state.listening_ && state.calls_.size_ == 0;
-    outbox.exitImmediately_ = now - state.stopAt_ >= state.bounds_.grace_ - killMargin;
-}
-
-TimePoint nextStopDeadline(const GatewayState &state)
-{
-    if (!state.stopping_) {
-        return noDeadline;
-    }
-    return state.stopAt_ + (state.listening_ ? listenDrainTime : state.bounds_.grace_ - killMargin);
-}
-
 TimePoint nextDeferredDeadline(const GatewayState &state)
 {
     return state.deferred_.empty() ? noDeadline : state.deferred_.front().arrivedAt_ + maxDeferral;
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -184,6 +184,8 @@
     RefuseCall refusal{ call.exchange_, reason, !call.mayHaveRun_, {}, call.request_.id_ };
     if (refusal.notRun_ && suggestsRetry(reason)) {
         refusal.retryAfter_ = drawRetryAfter(state, now, call);
+    } else if (refusal.notRun_ && reason == RefusalReason::Stopping) {
+        refusal.retryAfter_ = minRetryAfter; // another gateway can take it at once
     } else if (refusal.notRun_ && reason == RefusalReason::CrashSuspect) {
         refusal.retryAfter_ = retryTimeOfCrashSuspect(state, now, call);
     }
--- a/src/table/explain_names.h
+++ b/src/table/explain_names.h
@@ -17,7 +17,7 @@
     std::string_view text_; ///< Text with fields to replace.
 };
 
-constexpr std::array<CausePattern, 16> causePatterns{ {
+constexpr std::array<CausePattern, 17> causePatterns{ {
     { "answered", "ok", "{upstream} answered completely after {took_ms} ms" },
     { "answered", "upstream-error", "{upstream} answered with status {status}, which was passed on" },
     { "answered", "stream-broken",
@@ -32,9 +32,11 @@
     { "refused", "read-late", "the node was too busy to read it for {age_ms} ms, longer than its caller waits" },
     { "refused", "over-quota", "workspace {workspace} had used up its quota; the request has not run" },
     { "refused", "overloaded", "no upstream had free capacity for {waited_ms} ms; the request has not run" },
+    { "refused", "stopping",
+        "the node was being stopped and would probably not have answered it in time; it has not run" },
     { "refused", "no-upstream", "no upstream was reachable; the request has not run" },
     { "refused", "not-run-there", "upstreams refused it and no attempt remained; the request has not run" },
-    { "refused", "crash-suspect", "the request has crashed upstreams that ran it; this time it has not run" },
+    { "refused", "crash-suspect", "the request, or a part of its prompt, has crashed the upstreams that answered it" },
     { "refused", "expired",
         "its deadline passed after {waited_ms} ms; upstream {upstream} had been silent for {silent_ms} ms, {events} "
         "events had been passed on" },
--- a/src/table/gateway_refusal_names.h
+++ b/src/table/gateway_refusal_names.h
@@ -12,7 +12,7 @@
 
 namespace Burdockfield {
 
-constexpr std::array<std::pair<std::string_view, Gateway::RefusalReason>, 12> refusalReasonNames{ {
+constexpr std::array<std::pair<std::string_view, Gateway::RefusalReason>, 13> refusalReasonNames{ {
     { "no-configuration", Gateway::RefusalReason::NoConfiguration },
     { "no-route", Gateway::RefusalReason::NoRoute },
     { "unknown-key", Gateway::RefusalReason::UnknownKey },
@@ -20,6 +20,7 @@
     { "read-late", Gateway::RefusalReason::ReadLate },
     { "over-quota", Gateway::RefusalReason::OverQuota },
     { "overloaded", Gateway::RefusalReason::Overloaded },
+    { "stopping", Gateway::RefusalReason::Stopping },
     { "no-upstream", Gateway::RefusalReason::NoUpstream },
     { "not-run-there", Gateway::RefusalReason::UpstreamRefused },
     { "crash-suspect", Gateway::RefusalReason::CrashSuspect },
--- a/tests/gateway_dispatch_test.cpp
+++ b/tests/gateway_dispatch_test.cpp
@@ -7,6 +7,33 @@
 using namespace Burdockfield;
 using namespace Burdockfield::Testing;
 
+namespace {
+
+/// Gateway that is asked to stop, with a route whose calls may last longer than its grace period.
+struct StopFixture : GatewayFixture
+{
+    StopFixture()
+    {
+        state_.configuration_.routes_[1].timeout_ = std::chrono::seconds(15);
+    }
+
+    void stop()
+    {
+        GatewayInbox inbox;
+        inbox.stopRequested_ = true;
+        tick(std::move(inbox));
+    }
+
+    CallArrived makeLongCall(uint64_t exchange)
+    {
+        CallArrived arrival = makeCall("once", exchange);
+        arrival.request_.wait_ = std::chrono::seconds(15);
+        return arrival;
+    }
+};
+
+} // namespace
+
 TEST_CASE_FIXTURE(GatewayFixture, "Call_WhenNoConfigurationIsKnown_IsRefusedAsNotRun")
 {
     state_.configuration_ = {};
@@ -211,6 +238,56 @@
     CHECK_FALSE(tick().exitImmediately_);
 }
 
+TEST_CASE_FIXTURE(StopFixture, "Stop_WhenACallLastsLongerThanTheGracePeriod_AnswersItBeforeTheExit")
+{
+    receiveCall(makeLongCall(1));
+    stop();
+    GatewayOutbox outbox;
+    while (outbox.refusals_.empty() && !outbox.exitImmediately_) {
+        outbox = tickAfter(Milliseconds(10));
+    }
+    REQUIRE(outbox.refusals_.size() == 1);
+    CHECK(outbox.refusals_[0].reason_ == RefusalReason::Expired);
+    CHECK_FALSE(outbox.refusals_[0].notRun_);
+    CHECK_FALSE(outbox.exitImmediately_);
+}
+
+TEST_CASE_FIXTURE(StopFixture, "Stop_WhenACallArrivesMeanwhile_SendsItWithTheTimeThatIsLeft")
+{
+    stop();
+    now_ += Milliseconds(2000);
+    const GatewayOutbox outbox = receiveCall(makeLongCall(1));
+    REQUIRE(outbox.sends_.size() == 1);
+    CHECK(outbox.sends_[0].parameters_.wait_ < state_.bounds_.grace_ - Milliseconds(2000));
+}
+
+TEST_CASE_FIXTURE(StopFixture, "Stop_WhenACallArrivesThatLikelyLastsLonger_RefusesItAsNotRun")
+{
+    const uint64_t send = receiveCall(makeLongCall(1)).sends_.at(0).send_;
+    now_ += Milliseconds(6000);
+    receiveAnswer(send, makeHead(200), "done");
+    stop();
+    now_ += Milliseconds(1000);
+    CHECK(receiveCall(makeLongCall(2)).sends_.size() == 1);
+    now_ += Milliseconds(1000);
+    const GatewayOutbox outbox = receiveCall(makeLongCall(3));
+    CHECK(outbox.sends_.empty());
+    REQUIRE(outbox.refusals_.size() == 1);
+    CHECK(outbox.refusals_[0].reason_ == RefusalReason::Stopping);
+    CHECK(outbox.refusals_[0].notRun_);
+    CHECK(outbox.refusals_[0].retryAfter_ > Milliseconds(0));
+    CHECK(outbox.refusals_[0].retryAfter_ <= Milliseconds(100));
+}
+
+TEST_CASE_FIXTURE(StopFixture, "Stop_WhenACallArrivesAtItsEnd_RefusesItAsNotRun")
+{
+    stop();
+    now_ += state_.bounds_.grace_ - Milliseconds(600);
+    const GatewayOutbox outbox = receiveCall("once", 1);
+    CHECK(outbox.sends_.empty());
+    CHECK(outbox.refusals_.at(0).reason_ == RefusalReason::Stopping);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "Stop_WhenTheGracePeriodIsNearlyOver_ExitsImmediately")
 {
     receiveCall("once", 1);
--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -140,6 +140,21 @@
     CHECK(runsOf("slow") == 1);
 }
 
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenARequestOutlastsItsStop_AnswersItBeforeItExits")
+{
+    for (const char *desk : { "desk-1", "desk-2" }) {
+        controlStandin(fleet_, desk, R"({"step_ms":10000})");
+    }
+    SlowCaller caller(fleet_.processes_.at("gateway-1").address_, "/once/x", 2);
+    signalProcess(fleet_, "gateway-1", SIGTERM);
+    std::this_thread::sleep_for(Milliseconds(2000));
+    boost::system::error_code error;
+    boost::asio::write(caller.socket_, boost::asio::buffer("dy", 2), error);
+    CHECK(readAnswerBody(caller) > 0);
+    CHECK(awaitExit(fleet_, "gateway-1", Milliseconds(3500)) == 0);
+    CHECK(runsOf("slow") == 1);
+}
+
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenStoppedWhileARequestStaysIncomplete_ExitsWithinItsGrace")
 {
     const SlowCaller caller(fleet_.processes_.at("gateway-1").address_, "/once/x", 2);
