Count calls that were cancelled right before a crash among its suspects

Cause: only calls whose connection broke were suspects. An upstream may be past the point of no return when a call is cancelled. Change: a call that is cancelled before its answer is under way is a suspect, too, if the upstream is found to have crashed within two seconds; the time of the crash remains that of a broken call. Test: Suspect_WhenItsCallerLeftRightBeforeTheCrash_IsRecorded.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -146,7 +146,7 @@
     }
     --call.attempts_;
     ++call.connectFailures_;
-    detachFromUpstream(state, call, false, outbox);
+    detachFromUpstream(state, call);
     if (call.connectFailures_ < maxConnectFailures) {
         requeue(state, now, id);
         return;
@@ -162,7 +162,7 @@
     if (upstream != nullptr && wrongInstance) {
         upstream->avoidUntil_ = now + maxBackoff;
     }
-    detachFromUpstream(state, call, false, outbox);
+    detachFromUpstream(state, call);
     if (wrongInstance) {
         --call.attempts_;
         ++call.connectFailures_;
@@ -193,7 +193,7 @@
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         recordOutcome(*upstream, now, true);
     }
-    detachFromUpstream(state, call, false, outbox);
+    detachFromUpstream(state, call);
     if (call.retryable_ && consumeRetryIfAllowed(state, now, call)) {
         requeue(state, now, id);
         return;
@@ -224,7 +224,7 @@
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         recordOutcome(*upstream, now, status >= firstServerErrorStatus);
     }
-    detachFromUpstream(state, call, false, outbox);
+    detachFromUpstream(state, call);
     if (status < firstServerErrorStatus) {
         recordAnswered(state, now, call, outbox);
     }
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -22,13 +22,14 @@
 
 namespace Burdockfield::Gateway {
 
-/// Call whose connection to an upstream broke before its answer was under way.
+/// Call whose connection to an upstream broke or was closed before its answer was under way.
 struct BrokenCall
 {
     std::string request_; ///< Id of its request.
     std::vector<Trait> traits_; ///< What it may have in common with others, see Call::traits_.
     bool headReceived_ = false; ///< Whether the header of the answer had been received.
-    TimePoint at_{}; ///< When the connection broke.
+    bool cancelled_ = false; ///< Whether this gateway closed the connection.
+    TimePoint at_{}; ///< When the connection ended.
 };
 
 /// What an upstream has said of itself in its answers.
--- a/src/gateway_crashes.cpp
+++ b/src/gateway_crashes.cpp
@@ -72,9 +72,12 @@
 }
 
 /// @return the report of a crash, which is limited, so that calls whose answer had begun come first.
-CrashReport makeCrashReport(const Upstream &upstream)
+CrashReport makeCrashReport(const Upstream &upstream, TimePoint now)
 {
-    CrashReport report{ { upstream.id_, upstream.startedAtMs_ }, upstream.brokenCalls_.front().at_, {} };
+    CrashReport report{ { upstream.id_, upstream.startedAtMs_ }, now, {} };
+    for (const BrokenCall &call : upstream.brokenCalls_) {
+        report.at_ = call.cancelled_ ? report.at_ : std::min(report.at_, call.at_);
+    }
     for (const bool begun : { true, false }) {
         for (const BrokenCall &call : upstream.brokenCalls_) {
             if (call.headReceived_ == begun) {
@@ -151,23 +154,29 @@
     for (const CallId id : condemned) {
         Call &call = *findRow(state.calls_, id);
         call.mayHaveRun_ = call.mayHaveRun_ || call.stage_ != CallStage::Waiting;
-        detachFromUpstream(state, call, true, outbox);
+        cancelSend(state, now, call, outbox);
         refuse(state, now, id, RefusalReason::CrashSuspect, outbox);
     }
 }
 
 } // namespace
 
-void recordBrokenCall(GatewayState &state, TimePoint now, const Call &call, GatewayOutbox &outbox)
+Upstream *recordUnansweredCall(GatewayState &state, TimePoint now, const Call &call, bool cancelled)
 {
     Upstream *upstream = findRow(state.upstreams_, call.upstream_);
     const bool underWay = call.answerBegunAt_ != noDeadline && now - call.answerBegunAt_ >= survivalTime;
     if (upstream == nullptr || underWay) {
-        return;
+        return nullptr;
     }
     removeExpiredBrokenCalls(*upstream, now);
-    upstream->brokenCalls_.push_back({ call.request_.id_, call.traits_, call.headReceived_, now });
-    if (!upstream->checking_) {
+    upstream->brokenCalls_.push_back({ call.request_.id_, call.traits_, call.headReceived_, cancelled, now });
+    return upstream;
+}
+
+void recordBrokenCall(GatewayState &state, TimePoint now, const Call &call, GatewayOutbox &outbox)
+{
+    Upstream *upstream = recordUnansweredCall(state, now, call, false);
+    if (upstream != nullptr && !upstream->checking_) {
         upstream->checking_ = true;
         outbox.checks_.push_back({ upstream->id_, upstream->address_ });
     }
@@ -179,7 +188,7 @@
     if (upstream.brokenCalls_.empty() || upstream.draining_ || upstream.announcement_.leaving_) {
         return;
     }
-    const CrashReport report = makeCrashReport(upstream);
+    const CrashReport report = makeCrashReport(upstream, now);
     outbox.decisions_.push_back({ "upstream-crashed",
         { { "upstream", upstream.id_ }, { "started_ms", std::to_string(upstream.startedAtMs_) },
             { "suspects", std::to_string(upstream.brokenCalls_.size()) },
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -129,8 +129,11 @@
 /// Ends a call with a refusal by the gateway itself; a stream that has started is aborted instead.
 void refuse(GatewayState &state, TimePoint now, CallId id, RefusalReason reason, GatewayOutbox &outbox);
 
-/// Detaches a call from the upstream that it was sent to, if any. @param cancel whether to cancel the send there
-void detachFromUpstream(GatewayState &state, Call &call, bool cancel, GatewayOutbox &outbox);
+/// Detaches a call from the upstream that it was sent to, if any, after the send has ended.
+void detachFromUpstream(GatewayState &state, Call &call);
+
+/// Cancels a call's send, if it is in flight, and detaches the call from its upstream.
+void cancelSend(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox);
 
 /// Drops what is buffered of the answer to a call's latest send.
 void clearAnswer(GatewayState &state, Call &call);
@@ -147,6 +150,14 @@
 /// @return an upstream's failure rate as of @p now.
 double failureRateAt(const Upstream &upstream, TimePoint now);
 
+/**
+ * Records that a call's connection to its upstream ended before its answer was under way. The call is a suspect if the
+ * upstream turns out to have crashed.
+ * @param cancelled whether this gateway closed the connection
+ * @return its upstream; nullptr if that is not listed any more or the answer was under way
+ */
+Upstream *recordUnansweredCall(GatewayState &state, TimePoint now, const Call &call, bool cancelled);
+
 /// Records that a call's connection to its upstream broke, and has the upstream checked.
 void recordBrokenCall(GatewayState &state, TimePoint now, const Call &call, GatewayOutbox &outbox);
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -224,7 +224,7 @@
             refundQuota(state, call->workspace_, call->charge_);
         }
         const CallId id = found->second;
-        detachFromUpstream(state, *call, true, outbox);
+        cancelSend(state, now, *call, outbox);
         eraseCall(state, id);
     }
 }
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -62,7 +62,7 @@
 {
     const bool sent = call.attempts_ > 0;
     call.mayHaveRun_ = call.mayHaveRun_ || call.stage_ != CallStage::Waiting;
-    detachFromUpstream(state, call, true, outbox);
+    cancelSend(state, now, call, outbox);
     refuse(state, now, id, sent ? RefusalReason::Expired : RefusalReason::Overloaded, outbox);
 }
 
@@ -81,7 +81,7 @@
             { "silent_ms", upstreamSilenceText(now, call) }, { "events", std::to_string(call.events_) } },
         true });
     call.mayHaveRun_ = true;
-    detachFromUpstream(state, call, true, outbox);
+    cancelSend(state, now, call, outbox);
     requeue(state, now, id);
 }
 
@@ -123,7 +123,7 @@
     }
 }
 
-void detachFromUpstream(GatewayState &state, Call &call, bool cancel, GatewayOutbox &outbox)
+void detachFromUpstream(GatewayState &state, Call &call)
 {
     if (call.stage_ == CallStage::Waiting) {
         return;
@@ -133,10 +133,16 @@
         markPeerUpdatesPending(state, upstream->region_);
     }
     state.callBySend_.erase(call.send_);
-    if (cancel) {
+    call.stage_ = CallStage::Waiting;
+}
+
+void cancelSend(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox)
+{
+    if (call.stage_ != CallStage::Waiting) {
+        recordUnansweredCall(state, now, call, true);
         outbox.cancels_.push_back(call.send_);
     }
-    call.stage_ = CallStage::Waiting;
+    detachFromUpstream(state, call);
 }
 
 CallId findCallBySend(const GatewayState &state, uint64_t send)
--- a/tests/gateway_answer_test.cpp
+++ b/tests/gateway_answer_test.cpp
@@ -327,6 +327,21 @@
     CHECK(outbox.refusals_[0].retryAfter_ <= Milliseconds(15000));
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "Suspect_WhenItsCallerLeftRightBeforeTheCrash_IsRecorded")
+{
+    upstream("engine-2").draining_ = true;
+    CallArrived deadly = makeCall("read", 1);
+    deadly.request_.promptParts_ = { 666 };
+    receiveCall(deadly);
+    const GatewayOutbox other = receiveCall("read", 2);
+    GatewayInbox inbox;
+    inbox.disconnects_.push_back({ ExchangeId{ 1 } });
+    tick(std::move(inbox));
+    now_ += Milliseconds(50);
+    CHECK(crashUpstream(other, TransportErrc::ConnectionRefused));
+    CHECK(state_.crashEvidence_.suspects_.contains(666));
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "Suspect_WhenItsUpstreamsAreSilentOrCutOff_IsStillSent")
 {
     state_.configuration_.routes_[2].attempts_ = 1;
