Tell peers which upstreams said that they leave; tests of slow, stalled and unlisted streams

Fault (report of other operators): after the restart of a gateway, an upstream that had said in its answers that it leaves was in use again until its row said so, too. Cause: an announcement was kept by the gateway that received the answer only. Change: full updates name the starts of listed upstreams that said so; every gateway keeps to it. A deadly request is charged to its workspace's quota before it is looked at, so that a trial is not spent on a call that the quota refuses. Tests: Upstream_WhenAPeerKnowsThatItLeaves_GetsNoCallsFromARestartedGateway fails to compile on the code before, which had no such field.

--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -118,6 +118,7 @@
     uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that the sender holds.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< The sender's calls in flight, by upstream id.
     std::unordered_map<std::string, uint64_t> chargedUnits_; ///< Units charged since the sender's start, by workspace.
+    std::vector<UpstreamStart> leaving_; ///< Upstreams whose answers said that they leave; in full updates only.
     std::vector<PeerCrash> crashes_; ///< Crashes that the sender saw recently; in full updates only.
     std::map<Trait, Milliseconds> answered_; ///< Suspects answered there, with the time since then; full updates only.
     std::map<Trait, PeerVerdict> verdicts_; ///< Verdicts that the sender knows; in full updates only.
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -39,6 +39,12 @@
 /// Records what the upstream of a call says of itself in the header of its answer.
 void recordAnnouncement(GatewayState &state, TimePoint now, const Call &call, GatewayOutbox &outbox);
 
+/// Adds the upstreams to a full update whose answers said that they leave.
+void addLeavingUpstreams(const GatewayState &state, PeerUpdate &update);
+
+/// Records upstreams of which a peer says that they leave. Repeated by every peer, so that a new process learns it.
+void applyLeavingUpstreams(GatewayState &state, const PeerUpdate &update, GatewayOutbox &outbox);
+
 /// Applies updates of peers, removes peers that timed out, and fetches a snapshot from a peer with newer data.
 void runPeers(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox);
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -156,10 +156,6 @@
     Call &row = *findRow(state.calls_, id);
     state.callByExchange_[row.exchange_.value_] = id;
     state.bodyBytes_ += row.request_.body_->size();
-    if (isRefusedAsCrashSuspect(state, now, row, outbox)) {
-        refuse(state, now, id, RefusalReason::CrashSuspect, outbox);
-        return;
-    }
     if (!canEndBeforeExit(state, now, row)) {
         refuse(state, now, id, RefusalReason::Stopping, outbox);
         return;
@@ -169,6 +165,10 @@
         return;
     }
     row.charge_ = charge;
+    if (isRefusedAsCrashSuspect(state, now, row, outbox)) {
+        refuse(state, now, id, RefusalReason::CrashSuspect, outbox);
+        return;
+    }
     state.waiting_.push_back(id);
     pushDeadline(state.deadlines_, row.waitUntil_, id);
 }
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -243,6 +243,28 @@
     announcement->pausedUntil_ = std::max(announcement->pausedUntil_, now + head.upstreamPause_);
 }
 
+void addLeavingUpstreams(const GatewayState &state, PeerUpdate &update)
+{
+    forEachRow(state.upstreams_, [&update](UpstreamId /*id*/, const Upstream &upstream) {
+        if (upstream.announcement_.leaving_) {
+            update.leaving_.push_back({ upstream.id_, upstream.startedAtMs_ });
+        }
+    });
+}
+
+void applyLeavingUpstreams(GatewayState &state, const PeerUpdate &update, GatewayOutbox &outbox)
+{
+    for (const UpstreamStart &start : update.leaving_) {
+        Upstream *upstream = findUpstream(state, start.id_);
+        const bool listed = upstream != nullptr && upstream->startedAtMs_ == start.startedAtMs_;
+        if (!listed || upstream->announcement_.leaving_) {
+            continue;
+        }
+        upstream->announcement_.leaving_ = true;
+        logUpstreamChange(makeUpstreamRow(*upstream), "leaving", update.name_, outbox);
+    }
+}
+
 UpstreamRow makeUpstreamRow(const Upstream &upstream)
 {
     return { upstream.id_, upstream.service_, upstream.address_, upstream.zone_, upstream.slots_, upstream.startedAtMs_,
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -90,21 +90,33 @@
     fail(reader, nested.error_);
 }
 
+Json::object serializeStart(const UpstreamStart &upstream)
+{
+    return { { "id", upstream.id_ }, { "born_ms", upstream.startedAtMs_ } };
+}
+
+void readStart(JsonReader &reader, UpstreamStart &upstream)
+{
+    read(reader, "id", upstream.id_);
+    read(reader, "born_ms", upstream.startedAtMs_);
+}
+
 Json::object serializeCrash(const PeerCrash &crash)
 {
     Json::object traits;
     for (const auto &[trait, depth] : crash.traits_) {
         traits[toHex(trait)] = depth;
     }
-    return { { "id", crash.upstream_.id_ }, { "born_ms", crash.upstream_.startedAtMs_ },
-        { "age_ms", crash.age_.count() }, { "traits", std::move(traits) } };
+    Json::object object = serializeStart(crash.upstream_);
+    object["age_ms"] = crash.age_.count();
+    object["traits"] = std::move(traits);
+    return object;
 }
 
 std::error_code parseCrash(const Json::value &value, PeerCrash &crash)
 {
     JsonReader reader = readObject(value);
-    read(reader, "id", crash.upstream_.id_);
-    read(reader, "born_ms", crash.upstream_.startedAtMs_);
+    readStart(reader, crash.upstream_);
     read(reader, "age_ms", crash.age_);
     parseByTrait(reader, "traits", [&crash](JsonReader &nested, Trait trait, const std::string &name) {
         read(nested, name, crash.traits_[trait]);
@@ -112,7 +124,7 @@
     return reader.error_;
 }
 
-void serializeCrashNews(const PeerUpdate &update, Json::object &object)
+void serializeUpstreamNews(const PeerUpdate &update, Json::object &object)
 {
     Json::array crashes;
     for (const PeerCrash &crash : update.crashes_) {
@@ -132,13 +144,24 @@
             object[field] = std::move(items);
         }
     };
+    Json::array leaving;
+    for (const UpstreamStart &upstream : update.leaving_) {
+        leaving.push_back(serializeStart(upstream));
+    }
+    add("leaving", std::move(leaving));
     add("crashes", std::move(crashes));
     add("answered", std::move(answered));
     add("verdicts", std::move(verdicts));
 }
 
-void parseCrashNews(JsonReader &reader, PeerUpdate &update)
+void parseUpstreamNews(JsonReader &reader, PeerUpdate &update)
 {
+    const Json::array *leaving = readArray(reader, "leaving", Presence::Optional);
+    for (const Json::value &value : leaving == nullptr ? Json::array() : *leaving) {
+        JsonReader start = readObject(value);
+        readStart(start, update.leaving_.emplace_back());
+        fail(reader, start.error_);
+    }
     const Json::array *crashes = readArray(reader, "crashes", Presence::Optional);
     for (const Json::value &value : crashes == nullptr ? Json::array() : *crashes) {
         fail(reader, parseCrash(value, update.crashes_.emplace_back()));
@@ -207,7 +230,7 @@
         object["name"] = update.name_;
         object["region"] = update.region_;
     }
-    serializeCrashNews(update, object);
+    serializeUpstreamNews(update, object);
     if (!update.peers_.empty()) {
         object["peers"] = Json::value_from(update.peers_);
     }
@@ -229,7 +252,7 @@
     read(reader, upstreamsField, update.upstreamsVersion_);
     parseCounts(reader, inFlightField, update.inFlight_);
     parseCounts(reader, chargedUnitsField, update.chargedUnits_);
-    parseCrashNews(reader, update);
+    parseUpstreamNews(reader, update);
     read(reader, "peers", update.peers_, Presence::Optional);
     return reader.error_;
 }
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -110,6 +110,7 @@
     if (!update.name_.empty()) {
         peer->name_ = update.name_;
         peer->region_ = update.region_;
+        applyLeavingUpstreams(state, update, outbox);
         applyCrashNews(state, now, update, outbox);
     }
     peer->incarnation_ = update.incarnation_;
@@ -306,6 +307,7 @@
         command.update_.name_ = state.name_;
         command.update_.region_ = state.region_;
         command.update_.peers_ = std::move(all);
+        addLeavingUpstreams(state, command.update_);
         addCrashNews(state, now, command.update_);
     }
     outbox.updates_.push_back(std::move(command));
--- a/tests/gateway_answer_test.cpp
+++ b/tests/gateway_answer_test.cpp
@@ -237,6 +237,50 @@
     CHECK(receivePeerCounts("10.0.0.2:7000", {}).sends_.size() == 1);
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "Stream_WhenItIsSlowButNotResumable_IsNotCut")
+{
+    state_.configuration_.routes_[0].resumable_ = false;
+    const uint64_t send = receiveCall("stream", 1).sends_.at(0).send_;
+    for (int event = 1; event <= 3; ++event) {
+        CHECK(tickAfter(Milliseconds(1200)).cancels_.empty());
+        const std::string text = "id: " + std::to_string(event) + "\ndata: a\n\n";
+        CHECK(receiveStreamBytes(send, text).events_.size() == 1);
+    }
+    const GatewayOutbox outbox = endSend(send, {});
+    CHECK(outbox.streamEnds_.size() == 1);
+    CHECK(outbox.abortedExchanges_.empty());
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "Stream_WhenItStallsButSendsAByteNowAndThen_ResumesElsewhere")
+{
+    const uint64_t send = receiveCall("stream", 1).sends_.at(0).send_;
+    receiveStreamBytes(send, "id: 1\ndata: a\n\n");
+    GatewayOutbox outbox;
+    for (int step = 0; step < 11 && outbox.sends_.empty(); ++step) {
+        receiveBytes(send, "i");
+        outbox = tickAfter(Milliseconds(100));
+    }
+    CHECK(outbox.cancels_ == std::vector<uint64_t>{ send });
+    REQUIRE(outbox.sends_.size() == 1);
+    CHECK(outbox.sends_[0].parameters_.resumeAfter_ == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "Stream_WhenItSendsOnlyComments_EndsAtItsDeadline")
+{
+    state_.configuration_.routes_[0].attempts_ = 1;
+    const uint64_t send = receiveCall("stream", 1).sends_.at(0).send_;
+    GatewayOutbox outbox;
+    receiveStreamBytes(send, ": comment\n\n");
+    for (int step = 0; step < 39; ++step) {
+        receiveBytes(send, ": comment\n\n");
+        outbox = tickAfter(Milliseconds(100));
+        CHECK(outbox.cancels_.empty());
+    }
+    outbox = tickAfter(Milliseconds(100));
+    CHECK(outbox.cancels_ == std::vector<uint64_t>{ send });
+    CHECK(outbox.refusals_.size() + outbox.abortedExchanges_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "Stream_WhenBrokenAndNoUpstreamHasAFreeSlot_WaitsUpToItsDeadline")
 {
     const uint64_t send = receiveCall("stream", 1).sends_.at(0).send_;
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -149,6 +149,14 @@
         return tick(std::move(inbox));
     }
 
+    /// Runs a tick that receives further bytes of an answer.
+    GatewayOutbox receiveBytes(uint64_t send, const std::string &bytes)
+    {
+        GatewayInbox inbox;
+        inbox.bytes_.push_back({ send, bytes });
+        return tick(std::move(inbox));
+    }
+
     GatewayOutbox endSend(uint64_t send, std::error_code error)
     {
         GatewayInbox inbox;
--- a/tests/gateway_membership_test.cpp
+++ b/tests/gateway_membership_test.cpp
@@ -61,6 +61,20 @@
 
 } // namespace
 
+TEST_CASE_FIXTURE(GatewayFixture, "Call_WhenItsUpstreamIsNoLongerListed_IsKeptAndAnswered")
+{
+    const SendCall sent = receiveCall("once", 1).sends_.at(0);
+    GatewayInbox inbox;
+    UpstreamsReceived change;
+    change.rows_ = { makeRow("desk-1", "desk") };
+    change.rows_[0].removed_ = true;
+    inbox.upstreams_.push_back(change);
+    const GatewayOutbox removed = tick(std::move(inbox));
+    CHECK(removed.cancels_.empty());
+    CHECK(tickAfter(Milliseconds(3000)).cancels_.empty());
+    CHECK(receiveAnswer(sent.send_, makeHead(200), "done").answers_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(MembershipFixture, "Configuration_WhenOlder_IsNotApplied")
 {
     GatewayInbox inbox;
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -311,12 +311,28 @@
     CHECK_FALSE(isCondemned(state_.crashEvidence_, trait));
 }
 
+TEST_CASE_FIXTURE(PeerFixture, "Upstream_WhenAPeerKnowsThatItLeaves_GetsNoCallsFromARestartedGateway")
+{
+    PeerUpdate update = makeUpdate();
+    update.leaving_ = { { "engine-1", 1 }, { "engine-2", 99 } }; // the latter was an earlier start of that id
+    receiveUpdate(update);
+    for (uint64_t exchange = 1; exchange <= 4; ++exchange) {
+        CHECK(receiveCall("read", exchange).sends_.at(0).parameters_.instance_ == "engine-2");
+    }
+    now_ += std::chrono::seconds(2);
+    receiveUpdate(makeUpdate());
+    const GatewayOutbox outbox = tickAfter(Milliseconds(1100));
+    REQUIRE(outbox.updates_.size() == 1);
+    CHECK(outbox.updates_[0].update_.leaving_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(PeerFixture, "Update_WhenSerializedAndParsed_IsTheSame")
 {
     PeerUpdate update = makeUpdate();
     update.inFlight_ = { { "engine-1", 2 } };
     update.chargedUnits_ = { { "workspace-1", 700 } };
     update.uptime_ = Milliseconds(300);
+    update.leaving_ = { { "engine-2", 7 } };
     update.crashes_ = { { { "engine-1", 5 }, Milliseconds(40), { { UINT64_MAX, 255 }, { 7, 1 } } } };
     update.answered_ = { { 7, Milliseconds(9000) } };
     update.verdicts_ = { { UINT64_MAX, { 2, true, 1 } } };
@@ -326,6 +342,7 @@
     CHECK(read.inFlight_ == update.inFlight_);
     CHECK(read.chargedUnits_ == update.chargedUnits_);
     CHECK(read.uptime_ == update.uptime_);
+    CHECK(read.leaving_ == update.leaving_);
     REQUIRE(read.crashes_.size() == 1);
     CHECK(read.crashes_[0].upstream_ == update.crashes_[0].upstream_);
     CHECK(read.crashes_[0].age_ == update.crashes_[0].age_);
