--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -4,7 +4,6 @@
  */
 #include "gateway_fixture.h"
 
-#include "crash_evidence_func.h"
 #include "gateway_peer_wire.h"
 
 #include <algorithm>
@@ -283,34 +282,6 @@
     CHECK(outbox.updates_[0].addresses_.size() == 2);
 }
 
-TEST_CASE_FIXTURE(PeerFixture, "Suspect_WhenGatewaysReportDifferentCrashes_AddsThemUp")
-{
-    constexpr Trait trait = 42;
-    for (const uint64_t crash : { 1, 2, 3 }) {
-        CHECK_FALSE(isCondemned(state_.crashEvidence_, trait));
-        PeerUpdate update = makeUpdate();
-        update.address_ = "10.0.0." + std::to_string(1 + crash) + ":7000";
-        update.crashes_ = { { { "engine-1", crash }, Milliseconds(0), { { trait, 0 } } } };
-        receiveUpdate(update);
-        tickAfter(Milliseconds(300));
-    }
-    CHECK(isCondemned(state_.crashEvidence_, trait));
-}
-
-TEST_CASE_FIXTURE(PeerFixture, "Suspect_WhenSeveralGatewaysReportTheSameCrash_CountsItOnce")
-{
-    constexpr Trait trait = 42;
-    for (const uint64_t peer : { 2, 3, 4, 5 }) {
-        PeerUpdate update = makeUpdate();
-        update.address_ = "10.0.0." + std::to_string(peer) + ":7000";
-        update.crashes_ = { { { "engine-1", 1 }, Milliseconds(0), { { trait, 0 } } },
-            { { "engine-2", 1 }, Milliseconds(200), { { trait, 0 } } } };
-        receiveUpdate(update);
-        tickAfter(Milliseconds(300));
-    }
-    CHECK_FALSE(isCondemned(state_.crashEvidence_, trait));
-}
-
 TEST_CASE_FIXTURE(PeerFixture, "Upstream_WhenAPeerKnowsThatItLeaves_GetsNoCallsFromARestartedGateway")
 {
     PeerUpdate update = makeUpdate();
