Don't bring an upstream back that a peer misses since an outage

A peer that was a little behind in the store's feed fetched it, added the upstream again and was never told that it is gone.

Test: PeerList_WhenItsRowIsMissingSinceAnOutageThere_DoesNotBringTheUpstream- Back; without the mark the upstream was added again.

--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -199,6 +199,7 @@
     uint64_t startedAtMs_ = 0; ///< Start of the server in Unix milliseconds, 0 if unknown.
     bool draining_ = false; ///< Whether the server has announced that it leaves.
     bool removed_ = false; ///< Whether the row has been deleted.
+    bool missing_ = false; ///< In a peer's list: whether the row is missing since an outage of the store, see missingSince_.
 };
 
 /// Settings that the gateway's decisions depend on.
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -110,6 +110,21 @@
     removeUpstream(state, now, id, source, outbox);
 }
 
+/**
+ * Adds an upstream that a peer misses since an outage of the store, as long as this gateway can't know better: it has no
+ * list yet, or recovers from an outage itself. Else its own list says whether the upstream still exists.
+ */
+void applyMissingRow(
+    GatewayState &state, TimePoint now, const UpstreamRow &row, const std::string &source, GatewayOutbox &outbox)
+{
+    const bool knowsBetter = state.upstreamsVersion_ != 0 && !isStoreRecovering(state, now);
+    if (knowsBetter || findUpstream(state, row.id_) != nullptr) {
+        return;
+    }
+    addUpstream(state, row, source, outbox);
+    findUpstream(state, row.id_)->missingSince_ = now;
+}
+
 void applyUpstreamRow(
     GatewayState &state, TimePoint now, const UpstreamRow &row, const std::string &source, GatewayOutbox &outbox)
 {
@@ -117,6 +132,10 @@
         handleMissingUpstream(state, now, row.id_, source, outbox);
         return;
     }
+    if (row.missing_) {
+        applyMissingRow(state, now, row, source, outbox);
+        return;
+    }
     Upstream *upstream = findUpstream(state, row.id_);
     const bool replaced = upstream != nullptr
         && (upstream->startedAtMs_ != row.startedAtMs_ || upstream->address_ != row.address_
@@ -268,7 +287,7 @@
 UpstreamRow makeUpstreamRow(const Upstream &upstream)
 {
     return { upstream.id_, upstream.service_, upstream.address_, upstream.zone_, upstream.slots_, upstream.startedAtMs_,
-        upstream.draining_, false };
+        upstream.draining_, false, upstream.missingSince_ != noDeadline };
 }
 
 void runConfiguration(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -199,7 +199,8 @@
 Json::object serializeRow(const UpstreamRow &row)
 {
     return { { "id", row.id_ }, { "service", row.service_ }, { "address", row.address_ }, { "zone", row.zone_ },
-        { "slots", row.slots_ }, { "born_ms", row.startedAtMs_ }, { "draining", row.draining_ } };
+        { "slots", row.slots_ }, { "born_ms", row.startedAtMs_ }, { "draining", row.draining_ },
+        { "missing", row.missing_ } };
 }
 
 std::error_code parseRow(const Json::value &value, UpstreamRow &row)
@@ -212,6 +213,7 @@
     read(reader, "slots", row.slots_);
     read(reader, "born_ms", row.startedAtMs_);
     read(reader, "draining", row.draining_);
+    read(reader, "missing", row.missing_, Presence::Optional);
     return reader.error_;
 }
 
--- a/tests/gateway_membership_test.cpp
+++ b/tests/gateway_membership_test.cpp
@@ -4,6 +4,8 @@
  */
 #include "gateway_fixture.h"
 
+#include "gateway_peer_wire.h"
+
 using namespace Burdockfield;
 using namespace Burdockfield::Testing;
 
@@ -225,3 +227,37 @@
     CHECK(state_.upstreamById_.size() == 1);
     CHECK(state_.upstreamsVersion_ == 20);
 }
+
+TEST_CASE_FIXTURE(MembershipFixture, "PeerList_WhenItsRowIsMissingSinceAnOutageThere_DoesNotBringTheUpstreamBack")
+{
+    receiveRows({ makeRemovedRow("engine-1") }, false, 11);
+    REQUIRE(findUpstream(state_, "engine-1") == nullptr);
+    UpstreamRow missing = makeRow("engine-1", "engines");
+    missing.missing_ = true;
+    receiveRows({ missing, makeRow("engine-2", "engines"), makeRow("desk-1", "desk") }, true, 12, true);
+    CHECK(findUpstream(state_, "engine-1") == nullptr);
+}
+
+TEST_CASE_FIXTURE(MembershipFixture, "PeerList_WhenItsRowIsMissingAndNoListIsKnown_IsUsedUntilTheStoresListArrives")
+{
+    state_ = GatewayState{};
+    state_.startedAt_ = now_;
+    UpstreamRow missing = makeRow("engine-1", "engines");
+    missing.missing_ = true;
+    receiveRows({ missing }, true, 12, true);
+    CHECK(findUpstream(state_, "engine-1") != nullptr);
+    receiveRows({ makeRow("engine-2", "engines") }, true, 13);
+    CHECK(findUpstream(state_, "engine-1") == nullptr);
+}
+
+TEST_CASE_FIXTURE(MembershipFixture, "Snapshot_WhenARowIsMissingSinceAnOutage_SaysSo")
+{
+    setStoreReachable(false);
+    setStoreReachable(true);
+    receiveRows({ makeRemovedRow("engine-1") });
+    Snapshot snapshot;
+    REQUIRE_FALSE(parseSnapshot(serializeSnapshot(makeSnapshot(state_, SnapshotPart::Upstreams)), snapshot));
+    for (const UpstreamRow &row : snapshot.upstreams_->rows_) {
+        CHECK(row.missing_ == (row.id_ == "engine-1"));
+    }
+}
