Decode the load that upstreams tell, and the tokens of prompts

Cause: upstreams tell how many requests they run and hold, and some how long work takes on their machine at this moment; nothing read that.

Change: platform/ decodes the header into a typed load. Malformed figures and absurd ones (no slots, more than 100,000 requests, a slowness outside 10 to 10,000 %) are ignored and marked, so that they can be logged.

Test: Load_When... in platform_wire_test.cpp.

--- a/src/gateway_call_type.h
+++ b/src/gateway_call_type.h
@@ -28,6 +28,7 @@
     std::string key_; ///< API key, or empty.
     std::optional<Milliseconds> wait_; ///< How long the caller waits, from the arrival of the request.
     std::optional<uint64_t> tokens_; ///< Sum of the prompt tokens and the limit on output tokens.
+    std::optional<uint64_t> promptTokens_; ///< Tokens of the prompt.
     std::optional<uint64_t> resumeAfter_; ///< Last event that the caller has, when it resumes a stream.
     std::vector<uint64_t> promptParts_; ///< Hashes of the parts of its prompt that other requests may have as well.
     HttpHeaders forwardedHeaders_; ///< Headers forwarded unchanged to the upstream.
@@ -43,6 +44,15 @@
     std::optional<uint64_t> resumeAfter_; ///< Event after which the stream resumes.
 };
 
+/// Load that an upstream tells with its answers, as of a moment ago.
+struct UpstreamLoad
+{
+    uint32_t running_ = 0; ///< Requests that it runs.
+    uint32_t waiting_ = 0; ///< Requests that wait there.
+    uint32_t slots_ = 1; ///< Requests that it can run at once.
+    double slowdown_ = 1; ///< Time that work takes on its machine at this moment, as a multiple of the usual time.
+};
+
 /// Decoded header of an upstream's answer.
 struct AnswerHead
 {
@@ -52,6 +62,8 @@
     bool authentic_ = false; ///< Whether the upstream signed it for this request, in a form that may be forwarded.
     bool upstreamLeaving_ = false; ///< Whether the upstream is going to stop and wants no further requests.
     Milliseconds upstreamPause_{ 0 }; ///< Time for which the upstream wants no requests from this gateway.
+    std::optional<UpstreamLoad> load_; ///< What it tells of its load, if it can be used.
+    bool loadMalformed_ = false; ///< Whether it tells a load that can't be used.
     bool eventStream_ = false; ///< Whether the body is a stream of events.
     bool endsWithConnection_ = false; ///< Whether nothing but the end of its connection shows the end of the body.
 };
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -342,3 +342,43 @@
     CHECK(scan.events_ == 1);
     CHECK_FALSE(scan.outOfOrder_);
 }
+
+TEST_CASE_FIXTURE(AnswerWireFixture, "Load_WhenTold_IsDecoded")
+{
+    reply_.headers_.emplace_back("Instance-Load", "3,1,8,250");
+    const Gateway::AnswerHead head = parseAnswerHead(reply_, "r1");
+    REQUIRE(head.load_);
+    CHECK(head.load_->running_ == 3);
+    CHECK(head.load_->waiting_ == 1);
+    CHECK(head.load_->slots_ == 8);
+    CHECK(head.load_->slowdown_ == doctest::Approx(2.5));
+    CHECK_FALSE(head.loadMalformed_);
+}
+
+TEST_CASE_FIXTURE(AnswerWireFixture, "Load_WhenItsFourthFigureIsAbsent_IsTakenAsUsual")
+{
+    reply_.headers_.emplace_back("Instance-Load", "3, 1, 8");
+    const Gateway::AnswerHead head = parseAnswerHead(reply_, "r1");
+    REQUIRE(head.load_);
+    CHECK(head.load_->slowdown_ == doctest::Approx(1));
+}
+
+TEST_CASE_FIXTURE(AnswerWireFixture, "Load_WhenMalformedOrAbsurd_IsIgnored")
+{
+    for (const char *text : { "3", "3,1", "3,1,", "3,1,0", "-3,1,8", "a,b,c", "3,1,8,", "3,1,8,0", "3,1,8,99999999",
+             "99999999999999999999,1,8", "3,1,8,100,7", "3.5,1,8" }) {
+        CAPTURE(text);
+        HttpReply reply = reply_;
+        reply.headers_.emplace_back("Instance-Load", text);
+        const Gateway::AnswerHead head = parseAnswerHead(reply, "r1");
+        CHECK_FALSE(head.load_);
+        CHECK(head.loadMalformed_);
+    }
+}
+
+TEST_CASE_FIXTURE(AnswerWireFixture, "Load_WhenAbsent_IsNoFault")
+{
+    const Gateway::AnswerHead head = parseAnswerHead(reply_, "r1");
+    CHECK_FALSE(head.load_);
+    CHECK_FALSE(head.loadMalformed_);
+}
