--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -77,6 +77,10 @@
         observe(state.metrics_, "first_event_seconds", call.routeName_, now - call.arrivedAt_);
     }
     call.events_ += scan.events_;
+    if (call.sendEvents_ == 0) {
+        recordFirstEvent(state, now, call);
+    }
+    call.sendEvents_ += scan.events_;
     call.lastEvent_ = scan.lastEvent_;
     recordAnswerProgress(state, now, call, outbox);
     outbox.events_.push_back({ call.exchange_, scan.bytes_ });
@@ -191,7 +195,7 @@
 {
     call.mayHaveRun_ = true;
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
-        recordOutcome(*upstream, now, true);
+        reportOutcome(state, *upstream, now, true);
     }
     detachFromUpstream(state, call);
     if (call.retryable_ && consumeRetryIfAllowed(state, now, call)) {
@@ -223,7 +227,7 @@
         return;
     }
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
-        recordOutcome(*upstream, now, status >= firstServerErrorStatus);
+        reportOutcome(state, *upstream, now, status >= firstServerErrorStatus);
     }
     detachFromUpstream(state, call);
     if (status < firstServerErrorStatus) {
@@ -254,6 +258,7 @@
     call->head_ = std::move(event.head_);
     if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
         upstream->connectFailures_ = 0;
+        recordToldLoad(state, now, call->head_, *upstream, outbox);
     }
     recordAnnouncement(state, now, *call, outbox);
 }
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -8,6 +8,7 @@
 #include "deadline_type.h"
 #include "gateway_call_type.h"
 #include "gateway_configuration_type.h"
+#include "gateway_slot_type.h"
 #include "metrics_type.h"
 #include "pool_type.h"
 
@@ -39,6 +40,24 @@
     TimePoint pausedUntil_{}; ///< Until when it wants no calls from this gateway.
 };
 
+/// What an upstream has told of its load beyond what the counts of calls show. It grows old quickly.
+struct ToldLoad
+{
+    double excess_ = 0; ///< Requests at it that the counts didn't include, as of at_.
+    double slowdown_ = 1; ///< See UpstreamLoad::slowdown_, as of at_.
+    TimePoint at_{}; ///< When it was told.
+    TimePoint malformedLoggedAt_{}; ///< When a malformed load was last logged.
+};
+
+/// Outcomes of calls at an upstream, which gateways report to the brokers.
+struct UpstreamReport
+{
+    uint32_t succeeded_ = 0; ///< Calls that were answered.
+    uint32_t failed_ = 0; ///< Calls that failed.
+    uint64_t promptTokens_ = 0; ///< Tokens of the long prompts whose answers have begun.
+    Milliseconds promptTime_{ 0 }; ///< Sum of the times from sending them to the first event.
+};
+
 /// Instance of a service's server, which the gateway calls directly.
 struct Upstream
 {
@@ -56,6 +75,10 @@
     uint32_t peerInFlight_ = 0; ///< Sum of the same counts of all other gateways, from their last updates.
     double failureRate_ = 0; ///< Moving average of failed answers, 0 to 1, as of failureAt_; decays with time.
     TimePoint failureAt_{}; ///< When failureRate_ was last updated.
+    double promptTokensPerSecond_ = 0; ///< How fast it reads prompts, a moving average; 0 while that is not known.
+    double backlogTokens_ = 0; ///< Tokens of prompts that it was to read as of backlogAt_.
+    TimePoint backlogAt_{}; ///< When backlogTokens_ was last updated.
+    ToldLoad told_; ///< What it has told of its load.
     /// End of the time in which it gets no calls, after a failure to connect or an answer of another instance.
     TimePoint avoidUntil_{};
     uint32_t connectFailures_ = 0; ///< Consecutive failures to connect.
@@ -80,6 +103,18 @@
     Sent, ///< In flight at an upstream.
 };
 
+/// Request for a slot that a waiting call has made to a broker.
+struct CallSlotRequest
+{
+    uint64_t number_ = 0; ///< Number of the request, 0 if none has been made.
+    std::string region_; ///< Region whose broker it was sent to.
+    std::string broker_; ///< IP:PORT of that broker.
+    TimePoint askedAt_{}; ///< When it was last sent.
+    bool queued_ = false; ///< Whether the broker has replied since that it is queued.
+    bool repeated_ = false; ///< Whether it has been sent again because there was no reply.
+    TimePoint notBefore_{}; ///< Time before which no request is made.
+};
+
 /// Request in progress.
 struct Call
 {
@@ -104,6 +139,7 @@
     TimePoint waitUntil_{}; ///< Until when it may wait for an upstream with free capacity.
 
     CallStage stage_ = CallStage::Waiting; ///< Whether it waits or is in flight.
+    CallSlotRequest slot_; ///< Request for a slot, while it waits.
     uint64_t send_ = 0; ///< Number of the latest send; every send to an upstream has its own.
     UpstreamId upstream_; ///< Upstream of the latest send.
     TimePoint sentAt_{}; ///< Time of the latest send.
@@ -121,6 +157,7 @@
     bool streamStarted_ = false; ///< Whether the header of a streamed answer has been sent to the caller.
     std::optional<uint64_t> lastEvent_; ///< Id of the last event that the caller has.
     uint32_t events_ = 0; ///< Events sent to the caller.
+    uint32_t sendEvents_ = 0; ///< Events of the latest send.
 };
 
 using CallId = PoolId<Call>; ///< Index of a call.
@@ -140,6 +177,7 @@
     TimePoint levelAt_{}; ///< When level_ was last updated.
     bool levelAssumed_ = false; ///< Whether the level at this start was assumed, as no peer has sent its level yet.
     uint64_t ownChargedUnits_ = 0; ///< Units charged by this gateway since its start, less refunds.
+    TimePoint ownChargedAt_{}; ///< When that last changed.
 
     // Figures of the log, since the last report of the quota.
     int64_t peerChargedUnits_ = 0; ///< Units charged for usage that peers reported, less refunds.
@@ -171,6 +209,16 @@
     uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that it holds.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< Its calls in flight, by upstream id.
     std::unordered_map<std::string, uint64_t> chargedUnits_; ///< Units charged since its start, by workspace.
+    bool usageComplete_ = false; ///< Whether chargedUnits_ holds all workspaces, as a full update has been received.
+
+    uint32_t brokerWeight_ = 0; ///< Thousandths of a core that it has; 0 if it does not offer itself as a broker.
+    TimePoint avoidAsBrokerUntil_{}; ///< Until when it is no candidate, since it did not reply to a slot request.
+    bool countsPending_ = false; ///< Whether an update with the counts of calls is due at once.
+    TimePoint countsAt_{}; ///< When inFlight_ was last received.
+    std::vector<PendingGrant> pendingGrants_; ///< Slots granted to it that inFlight_ does not include.
+    uint64_t grantsSent_ = 0; ///< Number of the latest grant.
+    std::map<std::string, FreeSlots> freeSlots_; ///< Free slots that it has told of as the broker of a region.
+    TimePoint freeSlotsAt_{}; ///< When it told of them.
 };
 
 using PeerId = PoolId<Peer>; ///< Index of a peer.
@@ -199,7 +247,18 @@
     uint64_t startedAtMs_ = 0; ///< Start of the server in Unix milliseconds, 0 if unknown.
     bool draining_ = false; ///< Whether the server has announced that it leaves.
     bool removed_ = false; ///< Whether the row has been deleted.
-    bool missing_ = false; ///< In a peer's list: whether the row is missing since an outage of the store, see missingSince_.
+    bool missing_
+        = false; ///< In a peer's list: whether the row is missing since an outage of the store, see missingSince_.
+};
+
+/// How fast the slots of a service become free, as moving averages over half a second.
+struct SlotFlow
+{
+    double perSecond_ = 0; ///< Calls that got a slot in a second.
+    double inFlight_ = 0; ///< Calls at the upstreams.
+    double latestInFlight_ = 0; ///< The same as of updatedAt_, no average.
+    uint32_t placed_ = 0; ///< Calls that got a slot since updatedAt_.
+    TimePoint updatedAt_{}; ///< When the averages were last updated.
 };
 
 /// Settings that the gateway's decisions depend on.
@@ -259,6 +318,9 @@
     size_t answerBytes_ = 0; ///< Bytes of answers that all calls buffer.
     std::vector<DeferredArrival> deferred_; ///< Calls that arrived before the first configuration.
     std::vector<CallId> waiting_; ///< Calls that wait for an upstream with free capacity.
+    std::unordered_map<uint64_t, CallId> callBySlotRequest_; ///< Index of waiting calls by their slot request.
+    uint64_t nextSlotRequest_ = 1; ///< Number of the next slot request.
+    TimePoint slotCheckAt_{ noDeadline }; ///< When the slot requests of waiting calls have to be looked at again.
     DeadlineQueue<Call> deadlines_; ///< Times at which calls have to be checked.
     uint64_t nextSend_ = 1; ///< Number of the next send.
 
@@ -275,9 +337,22 @@
     std::map<std::string, PeerId> peerByAddress_; ///< Index of peers_ by address.
     uint64_t nextSequence_ = 1; ///< Number of the next update to peers.
     TimePoint peerAddedAt_{}; ///< When the address of a peer last became known.
-    TimePoint lastFullUpdateAt_{}; ///< When a full update, which lists all peers, was last sent.
+    TimePoint lastFullUpdateAt_{}; ///< When a full update was last sent.
+    TimePoint peerListDueAt_{}; ///< When a full update lists all peers next, if no peer is added before.
     std::map<SnapshotPart, SnapshotSchedule> snapshots_; ///< Fetches of peers' newer data.
 
+    double processorShare_ = 1; ///< Cores that this node has; brokers are chosen among those with the most.
+    std::map<std::string, std::vector<std::string>> brokersByRegion_; ///< Broker and standby of each region, IP:PORT.
+    TimePoint brokersReviewAt_{}; ///< When the brokers are computed next.
+    uint32_t announcedBrokerWeight_ = 0; ///< Weight in the latest full update, see Peer::brokerWeight_.
+    std::map<std::string, TimePoint> countedRegions_; ///< Regions in which counts sent had calls, and when.
+    std::unordered_map<std::string, UpstreamReport> upstreamReports_; ///< Not reported yet, by upstream id.
+    std::unordered_map<std::string, double> meanPromptSpeeds_; ///< Mean of promptTokensPerSecond_ by service.
+    std::map<std::string, SlotFlow> slotFlows_; ///< Flow of the slots that this node assigns, by service.
+    std::vector<QueuedSlotRequest> slotQueue_; ///< Requests for slots that wait here, if this node is a broker.
+    TimePoint freeSlotsDueAt_{}; ///< When the other brokers are told of free slots next.
+    std::unordered_map<uint64_t, uint64_t> grantsReceived_; ///< Newest grant received, by the broker's incarnation.
+
     bool stopping_ = false; ///< Whether a stop was requested.
     TimePoint stopAt_{}; ///< When the stop was requested.
     bool listening_ = true; ///< Whether new connections are still accepted.
--- a/src/gateway_command_type.h
+++ b/src/gateway_command_type.h
@@ -85,6 +85,13 @@
     PeerUpdate update_; ///< The same for all of them.
 };
 
+/// Sends a message about slots to a peer.
+struct SendSlotMessage
+{
+    std::string address_; ///< IP:PORT of the peer.
+    SlotMessage message_; ///< The message.
+};
+
 /// Commands of one tick.
 struct GatewayOutbox
 {
@@ -98,6 +105,7 @@
     std::vector<ForwardAnswer> answers_; ///< Complete answers to forward.
     std::vector<RefuseCall> refusals_; ///< Refusals to send to callers.
     std::vector<SendUpdate> updates_; ///< Updates to send to peers.
+    std::vector<SendSlotMessage> slotMessages_; ///< Messages about slots, one for each receiver.
     std::vector<FetchSnapshot> snapshotFetches_; ///< Snapshots to fetch from peers.
     std::vector<Decision> decisions_; ///< Records to log.
     bool limitsChanged_ = false; ///< Whether the limits on callers' requests have changed.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -125,6 +125,9 @@
     for (const SendUpdate &command : outbox.updates_) {
         sendPeerUpdate(daemon, command);
     }
+    for (const SendSlotMessage &command : outbox.slotMessages_) {
+        sendSlotMessage(daemon, command);
+    }
     for (const FetchSnapshot &command : outbox.snapshotFetches_) {
         fetchSnapshot(daemon, command);
     }
@@ -325,8 +328,10 @@
     state.regionByZone_ = settings.gateway_.regionByZone_;
     state.peerAddress_ = settings.gateway_.peerAddress_;
     state.firstStart_ = settings.gateway_.firstStart_;
+    state.processorShare_ = settings.gateway_.processorShare_;
     state.random_.seed(chooseSeed(settings));
     state.incarnation_ = state.random_();
+    state.nextSlotRequest_ = state.random_() >> 16U; // so that a request of an earlier process is not taken for one
     state.startedAt_ = Clock::now();
     state.lastPeerDisruptionAt_ = state.startedAt_;
     daemon.client_.responseBodyLimit_ = maxReplyBytes;
--- a/src/gateway_daemon_func.h
+++ b/src/gateway_daemon_func.h
@@ -31,6 +31,9 @@
 /// Sends an update to peers; one that can't be sent is counted and dropped.
 void sendPeerUpdate(GatewayDaemon &daemon, const SendUpdate &command);
 
+/// Sends a message about slots to a peer; one that can't be sent is counted and dropped.
+void sendSlotMessage(GatewayDaemon &daemon, const SendSlotMessage &command);
+
 /// Fetches a part of a peer's snapshot.
 void fetchSnapshot(GatewayDaemon &daemon, const FetchSnapshot &command);
 
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -1,123 +1,173 @@
 /**
  * @file gateway_dispatch.cpp
- * @brief System that sends waiting calls to upstreams with free capacity.
+ * @brief System that sends waiting calls to upstreams with free slots, and grants such slots to other gateways.
  *
- * Engines admit requests in order of arrival and do not know ranks. Calls therefore wait in the gateway, where they can
- * still be reordered or refused. A call is sent once an upstream has free capacity according to the counts of calls in
- * flight that all gateways share. Calls of less urgent ranks may fill less of an engine, which leaves headroom for
- * urgent ones.
+ * Calls wait in their gateway, where they can still be reordered or refused. The broker of a region orders those of all
+ * its gateways. Answers the load pattern in which more urgent and less urgent calls want the same slots: whatever
+ * becomes free goes to the most urgent of them, wherever it arrived.
  */
-#include "gateway_func.h"
+#include "gateway_placement_func.h"
 
 #include <algorithm>
-#include <array>
-#include <cmath>
+#include <set>
+#include <utility>
 
 namespace Burdockfield::Gateway {
 
 namespace {
 
-/// Calls allowed at an engine, as a multiple of its slots, by the number of ranks below the service's top rank.
-constexpr std::array<double, 3> engineCapacityFactors{ 1.1, 1.0, 0.65 };
-constexpr double plainCapacityFactor = 1.34; ///< The same for services without engines, where short queues cost little.
-constexpr double otherRegionCost = 0.15; ///< Added to the load (calls per slot) of an upstream in another region.
-constexpr double otherZoneCost = 0.03; ///< The same for another availability zone of this region.
-constexpr double failureCost = 1.0; ///< The same for an upstream that always fails; less if it fails less often.
-constexpr double alreadyTriedCost = 4.0; ///< The same for an upstream that this call was already sent to.
-constexpr double missingCost = 2.0; ///< The same for one that is missing from the list since a store outage.
-constexpr std::chrono::duration<double> failureHalfLife{ 1.5 }; ///< Time after which a failure counts half as much.
-constexpr double newestOutcomeWeight = 0.3; ///< Weight of the newest outcome in the failure rate, 0 to 1.
-
-/// @return the calls in flight at an upstream below which it may get another call of a route rank.
-double capacityFor(const GatewayState &state, const Upstream &upstream, uint32_t routeRank)
+bool wasSentTo(const Call &call, const Upstream &upstream)
 {
-    const Service *service = findService(state.configuration_, upstream.service_);
-    if (service != nullptr && !service->modelEngine_) {
-        return upstream.slots_ * plainCapacityFactor;
-    }
-    const auto found = state.configuration_.mostUrgentRankByService_.find(upstream.service_);
-    const uint32_t topRank = found == state.configuration_.mostUrgentRankByService_.end() ? 0 : found->second;
-    const size_t ranksBelowTop = routeRank > topRank ? routeRank - topRank : 0;
-    return upstream.slots_ * engineCapacityFactors[std::min(ranksBelowTop, engineCapacityFactors.size() - 1)];
+    return std::find(call.triedInstances_.begin(), call.triedInstances_.end(), upstream.id_)
+        != call.triedInstances_.end();
 }
 
-/// @return whether an upstream wants calls, and has not failed to answer them just now.
-bool isAvailable(const Upstream &upstream, TimePoint now)
+/// @return how many of an upstream's connections this gateway may use, or 0 for no limit.
+uint32_t connectionShareOf(const GatewayState &state, const std::string &service)
 {
-    return !upstream.draining_ && !upstream.announcement_.leaving_ && upstream.announcement_.pausedUntil_ <= now
-        && upstream.avoidUntil_ <= now;
+    const Service *rule = findService(state.configuration_, service);
+    if (rule == nullptr || rule->connectionLimit_ == 0) {
+        return 0;
+    }
+    return std::max(1U, rule->connectionLimit_ / static_cast<uint32_t>(1 + state.peers_.size_));
 }
 
-/// @return whether an upstream of the call's service is available and has free capacity for it.
-bool canAccept(const GatewayState &state, TimePoint now, const Upstream &upstream, const Call &call)
+/// Removes calls from the queue that have ended or have been sent.
+void removeNonWaitingCalls(GatewayState &state)
 {
-    return upstream.service_ == call.service_ && isAvailable(upstream, now)
-        && upstream.ownInFlight_ + upstream.peerInFlight_ < capacityFor(state, upstream, call.routeRank_);
+    std::erase_if(state.waiting_, [&state](CallId id) {
+        const Call *call = findRow(state.calls_, id);
+        return call == nullptr || call->stage_ != CallStage::Waiting;
+    });
 }
 
-bool wasSentTo(const Call &call, const Upstream &upstream)
+/// Call of this gateway, or slot request of another one, that waits for an upstream.
+struct Bid
 {
-    return std::find(call.triedInstances_.begin(), call.triedInstances_.end(), upstream.id_)
-        != call.triedInstances_.end();
+    CallId call_; ///< The call of this gateway; matches no row if it is a request.
+    const QueuedSlotRequest *request_ = nullptr; ///< The request of another gateway, or nullptr.
+    std::string service_; ///< Service that it needs.
+    bool resumesStream_ = false; ///< Whether it is a stream that has started.
+    uint32_t rank_ = 0; ///< See Call::rank_.
+    uint32_t routeRank_ = 0; ///< See Call::routeRank_.
+    bool callerRetry_ = false; ///< See Call::callerRetry_.
+    TimePoint arrivedAt_{}; ///< When the call arrived at its gateway.
+};
+
+/**
+ * Orders bids by: started stream, rank, route rank, first attempt before a caller's retry, arrival.
+ * First attempts precede callers' retries because they can still be on time.
+ */
+bool hasPriorityOver(const Bid &left, const Bid &right)
+{
+    if (left.resumesStream_ != right.resumesStream_) {
+        return left.resumesStream_;
+    }
+    if (left.rank_ != right.rank_) {
+        return left.rank_ < right.rank_;
+    }
+    if (left.routeRank_ != right.routeRank_) {
+        return left.routeRank_ < right.routeRank_;
+    }
+    if (left.callerRetry_ != right.callerRetry_) {
+        return right.callerRetry_;
+    }
+    return left.arrivedAt_ < right.arrivedAt_;
 }
 
-/// @return the load of an upstream in calls per slot, plus the costs above that apply; calls go where it is lowest.
-double upstreamCost(const GatewayState &state, const Upstream &upstream, const Call &call, TimePoint now)
+/// @return the calls for which this gateway chooses the upstream, its own and those of others, by priority.
+std::vector<Bid> collectBids(const GatewayState &state)
 {
-    double cost = static_cast<double>(upstream.ownInFlight_ + upstream.peerInFlight_) / upstream.slots_;
-    if (upstream.region_ != state.region_) {
-        cost += otherRegionCost;
-    } else if (upstream.zone_ != state.zone_) {
-        cost += otherZoneCost;
+    std::vector<Bid> bids;
+    if (assignsSlots(state, state.region_)) {
+        for (const CallId id : state.waiting_) {
+            if (const Call &call = *findRow(state.calls_, id); call.slot_.number_ == 0) {
+                bids.push_back({ id, nullptr, call.service_, call.streamStarted_, call.rank_, call.routeRank_,
+                    call.callerRetry_, call.arrivedAt_ });
+            }
+        }
     }
-    cost += failureRateAt(upstream, now) * failureCost;
-    if (wasSentTo(call, upstream)) {
-        cost += alreadyTriedCost;
+    for (const QueuedSlotRequest &queued : state.slotQueue_) {
+        const SlotRequest &request = queued.request_;
+        bids.push_back({ {}, &queued, request.service_, request.resumesStream_, request.rank_, request.routeRank_,
+            request.callerRetry_, queued.arrivedAt_ });
     }
-    return upstream.missingSince_ == noDeadline ? cost : cost + missingCost;
+    std::stable_sort(bids.begin(), bids.end(), hasPriorityOver);
+    return bids;
 }
 
-/// Upstream selected for a call.
-struct UpstreamChoice
+/// Sends the call of a bid to an upstream, or grants the slot there to the gateway that has the call.
+void placeBid(
+    GatewayState &state, TimePoint now, const Bid &bid, uint64_t promptTokens, UpstreamId target, GatewayOutbox &outbox)
 {
-    UpstreamId id_; ///< The upstream; valid if ties_ is not 0.
-    double cost_ = 0; ///< Its cost, in calls per slot.
-    uint32_t ties_ = 0; ///< Upstreams found so far with this cost; one of them is drawn at random.
-};
+    ++state.slotFlows_[bid.service_].placed_;
+    addBacklog(state, *findRow(state.upstreams_, target), now, promptTokens);
+    if (bid.request_ != nullptr) {
+        grantSlot(state, now, *bid.request_, target, outbox);
+        return;
+    }
+    const Upstream &upstream = *findRow(state.upstreams_, target);
+    sendCall(state, now, bid.call_, target, upstream.ownInFlight_ + upstream.peerInFlight_ + 1, outbox);
+}
 
-UpstreamChoice chooseUpstream(GatewayState &state, TimePoint now, const Call &call)
+/**
+ * Leaves a bid waiting, or refuses it if it is not expected to get a slot in time.
+ * @param waiting bids of the same service that wait before it; counts this one, too, if it is left waiting
+ */
+void keepWaiting(GatewayState &state, TimePoint now, const Bid &bid, size_t &waiting,
+    std::set<std::pair<std::string, uint64_t>> &settled, GatewayOutbox &outbox)
 {
-    constexpr double costTolerance = 1e-6;
-    UpstreamChoice choice;
-    forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
-        if (!canAccept(state, now, upstream, call)) {
-            return;
-        }
-        const double cost = upstreamCost(state, upstream, call, now);
-        if (choice.ties_ == 0 || cost < choice.cost_ - costTolerance) {
-            choice = { id, cost, 1 };
-        } else if (cost < choice.cost_ + costTolerance && state.random_() % ++choice.ties_ == 0) {
-            choice.id_ = id;
-        }
-    });
-    return choice;
+    const Call *call = findRow(state.calls_, bid.call_);
+    const TimePoint waitUntil = bid.request_ != nullptr ? bid.request_->waitUntil_ : call->waitUntil_;
+    if (bid.resumesStream_ || !isHopeless(state, bid.service_, waiting, waitUntil - now)) {
+        ++waiting;
+        return;
+    }
+    count(state.metrics_, "slot_requests", "hopeless");
+    if (bid.request_ != nullptr) {
+        denySlot(*bid.request_, outbox);
+        settled.emplace(bid.request_->request_.origin_, bid.request_->request_.number_);
+        return;
+    }
+    refuse(
+        state, now, bid.call_, call->mayHaveRun_ ? RefusalReason::UpstreamFailed : RefusalReason::Overloaded, outbox);
 }
 
-/// @return how many of an upstream's connections this gateway may use, or 0 for no limit.
-uint32_t connectionShareOf(const GatewayState &state, const std::string &service)
+/// Passes a bid on to the broker of another region that has a free slot. @return whether there is one
+bool passOn(GatewayState &state, TimePoint now, const Bid &bid, const SlotRequest &request, GatewayOutbox &outbox)
 {
-    const Service *rule = findService(state.configuration_, service);
-    if (rule == nullptr || rule->connectionLimit_ == 0) {
-        return 0;
+    if (bid.request_ != nullptr && bid.request_->forwarded_) {
+        return false;
     }
-    return std::max(1U, rule->connectionLimit_ / static_cast<uint32_t>(1 + state.peers_.size_));
+    const Peer *broker = takeFreeSlotElsewhere(state, now, request);
+    if (broker == nullptr) {
+        return false;
+    }
+    if (bid.request_ != nullptr) {
+        SlotRequest forwarded = request;
+        forwarded.age_ = std::chrono::duration_cast<Milliseconds>(now - bid.request_->arrivedAt_);
+        forwarded.wait_ = std::chrono::duration_cast<Milliseconds>(bid.request_->waitUntil_ - now);
+        forwardRequest(state, *broker, forwarded, outbox);
+    } else {
+        requestSlotElsewhere(state, now, bid.call_, *findRow(state.calls_, bid.call_), *broker, outbox);
+    }
+    return true;
 }
 
-void sendToUpstream(GatewayState &state, TimePoint now, CallId id, Call &call, UpstreamId target, GatewayOutbox &outbox)
+} // namespace
+
+void sendCall(
+    GatewayState &state, TimePoint now, CallId id, UpstreamId target, uint32_t inFlight, GatewayOutbox &outbox)
 {
+    Call &call = *findRow(state.calls_, id);
+    const CallSlotRequest slot = std::exchange(call.slot_, {});
+    state.callBySlotRequest_.erase(slot.number_);
     Upstream &upstream = *findRow(state.upstreams_, target);
     ++upstream.ownInFlight_;
     markPeerUpdatesPending(state, upstream.region_);
+    if (slot.number_ == 0) { // then nobody else knows of the call
+        markCountsPending(state);
+    }
     call.stage_ = CallStage::Sent;
     call.send_ = state.nextSend_++;
     call.upstream_ = target;
@@ -125,6 +175,7 @@
     call.lastReceivedAt_ = now;
     call.headReceived_ = false;
     call.answerBegunAt_ = noDeadline;
+    call.sendEvents_ = 0;
     clearAnswer(state, call);
     ++call.attempts_;
     state.callBySend_[call.send_] = id;
@@ -144,88 +195,67 @@
     outbox.decisions_.push_back({ "sent",
         { { "request", call.request_.id_ }, { "upstream", upstream.id_ }, { "attempt", std::to_string(call.attempts_) },
             { "route", call.routeName_ }, { "rank", std::to_string(call.rank_) },
-            { "own", std::to_string(upstream.ownInFlight_) }, { "peers", std::to_string(upstream.peerInFlight_) },
-            { "slots", std::to_string(upstream.slots_) }, { "waited_ms", millisecondsText(now - call.arrivedAt_) },
+            { "in_flight", std::to_string(inFlight) }, { "own", std::to_string(upstream.ownInFlight_) },
+            { "slots", std::to_string(upstream.slots_) }, { "broker", slot.number_ == 0 ? "self" : slot.broker_ },
+            { "reply_ms", slot.number_ == 0 ? "0" : millisecondsText(now - slot.askedAt_) },
+            { "waited_ms", millisecondsText(now - call.arrivedAt_) },
             { "left_ms", std::to_string(command.parameters_.wait_.count()) } } });
     outbox.sends_.push_back(std::move(command));
     pushDeadline(state.deadlines_, nextCallCheck(call), id);
 }
 
-/// Removes calls from the queue that have ended or have been sent.
-void removeNonWaitingCalls(GatewayState &state)
-{
-    std::erase_if(state.waiting_, [&state](CallId id) {
-        const Call *call = findRow(state.calls_, id);
-        return call == nullptr || call->stage_ != CallStage::Waiting;
-    });
-}
-
-/**
- * Orders calls by: started stream, rank, route rank, first attempt before a caller's retry, arrival.
- * First attempts precede callers' retries because they can still be on time.
- */
-bool hasPriorityOver(const Call &left, const Call &right)
-{
-    if (left.streamStarted_ != right.streamStarted_) {
-        return left.streamStarted_;
-    }
-    if (left.rank_ != right.rank_) {
-        return left.rank_ < right.rank_;
-    }
-    if (left.routeRank_ != right.routeRank_) {
-        return left.routeRank_ < right.routeRank_;
-    }
-    if (left.callerRetry_ != right.callerRetry_) {
-        return right.callerRetry_;
-    }
-    return left.arrivedAt_ < right.arrivedAt_;
-}
-
-} // namespace
-
 void runDispatch(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
 {
     removeNonWaitingCalls(state);
-    std::sort(state.waiting_.begin(), state.waiting_.end(), [&state](CallId left, CallId right) {
-        return hasPriorityOver(*findRow(state.calls_, left), *findRow(state.calls_, right));
-    });
-    // Services and route ranks for which this tick found no free capacity.
-    std::set<std::pair<std::string, uint32_t>> withoutCapacity;
-    for (const CallId id : state.waiting_) {
-        Call &call = *findRow(state.calls_, id);
-        if (withoutCapacity.contains({ call.service_, call.routeRank_ })) {
+    const std::set<std::string> assigned = assignedRegions(state);
+    // A standby is asked by gateways that can't reach the broker; it has the same counts.
+    const std::set<std::string> forOthers = assigned.empty() ? countedRegions(state) : assigned;
+    // Services and route ranks for which this tick found no free slot, here and in other regions.
+    std::set<std::pair<std::string, uint32_t>> fullHere;
+    std::set<std::pair<std::string, uint32_t>> fullElsewhere;
+    std::set<std::pair<std::string, uint64_t>> settled; // requests that need no further reply
+    std::map<std::string, size_t> waitingByService;
+    for (const Bid &bid : collectBids(state)) {
+        const std::pair key(bid.service_, bid.routeRank_);
+        if (fullHere.contains(key) && fullElsewhere.contains(key)) {
+            keepWaiting(state, now, bid, waitingByService[bid.service_], settled, outbox);
+            continue;
+        }
+        const SlotRequest request = bid.request_ != nullptr
+            ? bid.request_->request_
+            : makeSlotRequest(state, now, *findRow(state.calls_, bid.call_));
+        const UpstreamId target = fullHere.contains(key)
+            ? UpstreamId{}
+            : chooseUpstream(state, now, request, bid.request_ != nullptr ? forOthers : assigned);
+        if (findRow(state.upstreams_, target) != nullptr) {
+            placeBid(state, now, bid, request.promptTokens_, target, outbox);
+        } else if (fullHere.insert(key); !passOn(state, now, bid, request, outbox)) {
+            fullElsewhere.insert(key);
+            keepWaiting(state, now, bid, waitingByService[bid.service_], settled, outbox);
             continue;
         }
-        const UpstreamChoice choice = chooseUpstream(state, now, call);
-        if (choice.ties_ > 0) {
-            sendToUpstream(state, now, id, call, choice.id_, outbox);
-        } else {
-            withoutCapacity.emplace(call.service_, call.routeRank_);
+        if (bid.request_ != nullptr) {
+            settled.emplace(request.origin_, request.number_);
         }
     }
+    std::erase_if(state.slotQueue_, [&settled](const QueuedSlotRequest &queued) {
+        return settled.contains({ queued.request_.origin_, queued.request_.number_ });
+    });
     removeNonWaitingCalls(state);
 }
 
 bool hasCapacityElsewhere(const GatewayState &state, TimePoint now, const Call &call)
 {
+    if (!mayHaveFreeSlot(state, now, call.service_, call.routeRank_)) {
+        return false;
+    }
     bool found = false;
     forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
-        found = found || (id != call.upstream_ && canAccept(state, now, upstream, call));
+        found = found
+            || (id != call.upstream_ && upstream.service_ == call.service_
+                && hasFreeSlot(state, now, upstream, call.routeRank_));
     });
     return found;
 }
 
-double failureRateAt(const Upstream &upstream, TimePoint now)
-{
-    const double halfLives = std::chrono::duration<double>(now - upstream.failureAt_) / failureHalfLife;
-    return upstream.failureRate_ * std::exp2(-halfLives);
-}
-
-void recordOutcome(Upstream &upstream, TimePoint now, bool failed)
-{
-    upstream.failureRate_
-        = failureRateAt(upstream, now) * (1 - newestOutcomeWeight) + (failed ? newestOutcomeWeight : 0);
-    upstream.failureAt_ = now;
-}
-
 } // namespace Burdockfield::Gateway
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -116,13 +116,17 @@
     std::optional<Milliseconds> uptime_; ///< Time since the sender's start; only in its first quota window.
     uint64_t configurationVersion_ = 0; ///< Version of the configuration that the sender holds.
     uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that the sender holds.
+    bool hasCounts_ = true; ///< Whether the next three members are sent; only brokers and their standbys need them.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< The sender's calls in flight, by upstream id.
+    std::unordered_map<uint64_t, uint64_t> grantsReceived_; ///< Newest grant received, by the broker's incarnation.
+    std::unordered_map<std::string, UpstreamReport> reports_; ///< Outcomes since the last counts, by upstream id.
+    uint32_t brokerWeight_ = 0; ///< See Peer::brokerWeight_; in full updates only.
     std::unordered_map<std::string, uint64_t> chargedUnits_; ///< Units charged since the sender's start, by workspace.
     std::vector<UpstreamStart> leaving_; ///< Upstreams whose answers said that they leave; in full updates only.
     std::vector<PeerCrash> crashes_; ///< Crashes that the sender saw recently; in full updates only.
     std::map<Trait, Milliseconds> answered_; ///< Suspects answered there, with the time since then; full updates only.
     std::map<Trait, PeerVerdict> verdicts_; ///< Verdicts that the sender knows; in full updates only.
-    std::vector<std::string> peers_; ///< Addresses of the sender's peers; in full updates only.
+    std::vector<std::string> peers_; ///< Addresses of the sender's peers; in some full updates only.
 };
 
 /// Events of one tick.
@@ -134,6 +138,7 @@
     std::vector<std::string> peerAddresses_; ///< Addresses of gateways from the settings or the store.
     std::vector<QuotaLevels> quotaLevels_; ///< Quota levels received from peers.
     std::vector<PeerUpdate> peerUpdates_; ///< Updates received from peers.
+    std::vector<SlotMessage> slotMessages_; ///< Messages about slots received from peers.
     std::vector<SnapshotPart> endedSnapshots_; ///< Fetches of snapshots that have ended, successful or not.
     std::vector<CallArrived> arrivals_; ///< New calls.
     std::vector<CallerDisconnected> disconnects_; ///< Callers that have disconnected.
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -63,6 +63,9 @@
  */
 void markPeerUpdatesPending(GatewayState &state, const std::string &region);
 
+/// Schedules updates with the counts of calls to those that need them at once.
+void markCountsPending(GatewayState &state);
+
 /// @return when the next update to a peer, or fetch from a peer, is due.
 TimePoint nextPeerDeadline(const GatewayState &state);
 
@@ -90,9 +93,72 @@
 /// Ends calls whose deadline has passed, and moves calls away from silent upstreams.
 void runDeadlines(GatewayState &state, TimePoint now, GatewayOutbox &outbox);
 
-/// Sends waiting calls to upstreams with free capacity.
+/// Computes the brokers of all regions.
+void runBrokers(GatewayState &state, TimePoint now, GatewayOutbox &outbox);
+
+/// @return this gateway's weight as a broker, see Peer::brokerWeight_.
+uint32_t brokerWeight(const GatewayState &state, TimePoint now);
+
+/// @return IP:PORT of the gateway that assigns the slots of a region's upstreams; nullptr if none is known.
+const std::string *findBroker(const GatewayState &state, const std::string &region);
+
+/// @return whether this gateway assigns the slots of a region's upstreams, as their broker or for want of one.
+bool assignsSlots(const GatewayState &state, const std::string &region);
+
+/// @return the regions whose upstreams' slots this gateway assigns.
+std::set<std::string> assignedRegions(const GatewayState &state);
+
+/// @return the regions of whose upstreams this gateway is told all counts, as their broker or standby.
+std::set<std::string> countedRegions(const GatewayState &state);
+
+/// Replaces a broker that does not reply for a time.
+void avoidBroker(GatewayState &state, TimePoint now, const std::string &address, GatewayOutbox &outbox);
+
+/// @return the addresses of the peers that need this gateway's counts of calls.
+std::set<std::string> findCountReceivers(const GatewayState &state);
+
+/// Handles the messages about slots.
+void runSlots(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox);
+
+/// Requests slots for the calls that are still waiting, and replies to the requests of others that are.
+void runSlotRequests(GatewayState &state, TimePoint now, GatewayOutbox &outbox);
+
+/// @return what a call needs of an upstream.
+SlotRequest makeSlotRequest(const GatewayState &state, TimePoint now, const Call &call);
+
+/// Grants a slot at an upstream to the gateway that requested it.
+void grantSlot(
+    GatewayState &state, TimePoint now, const QueuedSlotRequest &queued, UpstreamId target, GatewayOutbox &outbox);
+
+/// Tells a gateway that no slot is expected in time for its request.
+void denySlot(const QueuedSlotRequest &queued, GatewayOutbox &outbox);
+
+/// Updates the averages of how fast slots become free.
+void updateSlotFlows(GatewayState &state, TimePoint now);
+
+/// @return whether a call is not expected to get a slot in time.
+bool isHopeless(const GatewayState &state, const std::string &service, size_t ahead, Duration wait);
+
+/// @return the broker of another region that has a free slot, which is counted as taken; nullptr if none has.
+const Peer *takeFreeSlotElsewhere(GatewayState &state, TimePoint now, const SlotRequest &request);
+
+/// Passes a request of another gateway on to a broker.
+void forwardRequest(GatewayState &state, const Peer &broker, const SlotRequest &request, GatewayOutbox &outbox);
+
+/// Requests a slot for a call of this gateway from the broker of another region.
+void requestSlotElsewhere(
+    GatewayState &state, TimePoint now, CallId id, Call &call, const Peer &broker, GatewayOutbox &outbox);
+
+/// Sends waiting calls to upstreams with free capacity, and grants slots to other gateways.
 void runDispatch(GatewayState &state, TimePoint now, GatewayOutbox &outbox);
 
+/**
+ * Sends a waiting call to an upstream.
+ * @param inFlight the calls there, this one included, as whoever chose the upstream counts them; for log lines
+ */
+void sendCall(
+    GatewayState &state, TimePoint now, CallId id, UpstreamId target, uint32_t inFlight, GatewayOutbox &outbox);
+
 /// @return whether an upstream other than the call's present one has free capacity for the call.
 bool hasCapacityElsewhere(const GatewayState &state, TimePoint now, const Call &call);
 
@@ -106,7 +172,7 @@
 void applyQuotaLevels(GatewayState &state, TimePoint now, const QuotaLevels &levels);
 
 /// Refunds units charged for a call that has not run.
-void refundQuota(GatewayState &state, const std::string &workspace, uint64_t units);
+void refundQuota(GatewayState &state, TimePoint now, const std::string &workspace, uint64_t units);
 
 /// Subtracts units that a peer has charged to a workspace from its quota; negative units are a refund.
 void chargePeerUsage(GatewayState &state, TimePoint now, const Peer &peer, const std::string &workspace, int64_t units);
@@ -129,6 +195,9 @@
 /// @return an upstream in the form of a row of the store's list.
 UpstreamRow makeUpstreamRow(const Upstream &upstream);
 
+/// @return the region of an availability zone; the zone itself if that is not known.
+const std::string &regionOf(const GatewayState &state, const std::string &zone);
+
 /// @return the upstream with that id, or nullptr.
 Upstream *findUpstream(GatewayState &state, const std::string &id);
 
@@ -153,6 +222,31 @@
 /// Adds one outcome to an upstream's failure rate.
 void recordOutcome(Upstream &upstream, TimePoint now, bool failed);
 
+/// Adds one outcome of a call of this gateway to its upstream's failure rate, also at the brokers.
+void reportOutcome(GatewayState &state, Upstream &upstream, TimePoint now, bool failed);
+
+/// Applies what other gateways have seen of an upstream.
+void applyReport(Upstream &upstream, TimePoint now, const UpstreamReport &report);
+
+/// Records how long an upstream has taken to read the prompt of a call whose answer begins now.
+void recordFirstEvent(GatewayState &state, TimePoint now, const Call &call);
+
+/// Records the load that an upstream tells with an answer.
+void recordToldLoad(
+    GatewayState &state, TimePoint now, const AnswerHead &head, Upstream &upstream, GatewayOutbox &outbox);
+
+/// Computes how fast the upstreams of each service read prompts on average.
+void updateSpeedMeans(GatewayState &state);
+
+/// @return how fast an upstream reads prompts, in tokens a second, or else those of its service; 0 if unknown.
+double promptSpeed(const GatewayState &state, const Upstream &upstream);
+
+/// @return the tokens of prompts that an upstream has still to read, as far as this gateway has placed them.
+double backlogTokens(const GatewayState &state, const Upstream &upstream, TimePoint now);
+
+/// Adds a prompt to what an upstream has to read.
+void addBacklog(const GatewayState &state, Upstream &upstream, TimePoint now, uint64_t tokens);
+
 /// @return an upstream's failure rate as of @p now.
 double failureRateAt(const Upstream &upstream, TimePoint now);
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -221,7 +221,7 @@
                 { "upstream", lastUpstreamId(state, *call) }, { "silent_ms", upstreamSilenceText(now, *call) } } });
         count(state.metrics_, "calls_ended", unsent ? "caller-left-unsent" : "caller-left");
         if (call->attempts_ == 0) {
-            refundQuota(state, call->workspace_, call->charge_);
+            refundQuota(state, now, call->workspace_, call->charge_);
         }
         const CallId id = found->second;
         cancelSend(state, now, *call, outbox);
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -58,8 +58,7 @@
     upstream.service_ = row.service_;
     upstream.address_ = row.address_;
     upstream.zone_ = row.zone_;
-    const auto region = state.regionByZone_.find(row.zone_);
-    upstream.region_ = region == state.regionByZone_.end() ? row.zone_ : region->second;
+    upstream.region_ = regionOf(state, row.zone_);
     upstream.slots_ = std::max(1U, row.slots_);
     upstream.startedAtMs_ = row.startedAtMs_;
     upstream.draining_ = row.draining_;
@@ -67,6 +66,8 @@
     forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) {
         const auto count = peer.inFlight_.find(row.id_);
         upstream.peerInFlight_ += count == peer.inFlight_.end() ? 0 : count->second;
+        upstream.peerInFlight_ += static_cast<uint32_t>(std::count_if(peer.pendingGrants_.begin(),
+            peer.pendingGrants_.end(), [&row](const PendingGrant &grant) { return grant.upstream_ == row.id_; }));
     });
     state.upstreamById_[row.id_] = insertRow(state.upstreams_, std::move(upstream));
     logUpstreamChange(row, row.draining_ ? "listed-draining" : "listed", source, outbox);
@@ -111,8 +112,8 @@
 }
 
 /**
- * Adds an upstream that a peer misses since an outage of the store, as long as this gateway can't know better: it has no
- * list yet, or recovers from an outage itself. Else its own list says whether the upstream still exists.
+ * Adds an upstream that a peer misses since an outage of the store, as long as this gateway can't know better: it has
+ * no list yet, or recovers from an outage itself. Else its own list says whether the upstream still exists.
  */
 void applyMissingRow(
     GatewayState &state, TimePoint now, const UpstreamRow &row, const std::string &source, GatewayOutbox &outbox)
--- a/src/gateway_peer_io.cpp
+++ b/src/gateway_peer_io.cpp
@@ -6,6 +6,7 @@
 #include "error_type.h"
 #include "gateway_daemon_func.h"
 #include "gateway_peer_wire.h"
+#include "gateway_slot_wire.h"
 #include "log_func.h"
 
 namespace Burdockfield::Gateway {
@@ -43,6 +44,34 @@
     }
 }
 
+/// Decodes a datagram of a peer into an event.
+template<typename Message, typename Parse>
+void receiveMessage(GatewayDaemon &daemon, std::string_view text, Parse parse, std::vector<Message> &events)
+{
+    Message message;
+    if (const std::error_code error = parse(text, message); error) {
+        count(daemon.state_.metrics_, "peer_updates", "malformed");
+        return;
+    }
+    const auto &sender = daemon.datagramSender_;
+    message.address_ = sender.address().to_string() + ":" + std::to_string(sender.port());
+    events.push_back(std::move(message));
+    scheduleTick(daemon);
+}
+
+/// Sends a datagram to a peer; one that can't be sent is counted and dropped.
+void sendDatagram(GatewayDaemon &daemon, const std::string &address, const std::string &text, const char *kind)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        return;
+    }
+    const Asio::ip::udp::endpoint target(endpoint->address(), endpoint->port());
+    boost::system::error_code error;
+    daemon.updateSocket_.send_to(Asio::buffer(text), target, 0, error);
+    count(daemon.state_.metrics_, kind, error ? "not-sent" : "sent");
+}
+
 } // namespace
 
 void addSeedPeers(GatewayDaemon &daemon)
@@ -63,15 +92,11 @@
             if (error == Asio::error::operation_aborted) {
                 return;
             }
-            PeerUpdate update;
             const std::string_view text(daemon.datagram_.data(), error ? 0 : length);
-            if (const std::error_code bad = parsePeerUpdate(text, update); bad) {
-                count(daemon.state_.metrics_, "peer_updates", "malformed");
+            if (isSlotMessage(text)) {
+                receiveMessage(daemon, text, parseSlotMessage, daemon.inbox_.slotMessages_);
             } else {
-                const auto &sender = daemon.datagramSender_;
-                update.address_ = sender.address().to_string() + ":" + std::to_string(sender.port());
-                daemon.inbox_.peerUpdates_.push_back(std::move(update));
-                scheduleTick(daemon);
+                receiveMessage(daemon, text, parsePeerUpdate, daemon.inbox_.peerUpdates_);
             }
             receiveUpdates(daemon);
         });
@@ -98,17 +123,15 @@
 {
     const std::string text = serializePeerUpdate(command.update_);
     for (const std::string &address : command.addresses_) {
-        const auto endpoint = parseEndpoint(address);
-        if (!endpoint) {
-            continue;
-        }
-        const Asio::ip::udp::endpoint target(endpoint->address(), endpoint->port());
-        boost::system::error_code error;
-        daemon.updateSocket_.send_to(Asio::buffer(text), target, 0, error);
-        count(daemon.state_.metrics_, "peer_updates", error ? "not-sent" : "sent");
+        sendDatagram(daemon, address, text, "peer_updates");
     }
 }
 
+void sendSlotMessage(GatewayDaemon &daemon, const SendSlotMessage &command)
+{
+    sendDatagram(daemon, command.address_, serializeSlotMessage(command.message_), "slot_messages");
+}
+
 void fetchSnapshot(GatewayDaemon &daemon, const FetchSnapshot &command)
 {
     HttpRequest request;
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -26,6 +26,8 @@
 constexpr std::string_view configurationField = "c";
 constexpr std::string_view upstreamsField = "u";
 constexpr std::string_view inFlightField = "f";
+constexpr std::string_view grantsReceivedField = "g";
+constexpr std::string_view reportsField = "o";
 constexpr std::string_view chargedUnitsField = "w";
 
 constexpr int traitBase = 16; ///< Traits are written in hexadecimal.
@@ -64,6 +66,58 @@
     fail(reader, nested.error_);
 }
 
+void serializeGrants(const PeerUpdate &update, Json::object &object)
+{
+    Json::object grants;
+    for (const auto &[incarnation, grant] : update.grantsReceived_) {
+        grants[toHex(incarnation)] = grant;
+    }
+    if (!grants.empty()) {
+        object[grantsReceivedField] = std::move(grants);
+    }
+}
+
+/// Adds the reports of upstreams; the names of their fields are short, and fields that are 0 are left out.
+void serializeReports(const PeerUpdate &update, Json::object &object)
+{
+    Json::object reports;
+    for (const auto &[id, report] : update.reports_) {
+        Json::object item;
+        const auto add = [&item](std::string_view field, int64_t value) {
+            if (value != 0) {
+                item[field] = value;
+            }
+        };
+        add("s", report.succeeded_);
+        add("f", report.failed_);
+        add("p", static_cast<int64_t>(report.promptTokens_));
+        add("t", report.promptTime_.count());
+        reports[id] = std::move(item);
+    }
+    if (!reports.empty()) {
+        object[reportsField] = std::move(reports);
+    }
+}
+
+void parseReports(JsonReader &reader, PeerUpdate &update)
+{
+    const Json::value *value = readValue(reader, reportsField, Presence::Optional);
+    if (value == nullptr) {
+        return;
+    }
+    JsonReader reports = readObject(*value);
+    for (const auto &entry : reports.error_ ? Json::object() : *reports.object_) {
+        JsonReader item = readObject(entry.value());
+        UpstreamReport &report = update.reports_[std::string(entry.key().data(), entry.key().size())];
+        read(item, "s", report.succeeded_, Presence::Optional);
+        read(item, "f", report.failed_, Presence::Optional);
+        read(item, "p", report.promptTokens_, Presence::Optional);
+        read(item, "t", report.promptTime_, Presence::Optional);
+        fail(reports, item.error_);
+    }
+    fail(reader, reports.error_);
+}
+
 std::optional<Trait> parseTrait(std::string_view text)
 {
     Trait trait = 0;
@@ -90,6 +144,14 @@
     fail(reader, nested.error_);
 }
 
+/// Reads the newest grants by incarnation, which are hashes in hexadecimal like traits.
+void parseGrants(JsonReader &reader, PeerUpdate &update)
+{
+    parseByTrait(reader, grantsReceivedField, [&update](JsonReader &nested, uint64_t incarnation, const auto &name) {
+        read(nested, name, update.grantsReceived_[incarnation]);
+    });
+}
+
 Json::object serializeStart(const UpstreamStart &upstream)
 {
     return { { "id", upstream.id_ }, { "born_ms", upstream.startedAtMs_ } };
@@ -223,14 +285,19 @@
 {
     Json::object object{ { incarnationField, update.incarnation_ }, { sequenceField, update.sequence_ },
         { configurationField, update.configurationVersion_ }, { upstreamsField, update.upstreamsVersion_ },
-        { inFlightField, serializeCounts(update.inFlight_) },
         { chargedUnitsField, serializeCounts(update.chargedUnits_) } };
+    if (update.hasCounts_) {
+        object[inFlightField] = serializeCounts(update.inFlight_);
+        serializeGrants(update, object);
+        serializeReports(update, object);
+    }
     if (update.uptime_) {
         object[uptimeField] = update.uptime_->count();
     }
     if (!update.name_.empty()) {
         object["name"] = update.name_;
         object["region"] = update.region_;
+        object["broker_weight"] = update.brokerWeight_;
     }
     serializeUpstreamNews(update, object);
     if (!update.peers_.empty()) {
@@ -252,7 +319,11 @@
     }
     read(reader, configurationField, update.configurationVersion_);
     read(reader, upstreamsField, update.upstreamsVersion_);
+    update.hasCounts_ = readValue(reader, inFlightField, Presence::Optional) != nullptr;
     parseCounts(reader, inFlightField, update.inFlight_);
+    parseGrants(reader, update);
+    parseReports(reader, update);
+    read(reader, "broker_weight", update.brokerWeight_, Presence::Optional);
     parseCounts(reader, chargedUnitsField, update.chargedUnits_);
     parseUpstreamNews(reader, update);
     read(reader, "peers", update.peers_, Presence::Optional);
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -5,6 +5,9 @@
 #include "gateway_func.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
 
 namespace Burdockfield::Gateway {
 
@@ -16,9 +19,16 @@
     15
 }; ///< Minimum time between updates within a region; calls take about ten ms.
 constexpr size_t maxPeersAtFullRate = 5; ///< With more peers the intervals grow in proportion; the cost stays the same.
+constexpr Milliseconds countsInterval{ 3 }; ///< Minimum time between updates with counts to a broker.
+/// Age from which a grant is covered by the counts, or was lost; they are sent at least every heartbeat.
+constexpr Milliseconds grantTimeout{ 500 };
 constexpr Milliseconds otherRegionInterval{ 40 }; ///< Minimum time to other regions; that traffic is expensive.
 constexpr Milliseconds heartbeatInterval{ 200 }; ///< Maximum time between updates; limits the delay of quota usage.
+constexpr Milliseconds usageRepetition{ 650 }; ///< Time for which a change of usage is sent: in three heartbeats.
 constexpr Milliseconds fullUpdateInterval{ 1000 }; ///< Full updates add name, region, peers and suspects.
+/// Time between lists of peers in full updates. Their length grows with the fleet; new peers are listed at once.
+constexpr std::chrono::seconds peerListInterval{ 10 };
+constexpr std::chrono::seconds newPeerTime{ 3 }; ///< Time for which full updates list all peers after one was added.
 constexpr Milliseconds newPeerInterval{ 100 }; ///< Minimum time between full updates that announce new peers.
 constexpr Milliseconds snapshotDelay{ 200 }; ///< Time for the store to deliver a newer version before a peer is asked.
 constexpr size_t deliveryBytesPerMs = 5000; ///< Rate at which the store delivers a large configuration.
@@ -36,10 +46,42 @@
     }
 }
 
+/// Adds a peer's pending grants to the counts at the upstreams, or subtracts them.
+void applyPendingGrants(GatewayState &state, const Peer &peer, bool add)
+{
+    for (const PendingGrant &grant : peer.pendingGrants_) {
+        if (Upstream *upstream = findUpstream(state, grant.upstream_); upstream != nullptr) {
+            upstream->peerInFlight_
+                = add ? upstream->peerInFlight_ + 1 : upstream->peerInFlight_ - std::min(upstream->peerInFlight_, 1U);
+        }
+    }
+}
+
 void clearPeerCounts(GatewayState &state, Peer &peer)
 {
     applyPeerCounts(state, peer, false);
+    applyPendingGrants(state, peer, false);
     peer.inFlight_.clear();
+    peer.pendingGrants_.clear();
+}
+
+/// Replaces a peer's counts by those of an update, which also cover the grants that the peer has received.
+void replacePeerCounts(GatewayState &state, TimePoint now, Peer &peer, PeerUpdate &update, bool restarted)
+{
+    std::vector<PendingGrant> pending;
+    if (!restarted) {
+        const auto received = update.grantsReceived_.find(state.incarnation_);
+        const uint64_t newest = received == update.grantsReceived_.end() ? 0 : received->second;
+        std::copy_if(peer.pendingGrants_.begin(), peer.pendingGrants_.end(), std::back_inserter(pending),
+            [newest, now](
+                const PendingGrant &grant) { return grant.grant_ > newest && now - grant.at_ < grantTimeout; });
+    }
+    clearPeerCounts(state, peer);
+    peer.inFlight_ = std::move(update.inFlight_);
+    peer.pendingGrants_ = std::move(pending);
+    peer.countsAt_ = now;
+    applyPeerCounts(state, peer, true);
+    applyPendingGrants(state, peer, true);
 }
 
 PeerId findOrAddPeer(GatewayState &state, TimePoint now, const std::string &address, GatewayOutbox &outbox)
@@ -69,9 +111,10 @@
     return own >= peers ? 0 : 1 - own / peers;
 }
 
-void chargeReportedUsage(GatewayState &state, TimePoint now, Peer &peer, const PeerUpdate &update, bool firstUpdate)
+void chargeReportedUsage(GatewayState &state, TimePoint now, Peer &peer, const PeerUpdate &update)
 {
-    const double oldShare = firstUpdate ? usageShareBeforeStart(state, now, update) : 0;
+    const bool complete = !update.name_.empty();
+    const double oldShare = peer.usageComplete_ ? 0 : usageShareBeforeStart(state, now, update);
     for (const auto &[workspace, charged] : update.chargedUnits_) {
         const auto previous = peer.chargedUnits_.find(workspace);
         const uint64_t base = previous == peer.chargedUnits_.end()
@@ -81,7 +124,10 @@
             chargePeerUsage(state, now, peer, workspace, static_cast<int64_t>(charged) - static_cast<int64_t>(base));
         }
     }
-    peer.chargedUnits_ = update.chargedUnits_;
+    for (const auto &[workspace, charged] : update.chargedUnits_) { // updates that aren't full hold recent changes only
+        peer.chargedUnits_[workspace] = charged;
+    }
+    peer.usageComplete_ = peer.usageComplete_ || complete;
 }
 
 void applyPeerUpdate(GatewayState &state, TimePoint now, PeerUpdate &update, GatewayOutbox &outbox)
@@ -96,6 +142,7 @@
     }
     if (restarted) {
         peer->chargedUnits_.clear();
+        peer->usageComplete_ = true; // the process is new, so all that it has charged is recent
         state.lastPeerDisruptionAt_ = now;
     }
     if (now - peer->lastReceivedAt_ > countsTimeout) {
@@ -103,13 +150,24 @@
             { { "peer", update.address_ }, { "name", peer->name_ }, { "change", "heard" },
                 { "configuration", std::to_string(update.configurationVersion_) } } });
     }
-    chargeReportedUsage(state, now, *peer, update, peer->incarnation_ == 0);
-    clearPeerCounts(state, *peer);
-    peer->inFlight_ = std::move(update.inFlight_);
-    applyPeerCounts(state, *peer, true);
+    chargeReportedUsage(state, now, *peer, update);
+    if (restarted) {
+        peer->brokerWeight_ = 0;
+        clearPeerCounts(state, *peer);
+    }
+    if (update.hasCounts_) {
+        replacePeerCounts(state, now, *peer, update, restarted);
+        for (const auto &[id, report] : update.reports_) {
+            if (Upstream *upstream = findUpstream(state, id); upstream != nullptr) {
+                applyReport(*upstream, now, report);
+            }
+        }
+    }
     if (!update.name_.empty()) {
         peer->name_ = update.name_;
         peer->region_ = update.region_;
+        peer->brokerWeight_ = update.brokerWeight_;
+        state.brokersReviewAt_ = std::min(state.brokersReviewAt_, now);
         applyLeavingUpstreams(state, update, outbox);
         applyCrashNews(state, now, update, outbox);
     }
@@ -129,9 +187,12 @@
 {
     std::vector<PeerId> timedOut;
     forEachRow(state.peers_, [&](PeerId id, Peer &peer) {
-        if (!peer.inFlight_.empty() && now - peer.lastReceivedAt_ > countsTimeout) {
+        const bool hasCounts = !peer.inFlight_.empty() || !peer.pendingGrants_.empty();
+        if (hasCounts && now - peer.countsAt_ > countsTimeout) {
             clearPeerCounts(state, peer);
-            outbox.decisions_.push_back({ "peer", { { "peer", peer.address_ }, { "change", "silent" } }, true });
+            const bool silent = now - peer.lastReceivedAt_ > countsTimeout;
+            outbox.decisions_.push_back(
+                { "peer", { { "peer", peer.address_ }, { "change", silent ? "silent" : "counts-outdated" } }, silent });
         }
         if (now - std::max(peer.lastReceivedAt_, peer.addedAt_) > peerRetention) {
             timedOut.push_back(id);
@@ -202,7 +263,23 @@
     }
 }
 
-PeerUpdate makePeerUpdate(GatewayState &state, TimePoint now)
+/// Adds the counts of calls, which are only sent to those that need them.
+void addCounts(GatewayState &state, TimePoint now, PeerUpdate &update)
+{
+    update.hasCounts_ = true;
+    update.grantsReceived_ = state.grantsReceived_;
+    update.reports_ = std::exchange(state.upstreamReports_, {});
+    std::erase_if(state.countedRegions_, [now](const auto &item) { return now - item.second > countsTimeout; });
+    forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
+        if (upstream.ownInFlight_ > 0) {
+            update.inFlight_[upstream.id_] = upstream.ownInFlight_;
+            state.countedRegions_[upstream.region_] = now;
+        }
+    });
+}
+
+/// @param complete whether the update has to hold the usage of all workspaces, not only recent changes
+PeerUpdate makePeerUpdate(GatewayState &state, TimePoint now, bool complete)
 {
     PeerUpdate update;
     update.incarnation_ = state.incarnation_;
@@ -212,13 +289,10 @@
     }
     update.configurationVersion_ = state.configuration_.version_;
     update.upstreamsVersion_ = state.upstreamsVersion_;
-    forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
-        if (upstream.ownInFlight_ > 0) {
-            update.inFlight_[upstream.id_] = upstream.ownInFlight_;
-        }
-    });
+    update.hasCounts_ = false;
     for (const auto &[workspace, quota] : state.quotaByWorkspace_) {
-        if (quota.ownChargedUnits_ > 0) {
+        const bool recent = now - quota.ownChargedAt_ <= usageRepetition;
+        if (quota.ownChargedUnits_ > 0 && (complete || recent)) {
             update.chargedUnits_[workspace] = quota.ownChargedUnits_;
         }
     }
@@ -243,10 +317,25 @@
 
 TimePoint nextUpdateTime(const GatewayState &state, const Peer &peer)
 {
+    if (peer.countsPending_) {
+        return peer.lastSentAt_ + countsInterval;
+    }
     const Duration interval = peer.updatePending_ ? minUpdateInterval(state, peer) : Duration(heartbeatInterval);
     return peer.lastSentAt_ + std::min(interval, Duration(heartbeatInterval));
 }
 
+void listPeers(const GatewayState &state, PeerUpdate &update)
+{
+    forEachRow(state.peers_, [&update](PeerId /*id*/, const Peer &peer) { update.peers_.push_back(peer.address_); });
+}
+
+/// Peers for which an update is due.
+struct UpdateReceivers
+{
+    std::vector<std::string> withCounts_; ///< Addresses of those that need the counts of calls.
+    std::vector<std::string> others_; ///< Addresses of the others.
+};
+
 } // namespace
 
 void runPeers(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
@@ -288,29 +377,47 @@
 void runPeerUpdates(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
 {
     const bool isFullUpdate = now >= nextFullUpdateTime(state);
-    SendUpdate command;
-    std::vector<std::string> all;
+    std::vector<Peer *> due;
     forEachRow(state.peers_, [&](PeerId /*id*/, Peer &peer) {
-        all.push_back(peer.address_);
         if (isFullUpdate || now >= nextUpdateTime(state, peer)) {
-            command.addresses_.push_back(peer.address_);
-            peer.lastSentAt_ = now;
-            peer.updatePending_ = false;
+            due.push_back(&peer);
         }
     });
-    if (command.addresses_.empty()) {
+    if (due.empty()) {
         return;
     }
-    command.update_ = makePeerUpdate(state, now);
+    const std::set<std::string> countReceivers = findCountReceivers(state);
+    UpdateReceivers receivers;
+    for (Peer *peer : due) {
+        const bool needsCounts = countReceivers.empty() || countReceivers.contains(peer->address_);
+        (needsCounts ? receivers.withCounts_ : receivers.others_).push_back(peer->address_);
+        peer->lastSentAt_ = now;
+        peer->updatePending_ = false;
+        peer->countsPending_ = false;
+    }
+    SendUpdate command;
+    command.update_ = makePeerUpdate(state, now, isFullUpdate);
     if (isFullUpdate) {
         state.lastFullUpdateAt_ = now;
         command.update_.name_ = state.name_;
         command.update_.region_ = state.region_;
-        command.update_.peers_ = std::move(all);
+        command.update_.brokerWeight_ = state.announcedBrokerWeight_;
+        if (now >= state.peerListDueAt_ || now - state.peerAddedAt_ < newPeerTime) {
+            state.peerListDueAt_ = now + peerListInterval;
+            listPeers(state, command.update_);
+        }
         addLeavingUpstreams(state, command.update_);
         addCrashNews(state, now, command.update_);
     }
-    outbox.updates_.push_back(std::move(command));
+    if (!receivers.others_.empty()) {
+        command.addresses_ = std::move(receivers.others_);
+        outbox.updates_.push_back(command);
+    }
+    if (!receivers.withCounts_.empty()) {
+        command.addresses_ = std::move(receivers.withCounts_);
+        addCounts(state, now, command.update_);
+        outbox.updates_.push_back(std::move(command));
+    }
 }
 
 void markPeerUpdatesPending(GatewayState &state, const std::string &region)
@@ -320,6 +427,15 @@
     });
 }
 
+void markCountsPending(GatewayState &state)
+{
+    for (const std::string &address : findCountReceivers(state)) {
+        if (const auto found = state.peerByAddress_.find(address); found != state.peerByAddress_.end()) {
+            findRow(state.peers_, found->second)->countsPending_ = true;
+        }
+    }
+}
+
 TimePoint nextPeerDeadline(const GatewayState &state)
 {
     TimePoint next = noDeadline;
--- /dev/null
+++ b/src/gateway_placement.cpp
@@ -0,0 +1,172 @@
+/**
+ * @file gateway_placement.cpp
+ * @brief Choice of the upstream that gets a call: how full it may be, and what speaks against it.
+ *
+ * Engines admit requests in order of arrival and do not know ranks. An upstream is therefore not filled beyond what it
+ * can begin at once, and less than that with calls of less urgent ranks, which leaves headroom for urgent ones. Answers
+ * the load pattern of many small bursts from many gateways, which would otherwise meet in the queue of an engine.
+ */
+#include "gateway_placement_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Burdockfield::Gateway {
+
+namespace {
+
+/// Calls allowed at an engine, as a multiple of its slots, by the number of ranks below the service's top rank.
+constexpr std::array<double, std::tuple_size_v<FreeSlots>> engineCapacityFactors{ 1.1, 1.0, 0.65 };
+constexpr double plainCapacityFactor = 1.34; ///< The same for services without engines, where short queues cost little.
+constexpr double otherRegionCost = 0.15; ///< Added to the load (calls per slot) of an upstream in another region.
+constexpr double otherZoneCost = 0.03; ///< The same for another availability zone of this region.
+constexpr double failureCost = 1.0; ///< The same for an upstream that always fails; less if it fails less often.
+constexpr double alreadyTriedCost = 4.0; ///< The same for an upstream that this call was already sent to.
+constexpr double slowdownCost = 0.15; ///< The same for one whose machine takes twice its usual time at this moment.
+constexpr std::chrono::duration<double> toldHalfLife{ 0.2 }; ///< Time after which what was told counts half as much.
+constexpr double promptCost = 1.0; ///< The same for each second until the prompt is read, those before it included.
+constexpr double mostPromptSeconds = 4.0; ///< Longer times are treated as this one.
+constexpr double missingCost = 2.0; ///< The same for one that is missing from the list since a store outage.
+constexpr Milliseconds freeSlotsValidity{ 1000 }; ///< Age from which free slots that a broker has told are unknown.
+
+bool contains(const std::vector<std::string> &ids, const std::string &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+bool isModelEngine(const GatewayState &state, const std::string &service)
+{
+    const Service *rule = findService(state.configuration_, service);
+    return rule == nullptr || rule->modelEngine_;
+}
+
+/// @return the ranks between the service's most urgent one and @p routeRank, at most those that are told apart.
+size_t ranksBelowTop(const GatewayState &state, const std::string &service, uint32_t routeRank)
+{
+    const auto found = state.configuration_.mostUrgentRankByService_.find(service);
+    const uint32_t topRank = found == state.configuration_.mostUrgentRankByService_.end() ? 0 : found->second;
+    return std::min<size_t>(routeRank > topRank ? routeRank - topRank : 0, engineCapacityFactors.size() - 1);
+}
+
+/// @return the calls in flight at an upstream below which it may get another call.
+double capacityFor(const GatewayState &state, const Upstream &upstream, size_t ranksBelow)
+{
+    const bool engine = isModelEngine(state, upstream.service_);
+    return upstream.slots_ * (engine ? engineCapacityFactors[ranksBelow] : plainCapacityFactor);
+}
+
+uint32_t callsInFlight(const Upstream &upstream)
+{
+    return upstream.ownInFlight_ + upstream.peerInFlight_;
+}
+
+/// @return the cost of the time until an upstream has read a prompt, which delays all answers there.
+double costOfPrompt(const GatewayState &state, const Upstream &upstream, const SlotRequest &request, TimePoint now)
+{
+    const double speed = promptSpeed(state, upstream);
+    if (speed <= 0 || request.promptTokens_ == 0) {
+        return 0;
+    }
+    const double tokens = backlogTokens(state, upstream, now) + static_cast<double>(request.promptTokens_);
+    return promptCost * std::min(tokens / speed, mostPromptSeconds);
+}
+
+/// @return the cost of what an upstream has told of its load, never negative; it fades as it grows old.
+double costOfToldLoad(const Upstream &upstream, TimePoint now)
+{
+    const double halfLives = std::chrono::duration<double>(now - upstream.told_.at_) / toldHalfLife;
+    const double slowdown = std::max(0.0, upstream.told_.slowdown_ - 1) * slowdownCost;
+    return std::exp2(-halfLives) * (upstream.told_.excess_ / upstream.slots_ + slowdown);
+}
+
+/// @return the load of an upstream in calls per slot, plus the costs above that apply; calls go where it is lowest.
+double upstreamCost(const GatewayState &state, const Upstream &upstream, const SlotRequest &request, TimePoint now)
+{
+    double cost = static_cast<double>(callsInFlight(upstream)) / upstream.slots_;
+    if (upstream.region_ != regionOf(state, request.zone_)) {
+        cost += otherRegionCost;
+    } else if (upstream.zone_ != request.zone_) {
+        cost += otherZoneCost;
+    }
+    cost += failureRateAt(upstream, now) * failureCost;
+    cost += costOfPrompt(state, upstream, request, now) + costOfToldLoad(upstream, now);
+    if (contains(request.tried_, upstream.id_)) {
+        cost += alreadyTriedCost;
+    }
+    return upstream.missingSince_ == noDeadline ? cost : cost + missingCost;
+}
+
+} // namespace
+
+bool isAvailable(const Upstream &upstream, TimePoint now)
+{
+    return !upstream.draining_ && !upstream.announcement_.leaving_ && upstream.announcement_.pausedUntil_ <= now
+        && upstream.avoidUntil_ <= now;
+}
+
+bool hasFreeSlot(const GatewayState &state, TimePoint now, const Upstream &upstream, uint32_t routeRank)
+{
+    const size_t ranksBelow = ranksBelowTop(state, upstream.service_, routeRank);
+    return isAvailable(upstream, now) && callsInFlight(upstream) < capacityFor(state, upstream, ranksBelow);
+}
+
+UpstreamId chooseUpstream(
+    GatewayState &state, TimePoint now, const SlotRequest &request, const std::set<std::string> &regions)
+{
+    constexpr double costTolerance = 1e-6;
+    UpstreamId chosen;
+    double lowest = 0;
+    uint32_t ties = 0; // of upstreams with equal costs one is drawn
+    forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
+        if (upstream.service_ != request.service_ || !regions.contains(upstream.region_)
+            || !hasFreeSlot(state, now, upstream, request.routeRank_) || contains(request.excluded_, upstream.id_)) {
+            return;
+        }
+        const double cost = upstreamCost(state, upstream, request, now);
+        if (ties == 0 || cost < lowest - costTolerance) {
+            chosen = id;
+            lowest = cost;
+            ties = 1;
+        } else if (cost < lowest + costTolerance && state.random_() % ++ties == 0) {
+            chosen = id;
+        }
+    });
+    return chosen;
+}
+
+std::map<std::string, FreeSlots> countFreeSlots(
+    const GatewayState &state, TimePoint now, const std::set<std::string> &regions)
+{
+    std::map<std::string, FreeSlots> free;
+    forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
+        if (!regions.contains(upstream.region_)) {
+            return;
+        }
+        FreeSlots &slots = free[upstream.service_];
+        for (size_t ranksBelow = 0; isAvailable(upstream, now) && ranksBelow < slots.size(); ++ranksBelow) {
+            const double room = capacityFor(state, upstream, ranksBelow) - callsInFlight(upstream);
+            slots[ranksBelow] += room > 0 ? static_cast<uint32_t>(std::ceil(room)) : 0;
+        }
+    });
+    return free;
+}
+
+uint32_t *findFreeSlots(const GatewayState &state, Peer &peer, const std::string &service, uint32_t routeRank)
+{
+    const auto found = peer.freeSlots_.find(service);
+    return found == peer.freeSlots_.end() ? nullptr : &found->second[ranksBelowTop(state, service, routeRank)];
+}
+
+bool mayHaveFreeSlot(const GatewayState &state, TimePoint now, const std::string &service, uint32_t routeRank)
+{
+    const std::string *broker = findBroker(state, state.region_);
+    const auto found = broker == nullptr ? state.peerByAddress_.end() : state.peerByAddress_.find(*broker);
+    const Peer *peer = found == state.peerByAddress_.end() ? nullptr : findRow(state.peers_, found->second);
+    if (peer == nullptr || now - peer->freeSlotsAt_ > freeSlotsValidity) {
+        return true;
+    }
+    const auto free = peer->freeSlots_.find(service);
+    return free == peer->freeSlots_.end() || free->second[ranksBelowTop(state, service, routeRank)] > 0;
+}
+
+} // namespace Burdockfield::Gateway
--- /dev/null
+++ b/src/gateway_placement_func.h
@@ -0,0 +1,32 @@
+/**
+ * @file gateway_placement_func.h
+ * @brief Choice of the upstream that gets a call.
+ */
+#pragma once
+
+#include "gateway_func.h"
+
+namespace Burdockfield::Gateway {
+
+/// @return whether an upstream wants calls, and has not failed to answer them just now.
+bool isAvailable(const Upstream &upstream, TimePoint now);
+
+/// @return whether an upstream is available and not too full for a call of a route's rank.
+bool hasFreeSlot(const GatewayState &state, TimePoint now, const Upstream &upstream, uint32_t routeRank);
+
+/// @return the best upstream with a free slot in some regions; an id that matches no row if there is none.
+UpstreamId chooseUpstream(
+    GatewayState &state, TimePoint now, const SlotRequest &request, const std::set<std::string> &regions);
+
+/// @return the free slots of the upstreams in some regions by service.
+std::map<std::string, FreeSlots> countFreeSlots(
+    const GatewayState &state, TimePoint now, const std::set<std::string> &regions);
+
+/// @return the free slots for a route's rank that a broker has told of; nullptr if it has told none of the service.
+uint32_t *findFreeSlots(const GatewayState &state, Peer &peer, const std::string &service, uint32_t routeRank);
+
+/// @return whether a service may have a free slot for a route's rank, by what the region's broker has told, if
+/// anything.
+bool mayHaveFreeSlot(const GatewayState &state, TimePoint now, const std::string &service, uint32_t routeRank);
+
+} // namespace Burdockfield::Gateway
--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -117,6 +117,7 @@
     }
     quota.level_ -= static_cast<double>(units);
     quota.ownChargedUnits_ += units;
+    quota.ownChargedAt_ = now;
     return true;
 }
 
@@ -143,7 +144,7 @@
     }
 }
 
-void refundQuota(GatewayState &state, const std::string &workspace, uint64_t units)
+void refundQuota(GatewayState &state, TimePoint now, const std::string &workspace, uint64_t units)
 {
     const auto found = state.quotaByWorkspace_.find(workspace);
     if (found == state.quotaByWorkspace_.end() || units == 0) {
@@ -151,6 +152,7 @@
     }
     found->second.level_ += static_cast<double>(units);
     found->second.ownChargedUnits_ -= std::min(units, found->second.ownChargedUnits_);
+    found->second.ownChargedAt_ = now;
 }
 
 void chargePeerUsage(GatewayState &state, TimePoint now, const Peer &peer, const std::string &workspace, int64_t units)
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -74,7 +74,7 @@
         return;
     }
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
-        recordOutcome(*upstream, now, true);
+        reportOutcome(state, *upstream, now, true);
     }
     outbox.decisions_.push_back({ "upstream-silent",
         { { "request", call.request_.id_ }, { "upstream", lastUpstreamId(state, call) },
@@ -130,7 +130,7 @@
     }
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         --upstream->ownInFlight_;
-        markPeerUpdatesPending(state, upstream->region_);
+        markCountsPending(state);
     }
     state.callBySend_.erase(call.send_);
     call.stage_ = CallStage::Waiting;
@@ -151,6 +151,12 @@
     return found == state.callBySend_.end() ? CallId{} : found->second;
 }
 
+const std::string &regionOf(const GatewayState &state, const std::string &zone)
+{
+    const auto region = state.regionByZone_.find(zone);
+    return region == state.regionByZone_.end() ? zone : region->second;
+}
+
 Upstream *findUpstream(GatewayState &state, const std::string &id)
 {
     const auto found = state.upstreamById_.find(id);
@@ -163,6 +169,7 @@
         state.bodyBytes_ -= call->request_.body_->size();
         state.answerBytes_ -= call->body_.size();
         state.callByExchange_.erase(call->exchange_.value_);
+        state.callBySlotRequest_.erase(call->slot_.number_);
         eraseRow(state.calls_, id);
     }
 }
@@ -196,7 +203,7 @@
         refusal.retryAfter_ = retryTimeOfCrashSuspect(state, now, call);
     }
     if (refusal.notRun_) {
-        refundQuota(state, call.workspace_, call.charge_);
+        refundQuota(state, now, call.workspace_, call.charge_);
     }
     outbox.decisions_.push_back({ "refused",
         { { "request", call.request_.id_ }, { "route", call.routeName_ }, { "workspace", call.workspace_ },
@@ -242,12 +249,15 @@
     runConfiguration(state, now, inbox, outbox);
     runMembership(state, now, inbox, outbox);
     runPeers(state, now, inbox, outbox);
+    runBrokers(state, now, outbox);
     runIntake(state, now, inbox, outbox);
     runCallerDisconnects(state, now, inbox, outbox); // after the intake: a caller may leave in the tick of its request
     runAnswers(state, now, inbox, outbox);
     runCrashReview(state, now, outbox);
     runDeadlines(state, now, outbox);
+    runSlots(state, now, inbox, outbox);
     runDispatch(state, now, outbox);
+    runSlotRequests(state, now, outbox);
     runPeerUpdates(state, now, outbox);
     reportQuotas(state, now, outbox);
     state.previousTickAt_ = now;
@@ -257,7 +267,7 @@
 TimePoint nextGatewayDeadline(const GatewayState &state)
 {
     return std::min({ nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state),
-        nextDeferredDeadline(state), state.crashEvidence_.reviewAt_ });
+        nextDeferredDeadline(state), state.crashEvidence_.reviewAt_, state.slotCheckAt_ });
 }
 
 } // namespace Burdockfield::Gateway
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -26,6 +26,7 @@
 constexpr size_t headerBytesBound = 1U << 20U; ///< Largest limit of a request's header.
 constexpr size_t bodyBytesBound = 32U << 20U; ///< Largest limit of a request's body.
 constexpr size_t memoryBytesBound = size_t{ 1 } << 40U; ///< Largest memory of a gateway.
+constexpr double processorShareBound = 1024; ///< Largest processor of a gateway, in cores.
 constexpr double retryRatioBound = 10; ///< Largest repeat_ratio, in retries per request.
 constexpr double retrySlackBound = 1e6; ///< Largest repeat_slack, in retries per window.
 constexpr double quotaOvershootBound = 10; ///< Largest quota_overshoot, as a share of the quota.
@@ -177,11 +178,12 @@
 {
     checkKeys(reader,
         { "role", "name", "region", "zone", "listen", "ready", "peer", "metrics", "platform", "log", "seed", "seeds",
-            "zones", "memory", "first_start", "bounds" });
+            "zones", "memory", "processor", "first_start", "bounds" });
     readAddress(reader, "ready", settings.gateway_.readyAddress_);
     readAddress(reader, "peer", settings.gateway_.peerAddress_);
     readAddress(reader, "metrics", settings.gateway_.metrics_);
     readSize(reader, "memory", settings.gateway_.memoryBytes_, memoryBytesBound);
+    readNumber(reader, "processor", settings.gateway_.processorShare_, processorShareBound);
     readFlag(reader, "first_start", settings.gateway_.firstStart_);
     readAddresses(reader, "seeds", settings.seeds_);
     readZones(reader, settings.gateway_.regionByZone_);
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -38,6 +38,7 @@
     std::map<std::string, std::string> regionByZone_; ///< Region of each availability zone.
     bool firstStart_ = false; ///< Whether the whole system starts for the first time, so that no quota is used yet.
     size_t memoryBytes_ = 128U << 20U; ///< Memory that the process may use, in bytes.
+    double processorShare_ = 1; ///< Cores that the process may use; those with more assign slots.
     Gateway::Bounds bounds_; ///< Bounds on retries, quotas and times.
 };
 
--- a/tests/crash_fleet_fixture.cpp
+++ b/tests/crash_fleet_fixture.cpp
@@ -38,6 +38,7 @@
     inboxes_.resize(spec.gateways_);
     stalledUntil_.assign(spec.gateways_, {});
     inTransit_.clear();
+    slotsInTransit_.clear();
     for (size_t gateway = 0; gateway < spec.gateways_; ++gateway) {
         startGateway(gateway);
     }
@@ -55,6 +56,7 @@
     state.peerAddress_ = peerAddress(gateway);
     state.incarnation_ = random_() | 1U;
     state.random_.seed(gateway);
+    state.nextSlotRequest_ = random_() >> 16U;
     state.startedAt_ = now_;
     state.bounds_.retrySlack_ = 1000;
     GatewayInbox &inbox = inboxes_[gateway];
@@ -121,6 +123,7 @@
         deadlyExchanges_.insert(arrival.exchange_.value_);
     }
     counts_.soundCalls_ += deadly ? 0 : 1;
+    arrivedAt_[arrival.exchange_.value_] = now_;
     inboxes_[gateway].arrivals_.push_back(std::move(arrival));
 }
 
@@ -160,6 +163,11 @@
         inboxes_[receiver].peerUpdates_.push_back(std::move(update));
         inTransit_.erase(inTransit_.begin());
     }
+    while (!slotsInTransit_.empty() && slotsInTransit_.begin()->first <= now_) {
+        auto &[receiver, message] = slotsInTransit_.begin()->second;
+        inboxes_[receiver].slotMessages_.push_back(std::move(message));
+        slotsInTransit_.erase(slotsInTransit_.begin());
+    }
 }
 
 bool CrashFleetFixture::isDelivered(size_t gateway, size_t peer)
@@ -195,9 +203,21 @@
     for (SendUpdate &command : outbox.updates_) {
         sendUpdate(gateway, command);
     }
+    for (SendSlotMessage &command : outbox.slotMessages_) {
+        command.message_.address_ = peerAddress(gateway);
+        for (size_t peer = 0; peer < gateways_.size(); ++peer) {
+            if (peerAddress(peer) == command.address_ && isDelivered(gateway, peer)) {
+                slotsInTransit_.emplace(now_ + drawUpTo(disturbance_.longestDelay_), std::pair(peer, command.message_));
+            }
+        }
+    }
     for (const ExchangeId exchange : outbox.streamEnds_) {
         counts_.soundServed_ += deadlyExchanges_.contains(exchange.value_) ? 0 : 1;
     }
+    for (const RefuseCall &refusal : outbox.refusals_) {
+        ++counts_.refused_;
+        counts_.refusedAfter_ += now_ - arrivedAt_.at(refusal.exchange_.value_);
+    }
     refusals_.insert(refusals_.end(), outbox.refusals_.begin(), outbox.refusals_.end());
     decisions_.insert(decisions_.end(), outbox.decisions_.begin(), outbox.decisions_.end());
 }
@@ -218,8 +238,11 @@
     }
     const bool deadly = deadlyExchanges_.contains(command.exchange_.value_);
     counts_.deadlyRuns_ += deadly ? 1 : 0;
-    runs_.push_back(
-        { gateway, command.send_, static_cast<size_t>(engine - engines_.begin()), deadly, false, true, now_ + answerDelay });
+    const auto running = std::count_if(runs_.begin(), runs_.end(),
+        [&](const SimulatedRun &run) { return run.engine_ == static_cast<size_t>(engine - engines_.begin()); });
+    counts_.crowdedRuns_ += static_cast<size_t>(running) > engine->row_.slots_ ? 1 : 0;
+    runs_.push_back({ gateway, command.send_, static_cast<size_t>(engine - engines_.begin()), deadly, false, true,
+        now_ + answerDelay });
 }
 
 void CrashFleetFixture::stepEngines()
--- a/tests/crash_fleet_fixture.h
+++ b/tests/crash_fleet_fixture.h
@@ -61,6 +61,9 @@
     size_t deadlyRuns_ = 0; ///< Requests with a deadly part that reached an engine.
     size_t soundCalls_ = 0; ///< Requests without one.
     size_t soundServed_ = 0; ///< Those of them whose answer was complete.
+    size_t refused_ = 0; ///< Requests that were refused.
+    Duration refusedAfter_{}; ///< Sum of the times from their arrival to the refusal.
+    size_t crowdedRuns_ = 0; ///< Requests that reached an engine whose slots were taken, one waiting already.
 };
 
 /// Simulated fleet, stepped by the test.
@@ -101,6 +104,7 @@
     std::set<uint64_t> deadlyExchanges_; ///< Requests that have one of them.
     std::vector<Decision> decisions_; ///< Log records of all gateways.
     std::vector<RefuseCall> refusals_; ///< Refusals by all gateways.
+    std::map<uint64_t, TimePoint> arrivedAt_; ///< When requests arrived.
     CrashFleetCounts counts_; ///< What happened.
     TimePoint now_{ std::chrono::hours(1) }; ///< Simulated time.
     std::mt19937_64 random_{ 1 }; ///< Source of arrivals and disturbances.
@@ -122,6 +126,7 @@
 
     std::vector<TimePoint> stalledUntil_; ///< End of each gateway's latest stall.
     std::multimap<TimePoint, std::pair<size_t, PeerUpdate>> inTransit_; ///< Delayed updates and their receivers.
+    std::multimap<TimePoint, std::pair<size_t, SlotMessage>> slotsInTransit_; ///< The same of messages about slots.
     uint64_t nextExchange_ = 1; ///< Number of the next request.
     uint64_t listVersion_ = 10; ///< Version of the list of engines.
 };
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -378,3 +378,50 @@
     CHECK(parsePeerUpdate("{\"i\":\"x\"}", read) == WireErrc::WrongType);
     CHECK(parsePeerUpdate("{}", read) == WireErrc::MissingField);
 }
+
+TEST_CASE_FIXTURE(PeerFixture, "Usage_WhenAnUpdateHoldsRecentChangesOnly_IsChargedOnce")
+{
+    PeerUpdate full = makeUpdate();
+    full.chargedUnits_ = { { "workspace-1", 100 } };
+    full.uptime_ = Milliseconds(0);
+    receiveUpdate(full);
+    const double before = state_.quotaByWorkspace_["workspace-1"].level_;
+    PeerUpdate without = makeUpdate();
+    without.name_.clear();
+    receiveUpdate(without);
+    PeerUpdate with = makeUpdate();
+    with.name_.clear();
+    with.chargedUnits_ = { { "workspace-1", 130 } };
+    receiveUpdate(with);
+    CHECK(state_.quotaByWorkspace_["workspace-1"].level_ == doctest::Approx(before - 30));
+}
+
+TEST_CASE_FIXTURE(PeerFixture, "Usage_WhenTheFirstUpdateOfARunningPeerIsNotFull_IsNotTakenForNew")
+{
+    PeerUpdate first = makeUpdate();
+    first.name_.clear();
+    receiveUpdate(first);
+    PeerUpdate full = makeUpdate();
+    full.chargedUnits_ = { { "workspace-1", 1000000 } };
+    receiveUpdate(full);
+    CHECK(state_.quotaByWorkspace_["workspace-1"].level_ >= 0);
+}
+
+TEST_CASE_FIXTURE(PeerFixture, "Update_WhenUsageHasNotChangedForAWhile_LeavesItOutUntilTheFullOne")
+{
+    receiveUpdate(makeUpdate());
+    receiveCall("read", 1);
+    size_t withUsage = 0;
+    size_t fullUpdates = 0;
+    for (int tick = 0; tick < 300; ++tick) {
+        for (const SendUpdate &command : tickAfter(Milliseconds(10)).updates_) {
+            const bool isFull = !command.update_.name_.empty();
+            CHECK((!isFull || command.update_.chargedUnits_.contains("workspace-1")));
+            fullUpdates += isFull ? 1 : 0;
+            withUsage += !isFull && command.update_.chargedUnits_.contains("workspace-1") ? 1 : 0;
+        }
+    }
+    CHECK(fullUpdates >= 3);
+    CHECK(withUsage >= 2);
+    CHECK(withUsage <= 6);
+}
