--- a/tests/gateway_placement_test.cpp
+++ b/tests/gateway_placement_test.cpp
@@ -114,9 +114,9 @@
         ++calls[place(meanPrompt)];
     }
     CHECK(calls.size() == engineCount);
-    for (const auto &[id, count] : calls) {
-        CAPTURE(id);
-        CHECK(count <= 3);
+    for (const auto &item : calls) { // doctest's lambdas can't refer to structured bindings
+        CAPTURE(item.first);
+        CHECK(item.second <= 3);
     }
 }
 
