Accept all waiting connections and datagrams in one turn of the event loop

A server accepted one connection in each turn of the event loop, and on the only gateway of a zone, in a burst, a turn lasts as long as the work of hundreds of streams. Datagrams of peers were received one a turn as well. Ruled out: a slow store, a silent broker (its region had itself as the broker), a tick that is late (none was logged).

Change: up to 64 connections, and 64 datagrams, are taken in one turn.

--- a/src/gateway_peer_io.cpp
+++ b/src/gateway_peer_io.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+/// Datagrams received in one turn of the event loop, so that those of many peers don't wait for other work.
+constexpr int datagramsPerTurn = 64;
 constexpr Milliseconds snapshotTimeout{ 1000 }; ///< Of a fetch of a peer's snapshot; a large one may take longer.
 
 /// @return whether a snapshot may have a newer configuration than the one in force, so that it has to be decoded.
@@ -59,6 +61,15 @@
     scheduleTick(daemon);
 }
 
+void receiveDatagram(GatewayDaemon &daemon, std::string_view text)
+{
+    if (isSlotMessage(text)) {
+        receiveMessage(daemon, text, parseSlotMessage, daemon.inbox_.slotMessages_);
+    } else {
+        receiveMessage(daemon, text, parsePeerUpdate, daemon.inbox_.peerUpdates_);
+    }
+}
+
 /// Sends a datagram to a peer; one that can't be sent is counted and dropped.
 void sendDatagram(GatewayDaemon &daemon, const std::string &address, const std::string &text, const char *kind)
 {
@@ -88,15 +99,16 @@
 void receiveUpdates(GatewayDaemon &daemon)
 {
     daemon.updateSocket_.async_receive_from(Asio::buffer(daemon.datagram_), daemon.datagramSender_,
-        [&daemon](const boost::system::error_code &error, size_t length) {
+        [&daemon](boost::system::error_code error, size_t length) {
             if (error == Asio::error::operation_aborted) {
                 return;
             }
-            const std::string_view text(daemon.datagram_.data(), error ? 0 : length);
-            if (isSlotMessage(text)) {
-                receiveMessage(daemon, text, parseSlotMessage, daemon.inbox_.slotMessages_);
-            } else {
-                receiveMessage(daemon, text, parsePeerUpdate, daemon.inbox_.peerUpdates_);
+            for (int left = datagramsPerTurn; left > 0 && error != Asio::error::would_block; --left) {
+                receiveDatagram(daemon, { daemon.datagram_.data(), error ? 0 : length });
+                if (left > 1) {
+                    length = daemon.updateSocket_.receive_from(
+                        Asio::buffer(daemon.datagram_), daemon.datagramSender_, 0, error);
+                }
             }
             receiveUpdates(daemon);
         });
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -27,6 +27,9 @@
 constexpr int backlog = 1024; ///< Connections that may wait to be accepted.
 constexpr std::chrono::seconds discardTime{ 1 }; ///< Time for which input after a rejected request is read.
 constexpr Milliseconds cancelInterval{ 5 }; ///< Between attempts to end a read whose timeout has passed.
+/// Connections accepted in one turn of the event loop. With one only, new connections would wait for seconds on a busy
+/// machine while those that are open are served.
+constexpr int acceptsPerTurn = 64;
 constexpr Milliseconds acceptRetryInterval{ 20 }; ///< After a failed accept, such as for lack of descriptors.
 
 /// How the read of a request ended.
@@ -268,15 +271,32 @@
     startCoroutine(server.io_, "connection", serve, [&server, connection] { endFailed(server, connection); });
 }
 
+/// Accepts the connections that are waiting. @return the error that ended it, if any; not that none is waiting
+boost::system::error_code acceptWaiting(HttpServer &server)
+{
+    boost::system::error_code error;
+    for (int accepted = 0; accepted < acceptsPerTurn && !error; ++accepted) {
+        Tcp::socket socket(server.io_);
+        server.acceptor_.accept(socket, error);
+        if (!error) {
+            startConnection(server, std::move(socket));
+        }
+    }
+    return error == Asio::error::would_block ? boost::system::error_code() : error;
+}
+
 void acceptNext(HttpServer &server)
 {
-    server.acceptor_.async_accept([&server](const boost::system::error_code &error, Tcp::socket socket) {
+    server.acceptor_.async_accept([&server](boost::system::error_code error, Tcp::socket socket) {
         if (!error) {
             startConnection(server, std::move(socket));
         }
         if (!server.acceptor_.is_open()) {
             return;
         }
+        if (!error) {
+            error = acceptWaiting(server);
+        }
         if (!error) {
             acceptNext(server);
             return;
@@ -315,6 +335,9 @@
     if (!error) {
         server.acceptor_.listen(backlog, error);
     }
+    if (!error) {
+        server.acceptor_.non_blocking(true, error);
+    }
     if (!error) {
         acceptNext(server);
     }
--- a/tests/http_server_limits_test.cpp
+++ b/tests/http_server_limits_test.cpp
@@ -66,6 +66,16 @@
         return answer.substr(0, answer.find("\r\n"));
     }
 
+    /// Connects further callers. @return their sockets
+    std::vector<Asio::ip::tcp::socket> connectCallers(size_t count)
+    {
+        std::vector<Asio::ip::tcp::socket> callers;
+        for (size_t caller = 0; caller < count; ++caller) {
+            callers.emplace_back(io_).connect(server_.acceptor_.local_endpoint());
+        }
+        return callers;
+    }
+
     static std::string makeLongField()
     {
         return "Long: " + std::string(longFieldBytes, 'x') + "\r\n";
@@ -110,3 +120,15 @@
     const std::string chunk = "100000\r\n" + std::string(1U << 20U, 'x') + "\r\n";
     CHECK(exchange(head + chunk + "0\r\n\r\n") == "HTTP/1.1 200 OK");
 }
+
+TEST_CASE_FIXTURE(HttpServerLimitsFixture, "Server_WhenManyConnectionsWait_AcceptsThemInOneTurn")
+{
+    constexpr size_t count = 50;
+    const auto callers = connectCallers(count);
+    for (int handler = 0; handler < 10; ++handler) { // on a busy machine each handler may have to wait for many others
+        io_.poll_one();
+    }
+    stopListening(server_);
+    io_.poll();
+    CHECK(server_.idle_.size() == count + 1);
+}
