--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -258,7 +258,7 @@
     call->head_ = std::move(event.head_);
     if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
         upstream->connectFailures_ = 0;
-        recordToldLoad(state, now, call->head_, *upstream, outbox);
+        recordReportedLoad(state, now, call->head_, *upstream, outbox);
     }
     recordAnnouncement(state, now, *call, outbox);
 }
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -40,12 +40,12 @@
     TimePoint pausedUntil_{}; ///< Until when it wants no calls from this gateway.
 };
 
-/// What an upstream has told of its load beyond what the counts of calls show. It grows old quickly.
-struct ToldLoad
+/// Load that an upstream has reported beyond what the counts of calls show. It is outdated soon.
+struct ReportedLoad
 {
     double excess_ = 0; ///< Requests at it that the counts didn't include, as of at_.
     double slowdown_ = 1; ///< See UpstreamLoad::slowdown_, as of at_.
-    TimePoint at_{}; ///< When it was told.
+    TimePoint at_{}; ///< When it was reported.
     TimePoint malformedLoggedAt_{}; ///< When a malformed load was last logged.
 };
 
@@ -78,7 +78,7 @@
     double promptTokensPerSecond_ = 0; ///< How fast it reads prompts, a moving average; 0 while that is not known.
     double backlogTokens_ = 0; ///< Tokens of prompts that it was to read as of backlogAt_.
     TimePoint backlogAt_{}; ///< When backlogTokens_ was last updated.
-    ToldLoad told_; ///< What it has told of its load.
+    ReportedLoad reportedLoad_; ///< Load that it has reported.
     /// End of the time in which it gets no calls, after a failure to connect or an answer of another instance.
     TimePoint avoidUntil_{};
     uint32_t connectFailures_ = 0; ///< Consecutive failures to connect.
@@ -217,8 +217,8 @@
     TimePoint countsAt_{}; ///< When inFlight_ was last received.
     std::vector<PendingGrant> pendingGrants_; ///< Slots granted to it that inFlight_ does not include.
     uint64_t grantsSent_ = 0; ///< Number of the latest grant.
-    std::map<std::string, FreeSlots> freeSlots_; ///< Free slots that it has told of as the broker of a region.
-    TimePoint freeSlotsAt_{}; ///< When it told of them.
+    std::map<std::string, FreeSlots> freeSlots_; ///< Free slots that it has reported as the broker of a region.
+    TimePoint freeSlotsAt_{}; ///< When it reported them.
 };
 
 using PeerId = PoolId<Peer>; ///< Index of a peer.
@@ -350,7 +350,7 @@
     std::unordered_map<std::string, double> meanPromptSpeeds_; ///< Mean of promptTokensPerSecond_ by service.
     std::map<std::string, SlotFlow> slotFlows_; ///< Flow of the slots that this node assigns, by service.
     std::vector<QueuedSlotRequest> slotQueue_; ///< Requests for slots that wait here, if this node is a broker.
-    TimePoint freeSlotsDueAt_{}; ///< When the other brokers are told of free slots next.
+    TimePoint freeSlotsDueAt_{}; ///< When free slots are reported to the other brokers next.
     std::unordered_map<uint64_t, uint64_t> grantsReceived_; ///< Newest grant received, by the broker's incarnation.
 
     bool stopping_ = false; ///< Whether a stop was requested.
--- a/src/gateway_brokers.cpp
+++ b/src/gateway_brokers.cpp
@@ -19,7 +19,7 @@
 
 constexpr size_t candidatesPerRegion = 2; ///< The broker, and the one that takes over from it.
 constexpr Milliseconds reviewInterval{ 20 }; ///< Time between computations; a failure is noticed after 60 ms or more.
-/// Time after its start from which a gateway offers itself as a broker; peers have told it their counts by then.
+/// Time after its start from which a gateway offers itself as a broker; it has the counts of its peers by then.
 constexpr Milliseconds offerDelay{ 500 };
 constexpr Milliseconds serveDelay{ 700 }; ///< The same until it acts as one: the peers have received its offer.
 
@@ -133,7 +133,7 @@
     constexpr std::chrono::seconds avoidance{ 1 }; // a process that stalls or is cut off is replaced at once
     if (const auto found = state.peerByAddress_.find(address); found != state.peerByAddress_.end()) {
         findRow(state.peers_, found->second)->avoidAsBrokerUntil_ = now + avoidance;
-        outbox.decisions_.push_back({ "broker-silent", { { "peer", address } }, true });
+        outbox.decisions_.push_back({ "broker-timeout", { { "peer", address } }, true });
         count(state.metrics_, "brokers_avoided", "silent");
         state.brokersReviewAt_ = now;
         runBrokers(state, now, outbox);
--- a/src/gateway_call_type.h
+++ b/src/gateway_call_type.h
@@ -44,7 +44,7 @@
     std::optional<uint64_t> resumeAfter_; ///< Event after which the stream resumes.
 };
 
-/// Load that an upstream tells with its answers, as of a moment ago.
+/// Load that an upstream reports with its answers, as of a moment ago.
 struct UpstreamLoad
 {
     uint32_t running_ = 0; ///< Requests that it runs.
@@ -62,8 +62,8 @@
     bool authentic_ = false; ///< Whether the upstream signed it for this request, in a form that may be forwarded.
     bool upstreamLeaving_ = false; ///< Whether the upstream is going to stop and wants no further requests.
     Milliseconds upstreamPause_{ 0 }; ///< Time for which the upstream wants no requests from this gateway.
-    std::optional<UpstreamLoad> load_; ///< What it tells of its load, if it can be used.
-    bool loadMalformed_ = false; ///< Whether it tells a load that can't be used.
+    std::optional<UpstreamLoad> load_; ///< Load that it reports, if valid.
+    bool loadMalformed_ = false; ///< Whether the load that it reports is invalid.
     bool eventStream_ = false; ///< Whether the body is a stream of events.
     bool endsWithConnection_ = false; ///< Whether nothing but the end of its connection shows the end of the body.
 };
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -119,11 +119,11 @@
 {
     const Call *call = findRow(state.calls_, bid.call_);
     const TimePoint waitUntil = bid.request_ != nullptr ? bid.request_->waitUntil_ : call->waitUntil_;
-    if (bid.resumesStream_ || !isHopeless(state, bid.service_, waiting, waitUntil - now)) {
+    if (bid.resumesStream_ || !cannotGetSlotInTime(state, bid.service_, waiting, waitUntil - now)) {
         ++waiting;
         return;
     }
-    count(state.metrics_, "slot_requests", "hopeless");
+    count(state.metrics_, "slot_requests", "infeasible");
     if (bid.request_ != nullptr) {
         denySlot(*bid.request_, outbox);
         settled.emplace(bid.request_->request_.origin_, bid.request_->request_.number_);
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -137,7 +137,7 @@
 void updateSlotFlows(GatewayState &state, TimePoint now);
 
 /// @return whether a call is not expected to get a slot in time.
-bool isHopeless(const GatewayState &state, const std::string &service, size_t ahead, Duration wait);
+bool cannotGetSlotInTime(const GatewayState &state, const std::string &service, size_t ahead, Duration wait);
 
 /// @return the broker of another region that has a free slot, which is counted as taken; nullptr if none has.
 const Peer *takeFreeSlotElsewhere(GatewayState &state, TimePoint now, const SlotRequest &request);
@@ -231,8 +231,8 @@
 /// Records how long an upstream has taken to read the prompt of a call whose answer begins now.
 void recordFirstEvent(GatewayState &state, TimePoint now, const Call &call);
 
-/// Records the load that an upstream tells with an answer.
-void recordToldLoad(
+/// Records the load that an upstream reports with an answer.
+void recordReportedLoad(
     GatewayState &state, TimePoint now, const AnswerHead &head, Upstream &upstream, GatewayOutbox &outbox);
 
 /// Computes how fast the upstreams of each service read prompts on average.
--- a/src/gateway_peer_updates.cpp
+++ b/src/gateway_peer_updates.cpp
@@ -1,6 +1,6 @@
 /**
  * @file gateway_peer_updates.cpp
- * @brief System that tells other gateways the counts of calls, quota usage, versions and news.
+ * @brief System that sends other gateways the counts of calls, quota usage, versions and news.
  *
  * Every peer gets an update at least each heartbeat, which bounds the delay of quota usage. Only brokers and their
  * standbys get the counts of calls, and at once.
--- a/src/gateway_placement.cpp
+++ b/src/gateway_placement.cpp
@@ -23,11 +23,11 @@
 constexpr double failureCost = 1.0; ///< The same for an upstream that always fails; less if it fails less often.
 constexpr double alreadyTriedCost = 4.0; ///< The same for an upstream that this call was already sent to.
 constexpr double slowdownCost = 0.15; ///< The same for one whose machine takes twice its usual time at this moment.
-constexpr std::chrono::duration<double> toldHalfLife{ 0.2 }; ///< Time after which what was told counts half as much.
+constexpr std::chrono::duration<double> loadHalfLife{ 0.2 }; ///< Time after which a reported load counts half as much.
 constexpr double promptCost = 1.0; ///< The same for each second until the prompt is read, those before it included.
 constexpr double mostPromptSeconds = 4.0; ///< Longer times are treated as this one.
 constexpr double missingCost = 2.0; ///< The same for one that is missing from the list since a store outage.
-constexpr Milliseconds freeSlotsValidity{ 1000 }; ///< Age from which free slots that a broker has told are unknown.
+constexpr Milliseconds freeSlotsValidity{ 1000 }; ///< Age from which free slots reported by a broker are unknown.
 
 bool contains(const std::vector<std::string> &ids, const std::string &id)
 {
@@ -71,12 +71,12 @@
     return promptCost * std::min(tokens / speed, mostPromptSeconds);
 }
 
-/// @return the cost of what an upstream has told of its load, never negative; it fades as it grows old.
-double costOfToldLoad(const Upstream &upstream, TimePoint now)
+/// @return the cost of the load that an upstream has reported, never negative; it fades as it grows old.
+double costOfReportedLoad(const Upstream &upstream, TimePoint now)
 {
-    const double halfLives = std::chrono::duration<double>(now - upstream.told_.at_) / toldHalfLife;
-    const double slowdown = std::max(0.0, upstream.told_.slowdown_ - 1) * slowdownCost;
-    return std::exp2(-halfLives) * (upstream.told_.excess_ / upstream.slots_ + slowdown);
+    const double halfLives = std::chrono::duration<double>(now - upstream.reportedLoad_.at_) / loadHalfLife;
+    const double slowdown = std::max(0.0, upstream.reportedLoad_.slowdown_ - 1) * slowdownCost;
+    return std::exp2(-halfLives) * (upstream.reportedLoad_.excess_ / upstream.slots_ + slowdown);
 }
 
 /// @return the load of an upstream in calls per slot, plus the costs above that apply; calls go where it is lowest.
@@ -89,7 +89,7 @@
         cost += otherZoneCost;
     }
     cost += failureRateAt(upstream, now) * failureCost;
-    cost += costOfPrompt(state, upstream, request, now) + costOfToldLoad(upstream, now);
+    cost += costOfPrompt(state, upstream, request, now) + costOfReportedLoad(upstream, now);
     if (contains(request.tried_, upstream.id_)) {
         cost += alreadyTriedCost;
     }
--- a/src/gateway_placement_func.h
+++ b/src/gateway_placement_func.h
@@ -22,10 +22,10 @@
 std::map<std::string, FreeSlots> countFreeSlots(
     const GatewayState &state, TimePoint now, const std::set<std::string> &regions);
 
-/// @return the free slots for a route's rank that a broker has told of; nullptr if it has told none of the service.
+/// @return the free slots for a route's rank that a broker has reported; nullptr if it has reported none.
 uint32_t *findFreeSlots(const GatewayState &state, Peer &peer, const std::string &service, uint32_t routeRank);
 
-/// @return whether a service may have a free slot for a route's rank, by what the region's broker has told, if
+/// @return whether a service may have a free slot for a route's rank, by what the region's broker has reported, if
 /// anything.
 bool mayHaveFreeSlot(const GatewayState &state, TimePoint now, const std::string &service, uint32_t routeRank);
 
--- a/src/gateway_slot_forecast.cpp
+++ b/src/gateway_slot_forecast.cpp
@@ -49,7 +49,7 @@
     }
 }
 
-bool isHopeless(const GatewayState &state, const std::string &service, size_t ahead, Duration wait)
+bool cannotGetSlotInTime(const GatewayState &state, const std::string &service, size_t ahead, Duration wait)
 {
     const auto found = state.slotFlows_.find(service);
     if (found == state.slotFlows_.end() || found->second.perSecond_ < leastPerSecond) {
--- a/src/gateway_slot_type.h
+++ b/src/gateway_slot_type.h
@@ -42,7 +42,7 @@
     uint64_t grant_ = 0; ///< Number of the grant, rising for each receiver; 0 if the request is queued.
     std::string upstream_; ///< Id of the upstream with the slot; empty if the request is queued.
     uint32_t inFlight_ = 0; ///< Calls at the upstream, this one included, as the broker counts them.
-    bool hopeless_ = false; ///< Whether no slot is expected in time; the call should be refused now.
+    bool infeasible_ = false; ///< Whether no slot is expected in time; the call should be refused now.
 };
 
 /// Message about slots between two gateways.
@@ -61,7 +61,7 @@
     SlotRequest request_; ///< The request.
     TimePoint arrivedAt_{}; ///< When the call arrived at its gateway.
     TimePoint waitUntil_{}; ///< Until when the call waits.
-    bool acknowledged_ = false; ///< Whether its gateway has been told that it is queued.
+    bool acknowledged_ = false; ///< Whether its gateway has been notified that it is queued.
     bool forwarded_ = false; ///< Whether the broker of another region has passed it on.
 };
 
--- a/src/gateway_slot_wire.cpp
+++ b/src/gateway_slot_wire.cpp
@@ -68,7 +68,7 @@
     add(object, "g", reply.grant_);
     add(object, "u", reply.upstream_);
     add(object, "f", reply.inFlight_);
-    add(object, "h", reply.hopeless_);
+    add(object, "h", reply.infeasible_);
     return object;
 }
 
@@ -79,7 +79,7 @@
     read(reader, "g", reply.grant_, Presence::Optional);
     read(reader, "u", reply.upstream_, Presence::Optional);
     read(reader, "f", reply.inFlight_, Presence::Optional);
-    read(reader, "h", reply.hopeless_, Presence::Optional);
+    read(reader, "h", reply.infeasible_, Presence::Optional);
     return reader.error_;
 }
 
--- a/src/gateway_slots.cpp
+++ b/src/gateway_slots.cpp
@@ -23,7 +23,7 @@
 constexpr Milliseconds declineDelay{ 50 }; ///< Time after a grant that can't be used until the next request.
 constexpr Milliseconds stallTime{ 30 }; ///< Lateness of a check from which replies may be waiting to be read.
 constexpr Milliseconds freeSlotsInterval{ 50 }; ///< Time between messages of free slots to the other brokers.
-constexpr Milliseconds freeSlotsValidity{ 500 }; ///< Age from which free slots that a broker has told are not used.
+constexpr Milliseconds freeSlotsValidity{ 500 }; ///< Age from which free slots reported by a broker are not used.
 constexpr size_t maxQueuedRequests = 4096; ///< Requests that may wait at a broker; about 300 bytes each.
 
 SlotMessage &messageTo(GatewayOutbox &outbox, const std::string &address)
@@ -178,7 +178,7 @@
         markCountsPending(state); // the broker has to learn that the slot is not used
         return;
     }
-    if (reply.hopeless_) {
+    if (reply.infeasible_) {
         refuse(state, now, id, call->mayHaveRun_ ? RefusalReason::UpstreamFailed : RefusalReason::Overloaded, outbox);
         return;
     }
--- a/src/gateway_upstream_speed.cpp
+++ b/src/gateway_upstream_speed.cpp
@@ -1,9 +1,9 @@
 /**
  * @file gateway_upstream_speed.cpp
- * @brief What gateways learn of upstreams from their answers: failures, speed, and the load that upstreams tell.
+ * @brief What gateways learn of upstreams from their answers: failures, speed, and the load that upstreams report.
  *
  * Upstreams of one service differ in speed by a factor of three and more, and share their machines with others. Speed
- * is learnt from the time that prompts take to be read. What upstreams tell themselves only ever speaks against them:
+ * is learnt from the time that prompts take to be read. Their own reports only ever count against them:
  * one that claims to be idle gets no more calls than its counts allow.
  */
 #include "gateway_func.h"
@@ -80,24 +80,24 @@
     report.promptTime_ += std::chrono::duration_cast<Milliseconds>(now - call.sentAt_);
 }
 
-void recordToldLoad(
+void recordReportedLoad(
     GatewayState &state, TimePoint now, const AnswerHead &head, Upstream &upstream, GatewayOutbox &outbox)
 {
     if (head.loadMalformed_) {
         count(state.metrics_, "upstream_loads", "malformed");
-        if (now - upstream.told_.malformedLoggedAt_ > malformedLogInterval) {
-            upstream.told_.malformedLoggedAt_ = now;
+        if (now - upstream.reportedLoad_.malformedLoggedAt_ > malformedLogInterval) {
+            upstream.reportedLoad_.malformedLoggedAt_ = now;
             outbox.decisions_.push_back({ "load-malformed", { { "upstream", upstream.id_ } }, true });
         }
     }
     if (!head.load_) {
         return;
     }
-    const double told = static_cast<double>(head.load_->running_) + head.load_->waiting_;
+    const double reported = static_cast<double>(head.load_->running_) + head.load_->waiting_;
     const double counted = static_cast<double>(upstream.ownInFlight_) + upstream.peerInFlight_;
-    upstream.told_.excess_ = std::max(0.0, told - counted);
-    upstream.told_.slowdown_ = head.load_->slowdown_;
-    upstream.told_.at_ = now;
+    upstream.reportedLoad_.excess_ = std::max(0.0, reported - counted);
+    upstream.reportedLoad_.slowdown_ = head.load_->slowdown_;
+    upstream.reportedLoad_.at_ = now;
 }
 
 void updateSpeedMeans(GatewayState &state)
--- a/tests/gateway_placement_test.cpp
+++ b/tests/gateway_placement_test.cpp
@@ -67,7 +67,7 @@
         AnswerHead head;
         head.load_ = load;
         GatewayOutbox outbox;
-        recordToldLoad(state_, now_, head, upstream(id), outbox);
+        recordReportedLoad(state_, now_, head, upstream(id), outbox);
     }
 
     uint64_t exchange_ = 0; ///< Last exchange.
@@ -155,10 +155,10 @@
     head.loadMalformed_ = true;
     GatewayOutbox outbox;
     for (int answer = 0; answer < 100; ++answer) {
-        recordToldLoad(state_, now_, head, upstream("engine-0"), outbox);
+        recordReportedLoad(state_, now_, head, upstream("engine-0"), outbox);
     }
     CHECK(outbox.decisions_.size() == 1);
-    CHECK(upstream("engine-0").told_.at_ == TimePoint{});
+    CHECK(upstream("engine-0").reportedLoad_.at_ == TimePoint{});
 }
 
 TEST_CASE_FIXTURE(PlacementFixture, "Upstream_WhenOtherGatewaysReportItsFailures_IsChosenAfterOthers")
--- a/tests/gateway_slot_test.cpp
+++ b/tests/gateway_slot_test.cpp
@@ -246,10 +246,10 @@
     state_.slotFlows_["engines"] = { 6, 5, 5, 0, now_ }; // six slots a second; a request waits 200 ms
     const SlotMessage first = messageTo(receiveRequest(7), peerAddress);
     REQUIRE(first.replies_.size() == 1);
-    CHECK_FALSE(first.replies_[0].hopeless_);
+    CHECK_FALSE(first.replies_[0].infeasible_);
     const SlotMessage second = messageTo(receiveRequest(8), peerAddress);
     REQUIRE(second.replies_.size() == 1);
-    CHECK(second.replies_[0].hopeless_);
+    CHECK(second.replies_[0].infeasible_);
     CHECK(state_.slotQueue_.size() == 1);
 }
 
@@ -324,7 +324,7 @@
     CHECK(parsed.requests_[0].excluded_ == request.excluded_);
     CHECK(parsed.requests_[0].tried_ == request.tried_);
     REQUIRE(parsed.replies_.size() == 2);
-    CHECK(parsed.replies_[1].hopeless_);
+    CHECK(parsed.replies_[1].infeasible_);
     CHECK(parsed.replies_[0].upstream_ == "engine-3");
     CHECK(parsed.replies_[0].inFlight_ == 4);
     CHECK(parsed.freeSlots_ == message.freeSlots_);
