--- a/review/harness/case_uploads.cpp
+++ b/review/harness/case_uploads.cpp
@@ -19,7 +19,7 @@
 
 constexpr uint32_t machineMemoryMb = 110; ///< memory_mb of an edge machine of the site.
 constexpr size_t bodyBytes = 4'000'000; ///< Below the operator's maxBodyBytes of 4,194,304.
-constexpr int uploadsAtOnce = 40; ///< To each gateway.
+constexpr int uploadsAtOnce = 60; ///< To each gateway.
 constexpr int uploadsAtOnceWithoutTrouble = 2;
 constexpr int bookings = 8; ///< On kept connections to each gateway, at a runner when the uploads begin.
 constexpr int rounds = 3;
@@ -78,10 +78,12 @@
 
 void upload(const GatewayProcess &gateway, const std::string &id)
 {
+    static const std::string body(bodyBytes, 'x');
     Stream stream{ connectTo(gateway.listen_), {} };
     setReceiveTimeout(stream.socket_, Milliseconds(4000));
     record("client", "sends", id, gateway.name_);
-    const bool sent = sendAll(stream.socket_, makeRequest({ id, "/long/b", std::string(bodyBytes, 'x'), 4000 }));
+    const Call call{ id, "/long/b", {}, 4000 };
+    const bool sent = sendAll(stream.socket_, makeRequestHead(call, body.size())) && sendAll(stream.socket_, body);
     record("client", "gets", id, describeAnswer(sent ? receiveMessage(stream, BodyEnd::AtClose) : Message()));
 }
 
--- a/review/harness/fleet.cpp
+++ b/review/harness/fleet.cpp
@@ -252,12 +252,17 @@
     }
 }
 
-std::string makeRequest(const Call &call)
+std::string makeRequestHead(const Call &call, size_t bodyBytes)
 {
     return "POST " + call.target_ + " HTTP/1.1\r\nHost: review.example\r\nRequest-Id: " + call.id_
-        + "\r\nModel: m\r\nToken-Usage: 100,60\r\nPrefix-Hash: " + call.parts_ + "\r\nDeadline-Ms: "
-        + std::to_string(call.deadlineMs_) + "\r\nAuthorization: Bearer review-key\r\nContent-Length: "
-        + std::to_string(call.body_.size()) + "\r\n\r\n" + call.body_;
+        + "\r\nModel: m\r\nToken-Usage: 100,60\r\nPrefix-Hash: " + call.parts_
+        + "\r\nDeadline-Ms: " + std::to_string(call.deadlineMs_)
+        + "\r\nAuthorization: Bearer review-key\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+}
+
+std::string makeRequest(const Call &call)
+{
+    return makeRequestHead(call, call.body_.size()) + call.body_;
 }
 
 Message sendCall(const GatewayProcess &gateway, const Call &call)
--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -97,6 +97,9 @@
 /// Ends all processes.
 void stopFleet(Fleet &fleet);
 
+/// @return the header of a request with a body of @p bodyBytes.
+std::string makeRequestHead(const Call &call, size_t bodyBytes);
+
 /// @return the text of a request.
 std::string makeRequest(const Call &call);
 
