Tests: a loopback address of its own for each test process

Cause: a fleet draws its ports and releases them before its processes listen there. Change: addresses are drawn on 127.64.0.0 plus the process id instead of 127.0.0.1.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -44,6 +44,16 @@
     return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / name).string();
 }
 
+/**
+ * @return a loopback address that no other test process uses at the same time. The ports are released before the
+ * processes of a fleet listen on them, so that another fleet on the same address could draw them meanwhile.
+ */
+boost::asio::ip::address_v4 ownLoopbackAddress()
+{
+    constexpr uint32_t firstAddress = 0x7F400000; // 127.64.0.0: process ids have 22 bits
+    return boost::asio::ip::address_v4(firstAddress + static_cast<uint32_t>(getpid()));
+}
+
 void writeText(const std::string &file, const std::string &text)
 {
     std::ofstream(file) << text;
@@ -58,14 +68,15 @@
     std::vector<Tcp::acceptor> held;
     std::vector<std::string> addresses;
     std::random_device random;
+    const boost::asio::ip::address_v4 host = ownLoopbackAddress();
     while (addresses.size() < count) {
         const auto port = static_cast<uint16_t>(firstPort + random() % (lastPort - firstPort + 1));
         Tcp::acceptor acceptor(io, Tcp::v4());
         boost::system::error_code error;
-        acceptor.bind(Tcp::endpoint(boost::asio::ip::address_v4::loopback(), port), error);
+        acceptor.bind(Tcp::endpoint(host, port), error);
         if (!error) {
             held.push_back(std::move(acceptor));
-            addresses.push_back("127.0.0.1:" + std::to_string(port));
+            addresses.push_back(host.to_string() + ":" + std::to_string(port));
         }
     }
     return addresses;
