Keep streams at upstreams that pause; verify the end of answers without a length

Changes: a silent stream is moved only if its upstream can't be reached, or sends bytes that complete no event; such an answer is complete only if the upstream accepts a connection after its end that stays open for 25 ms. A check makes up to four connections, since an ending process still accepts some, and an upstream at its limit resets them.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -125,6 +125,12 @@
         true });
 }
 
+void recordReached(TimePoint now, Upstream &upstream)
+{
+    upstream.reachedAt_ = now;
+    upstream.unreachableSince_ = noDeadline;
+}
+
 void backOffUpstream(Upstream &upstream, TimePoint now)
 {
     const uint32_t doublings = std::min(upstream.connectFailures_, maxBackoffDoublings);
@@ -244,6 +250,48 @@
     finishCall(state, now, id, "ok", status, outbox);
 }
 
+/// Defers the end of an answer whose end only its connection shows: a crash of the upstream closes it in the same way.
+void verifyAnswerEnd(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox)
+{
+    call.stage_ = CallStage::Verifying;
+    call.endedAt_ = now;
+    if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
+        checkUpstream(now, *upstream, outbox);
+    } else { // it is not listed any more, but may live on
+        outbox.checks_.push_back({ call.triedInstances_.back(), call.upstreamAddress_ });
+    }
+}
+
+/// Treats the answer of a call as broken off.
+void handleBrokenAnswer(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    recordBrokenCall(state, now, call, outbox);
+    clearAnswer(state, call);
+    handleFailure(state, now, id, call, false, outbox);
+}
+
+/// Ends the calls that wait for the result of a check of their upstream.
+void endVerifiedCalls(GatewayState &state, TimePoint now, const UpstreamChecked &event, GatewayOutbox &outbox)
+{
+    std::vector<CallId> verifying;
+    forEachRow(state.calls_, [&](CallId id, const Call &call) {
+        if (call.stage_ == CallStage::Verifying && call.triedInstances_.back() == event.upstream_) {
+            verifying.push_back(id);
+        }
+    });
+    for (const CallId id : verifying) {
+        Call &call = *findRow(state.calls_, id);
+        Upstream *upstream = findRow(state.upstreams_, call.upstream_);
+        if (event.error_) {
+            handleBrokenAnswer(state, now, id, call, outbox);
+        } else if (upstream != nullptr && call.endedAt_ > upstream->checkStartedAt_) {
+            checkUpstream(now, *upstream, outbox); // the last check began before the end of this answer
+        } else {
+            handleCompleteAnswer(state, now, id, call, outbox);
+        }
+    }
+}
+
 void handleHead(GatewayState &state, TimePoint now, HeadReceived &event, GatewayOutbox &outbox)
 {
     Call *call = findRow(state.calls_, findCallBySend(state, event.send_));
@@ -258,6 +306,7 @@
     call->head_ = std::move(event.head_);
     if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
         upstream->connectFailures_ = 0;
+        recordReached(now, *upstream);
         recordReportedLoad(state, now, call->head_, *upstream, outbox);
     }
     recordAnnouncement(state, now, *call, outbox);
@@ -301,6 +350,10 @@
     if (call == nullptr) {
         return;
     }
+    if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
+        recordReached(now, *upstream);
+    }
+    call->lastBytesAt_ = now;
     const size_t scanned = call->body_.size();
     const bool streamed = isForwardable(*call) && isStreamed(*call);
     call->body_ += event.bytes_;
@@ -320,12 +373,15 @@
 void handleCheck(GatewayState &state, TimePoint now, const UpstreamChecked &event, GatewayOutbox &outbox)
 {
     Upstream *upstream = findUpstream(state, event.upstream_);
-    if (upstream == nullptr) {
-        return;
+    if (upstream != nullptr) {
+        upstream->checking_ = false;
     }
-    upstream->checking_ = false;
-    if (event.error_) {
+    endVerifiedCalls(state, now, event, outbox); // those that broke belong to the report of a crash
+    if (upstream != nullptr && event.error_) {
+        upstream->unreachableSince_ = std::min(upstream->unreachableSince_, now);
         handleFailedConnect(state, now, *upstream, event.error_, outbox);
+    } else if (upstream != nullptr) {
+        recordReached(now, *upstream);
     }
 }
 
@@ -348,9 +404,9 @@
     } else if (event.error_ == TransportErrc::NotSent || event.error_ == TransportErrc::ConnectionRefused) {
         handleUnreachable(state, now, id, *call, event.error_, outbox);
     } else if (event.error_) {
-        recordBrokenCall(state, now, *call, outbox);
-        clearAnswer(state, *call);
-        handleFailure(state, now, id, *call, false, outbox);
+        handleBrokenAnswer(state, now, id, *call, outbox);
+    } else if (call->head_.endsWithConnection_ && (!isStreamed(*call) || call->sendEvents_ > 0)) {
+        verifyAnswerEnd(state, now, *call, outbox);
     } else {
         handleCompleteAnswer(state, now, id, *call, outbox);
     }
@@ -358,6 +414,15 @@
 
 } // namespace
 
+void checkUpstream(TimePoint now, Upstream &upstream, GatewayOutbox &outbox)
+{
+    if (!upstream.checking_) {
+        upstream.checking_ = true;
+        upstream.checkStartedAt_ = now;
+        outbox.checks_.push_back({ upstream.id_, upstream.address_ });
+    }
+}
+
 void runAnswers(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
 {
     for (const UpstreamChecked &event : inbox.checks_) {
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -84,6 +84,9 @@
     uint32_t connectFailures_ = 0; ///< Consecutive failures to connect.
     std::vector<BrokenCall> brokenCalls_; ///< Recently broken calls; suspects if the upstream is found to be down.
     bool checking_ = false; ///< Whether a connection is being made to find out whether it is down.
+    TimePoint checkStartedAt_{}; ///< When the latest such connection was begun.
+    TimePoint reachedAt_{}; ///< When such a connection was last made, or part of an answer last received.
+    TimePoint unreachableSince_{ noDeadline }; ///< When it was found to be down or cut off; noDeadline if it was not.
     TimePoint missingSince_{ noDeadline }; ///< Since when its row is missing after a store outage; else noDeadline.
 };
 
@@ -101,6 +104,8 @@
 enum class CallStage : uint8_t {
     Waiting, ///< Queued until an upstream has free capacity.
     Sent, ///< In flight at an upstream.
+    /// The connection has ended after an answer without a length; complete if the upstream turns out to live.
+    Verifying,
 };
 
 /// Request for a slot that a waiting call has made to a broker.
@@ -142,10 +147,13 @@
     CallSlotRequest slot_; ///< Request for a slot, while it waits.
     uint64_t send_ = 0; ///< Number of the latest send; every send to an upstream has its own.
     UpstreamId upstream_; ///< Upstream of the latest send.
+    std::string upstreamAddress_; ///< IP:PORT of that upstream, which may be removed from the list meanwhile.
     TimePoint sentAt_{}; ///< Time of the latest send.
     TimePoint answerBegunAt_{ noDeadline }; ///< When the first event of the latest send was received, if any.
     bool answered_ = false; ///< Whether its traits have been recorded as answered.
     TimePoint lastReceivedAt_{}; ///< When the answer last made progress, a stream by a whole event; at first sentAt_.
+    TimePoint lastBytesAt_{}; ///< When anything was last received of the answer, also if it is no progress.
+    TimePoint endedAt_{}; ///< When the connection of the latest send ended, see CallStage::Verifying.
     uint32_t attempts_ = 0; ///< Sends that reached, or may have reached, an upstream.
     uint32_t connectFailures_ = 0; ///< Sends that reached no upstream, or another instance than the intended one.
     bool mayHaveRun_ = false; ///< Whether an earlier send may have run.
--- a/src/gateway_crashes.cpp
+++ b/src/gateway_crashes.cpp
@@ -176,9 +176,8 @@
 void recordBrokenCall(GatewayState &state, TimePoint now, const Call &call, GatewayOutbox &outbox)
 {
     Upstream *upstream = recordUnansweredCall(state, now, call, false);
-    if (upstream != nullptr && !upstream->checking_) {
-        upstream->checking_ = true;
-        outbox.checks_.push_back({ upstream->id_, upstream->address_ });
+    if (upstream != nullptr) {
+        checkUpstream(now, *upstream, outbox);
     }
 }
 
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -171,8 +171,10 @@
     call.stage_ = CallStage::Sent;
     call.send_ = state.nextSend_++;
     call.upstream_ = target;
+    call.upstreamAddress_ = upstream.address_;
     call.sentAt_ = now;
     call.lastReceivedAt_ = now;
+    call.lastBytesAt_ = {};
     call.headReceived_ = false;
     call.answerBegunAt_ = noDeadline;
     call.sendEvents_ = 0;
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -87,6 +87,9 @@
 /// Ends the calls of callers that have disconnected, also those that were admitted in this tick.
 void runCallerDisconnects(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox);
 
+/// Checks whether an upstream is down, unless such a check is in progress.
+void checkUpstream(TimePoint now, Upstream &upstream, GatewayOutbox &outbox);
+
 /// Forwards answers to callers, and retries or ends failed calls.
 void runAnswers(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox);
 
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -13,11 +13,20 @@
 namespace {
 
 // A call is moved away from an upstream that has sent nothing for the silence timeout, if it can be retried elsewhere.
-// The timeout is the larger of a minimum and a multiple of the route's target.
+// The timeout is the larger of a minimum and a multiple of the route's target. A stream is moved only if the upstream
+// is also found to be unreachable, or sends bytes that complete no event: one that pauses would not notice the close of
+// the connection, and go on with the stream beside the other upstream.
 constexpr Milliseconds minFirstEventTimeout{ 1300 }; ///< Minimum before a first event; callers wait 2 s for it.
 constexpr Milliseconds minStreamTimeout{ 900 }; ///< Minimum within a stream.
 constexpr Milliseconds minAnswerTimeout{ 900 }; ///< Minimum for a call that is not streamed.
 constexpr Milliseconds capacityRecheckInterval{ 100 }; ///< Interval of checks for free capacity elsewhere.
+/// Share of the silence timeout after which the upstream of a stream is checked, so that the result is known in time.
+constexpr double reachabilityCheckShare = 0.5;
+/// Interval of checks whether the upstream of a silent stream is reachable. Each one may open a connection.
+constexpr Milliseconds reachabilityInterval{ 500 };
+/// An upstream that has sent bytes within this time notices the close of the connection at its next write, so that it
+/// stops its run well within the 400 ms for which two runs of a stream may overlap.
+constexpr Milliseconds writingUpstreamTime{ 200 };
 constexpr int latencyTargetMultiple = 3; ///< Multiple of the latency target before a stream has started.
 constexpr int gapTargetMultiple = 4; ///< Multiple of the gap target within a stream; callers give up after 8.
 
@@ -35,6 +44,15 @@
     return std::max(minimum, latencyTargetMultiple * call.latencyTarget_);
 }
 
+/// @return the silence after which a call is looked at: a stream earlier than it can be moved.
+Milliseconds silenceUntilReview(const Call &call)
+{
+    const Milliseconds timeout = silenceTimeout(call);
+    return call.kind_ == CallKind::Streaming
+        ? std::chrono::duration_cast<Milliseconds>(timeout * reachabilityCheckShare)
+        : timeout;
+}
+
 bool canRetryElsewhere(const Call &call)
 {
     return call.retryable_ && call.attempts_ < call.attemptLimit_;
@@ -85,6 +103,22 @@
     requeue(state, now, id);
 }
 
+/// Reviews a stream without progress: it is moved once its upstream is known to be unreachable, or to notice that.
+void reviewSilentStream(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    Upstream *upstream = findRow(state.upstreams_, call.upstream_);
+    const bool unreachable = upstream != nullptr && upstream->unreachableSince_ != noDeadline;
+    const bool writing = now - call.lastBytesAt_ < writingUpstreamTime;
+    if ((unreachable || writing) && now - call.lastReceivedAt_ >= silenceTimeout(call)) {
+        retrySilentCall(state, now, id, call, outbox);
+        return;
+    }
+    if (upstream != nullptr && now - upstream->reachedAt_ >= reachabilityInterval) {
+        checkUpstream(now, *upstream, outbox);
+    }
+    pushDeadline(state.deadlines_, std::min(call.deadline_, now + capacityRecheckInterval), id);
+}
+
 void checkCall(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
 {
     if (now >= call.deadline_) {
@@ -95,9 +129,13 @@
         refuse(state, now, id, call.mayHaveRun_ ? RefusalReason::UpstreamFailed : RefusalReason::Overloaded, outbox);
         return;
     }
-    const bool silent = call.stage_ != CallStage::Waiting && now - call.lastReceivedAt_ >= silenceTimeout(call);
+    const bool silent = call.stage_ == CallStage::Sent && now - call.lastReceivedAt_ >= silenceUntilReview(call);
     if (silent && canRetryElsewhere(call)) {
-        retrySilentCall(state, now, id, call, outbox);
+        if (call.kind_ == CallKind::Streaming) {
+            reviewSilentStream(state, now, id, call, outbox);
+        } else {
+            retrySilentCall(state, now, id, call, outbox);
+        }
         return;
     }
     pushDeadline(state.deadlines_, std::max(nextCallCheck(call), now + Milliseconds(1)), id);
@@ -110,8 +148,8 @@
     if (call.stage_ == CallStage::Waiting) {
         return std::min(call.waitUntil_, call.deadline_);
     }
-    return canRetryElsewhere(call) ? std::min(call.deadline_, call.lastReceivedAt_ + silenceTimeout(call))
-                                   : call.deadline_;
+    const bool movable = call.stage_ == CallStage::Sent && canRetryElsewhere(call);
+    return movable ? std::min(call.deadline_, call.lastReceivedAt_ + silenceUntilReview(call)) : call.deadline_;
 }
 
 void runDeadlines(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -21,6 +21,10 @@
 
 /// Two round trips between regions and the retransmission of one lost packet.
 constexpr Milliseconds connectTimeout{ 700 };
+/// Time for which a connection made to check an upstream has to stay open. The kernel resets the connections that a
+/// process has not accepted within a few milliseconds of its end.
+constexpr Milliseconds checkSettleTime{ 25 };
+constexpr int maxCheckConnections = 4; ///< Connections tried in one check, see startCheck().
 constexpr size_t readBytes = 16U << 10U; ///< Most bytes read at once.
 constexpr uint32_t responseHeaderLimit = 32U << 10U; ///< Bytes of the longest response header.
 /// Most bytes buffered while the rest of a header, a chunk's header or trailers is missing.
@@ -342,6 +346,38 @@
     return nullptr;
 }
 
+/**
+ * Connects to an address. A connection that breaks at once doesn't count: a process that is ending may still accept it.
+ * @param connectionsLeft connections that may be tried; if the last one breaks, too, something listens there and resets
+ * connections that exceed its limit
+ */
+void startCheck(UpstreamLink &link, const std::string &address, int connectionsLeft,
+    const std::function<void(std::error_code)> &onEnd)
+{
+    auto connection = std::make_shared<LinkConnection>(link.io_);
+    connection->call_.address_ = address;
+    connect(link, connection, [&link, connection, connectionsLeft, onEnd](std::error_code error) {
+        if (error) {
+            closeConnection(connection);
+            onEnd(error);
+            return;
+        }
+        readSome(link, connection);
+        connection->timer_.expires_after(checkSettleTime);
+        connection->timer_.async_wait([&link, connection, connectionsLeft, onEnd](const boost::system::error_code &) {
+            if (!connection->closed_) {
+                connection->idleSince_ = Clock::now();
+                link.idle_[connection->call_.address_].push_back(connection);
+                onEnd({});
+            } else if (connectionsLeft > 1) {
+                startCheck(link, connection->call_.address_, connectionsLeft - 1, onEnd);
+            } else {
+                onEnd({});
+            }
+        });
+    });
+}
+
 void startPostedCall(UpstreamLink &link, LinkCall call)
 {
     const LinkPointer connection = call.newConnection_ ? nullptr : takeIdleConnection(link, call);
@@ -369,18 +405,7 @@
 
 void checkAddress(UpstreamLink &link, const std::string &address, std::function<void(std::error_code)> onEnd)
 {
-    auto connection = std::make_shared<LinkConnection>(link.io_);
-    connection->call_.address_ = address;
-    connect(link, connection, [&link, connection, onEnd = std::move(onEnd)](std::error_code error) {
-        if (error) {
-            closeConnection(connection);
-        } else {
-            connection->idleSince_ = Clock::now();
-            link.idle_[connection->call_.address_].push_back(connection);
-            readSome(link, connection);
-        }
-        onEnd(error);
-    });
+    startCheck(link, address, maxCheckConnections, onEnd);
 }
 
 void cancelCall(UpstreamLink &link, uint64_t send)
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -122,8 +122,9 @@
 void startCall(UpstreamLink &link, LinkCall call);
 
 /**
- * Connects to an address, and keeps the connection for later calls.
- * @param onEnd called once, with success when the connection was made, else NotSent or ConnectionRefused
+ * Checks whether a process listens at an address, and keeps the connection for later calls. A connection that breaks
+ * within 25 ms is made again, since a process that is ending may still accept it.
+ * @param onEnd called once, with success when something listens there, else NotSent or ConnectionRefused
  */
 void checkAddress(UpstreamLink &link, const std::string &address, std::function<void(std::error_code)> onEnd);
 
--- a/tests/upstream_link_reuse_test.cpp
+++ b/tests/upstream_link_reuse_test.cpp
@@ -220,6 +220,35 @@
     CHECK(link_.idle_[address_].empty());
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Check_WhenTheProcessEndsAfterAConnectionIsMade_ReportsARefusedConnection")
+{
+    // Guards against a crash that goes unnoticed because the ending process still accepts a connection.
+    std::optional<std::error_code> end;
+    checkAddress(link_, address_, [&end](std::error_code error) { end = error; });
+    runUntil([this] { return link_.connectionsOpened_ == 1; });
+    std::this_thread::sleep_for(arrivalTime / 2); // the kernel completes the connection, which nobody accepts
+    io_.poll();
+    acceptor_.close();
+    runUntil([&end] { return end.has_value(); });
+    CHECK(end == make_error_code(TransportErrc::ConnectionRefused));
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Check_WhenConnectionsAreAcceptedAndClosed_FindsThatTheProcessLives")
+{
+    // An upstream at its limit of connections resets further ones; it has not crashed.
+    std::optional<std::error_code> end;
+    checkAddress(link_, address_, [&end](std::error_code error) { end = error; });
+    runUntil([this, &end] {
+        boost::system::error_code none;
+        acceptor_.non_blocking(true, none);
+        Asio::ip::tcp::socket socket(io_);
+        acceptor_.accept(socket, none); // closed at once
+        return end.has_value();
+    });
+    CHECK_FALSE(*end);
+    CHECK(link_.idle_[address_].empty());
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Check_WhenAConnectionIsMade_LeavesItToTheNextCall")
 {
     std::optional<std::error_code> end;
