Gateways: the memory of engines is a capacity beside their slots

An engine crashes if the requests that it holds exceed its memory. The configuration's engine.kvCapacityTokens is decoded; the tokens of each call (prompt and longest answer) are counted per upstream where calls are counted: own calls, counts of peers, pending grants, slot requests. A request larger than every engine of its route's services is refused at once as not run (exceeds-memory, 503 without Retry-After). New fields in messages are optional and only sent where a capacity is configured; without one nothing changes.

A call that waits for memory does not hold up smaller ones behind it. Free slots that are reported are bounded by how many calls like those in flight fit, rounded up.

--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -73,6 +73,8 @@
 
     uint32_t ownInFlight_ = 0; ///< Calls that this gateway has sent to it and that have not ended.
     uint32_t peerInFlight_ = 0; ///< Sum of the same counts of all other gateways, from their last updates.
+    uint64_t ownTokens_ = 0; ///< Tokens of memory that the calls in ownInFlight_ may take; see memoryTokensOf().
+    uint64_t peerTokens_ = 0; ///< The same of those in peerInFlight_.
     double failureRate_ = 0; ///< Moving average of failed answers, 0 to 1, as of failureAt_; decays with time.
     TimePoint failureAt_{}; ///< When failureRate_ was last updated.
     double promptTokensPerSecond_ = 0; ///< How fast it reads prompts, a moving average; 0 while that is not known.
@@ -208,6 +210,7 @@
     uint64_t configurationVersion_ = 0; ///< Version of the configuration that it holds.
     uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that it holds.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< Its calls in flight, by upstream id.
+    std::unordered_map<std::string, uint64_t> memoryTokens_; ///< Tokens of memory that they may take, by upstream id.
     std::unordered_map<std::string, uint64_t> chargedUnits_; ///< Units charged since its start, by workspace.
     bool usageComplete_ = false; ///< Whether chargedUnits_ holds all workspaces, as a full update has been received.
 
--- a/src/gateway_call_type.h
+++ b/src/gateway_call_type.h
@@ -81,6 +81,7 @@
     NoUpstream, ///< Several sends of the request reached no upstream.
     UpstreamRefused, ///< Upstreams refused, and no further attempt is allowed.
     CrashSuspect, ///< The request has crashed upstreams.
+    ExceedsMemory, ///< The request takes more memory than any engine of its service has.
     Expired, ///< The deadline passed; the request may have run.
     UpstreamFailed, ///< The upstream failed; the request may have run.
 };
--- a/src/gateway_configuration_type.h
+++ b/src/gateway_configuration_type.h
@@ -52,6 +52,7 @@
     std::string name_; ///< Referred to by routes and upstreams.
     uint32_t connectionLimit_ = 0; ///< Connections that an upstream accepts from all gateways together; 0 if unknown.
     bool modelEngine_ = false; ///< Whether its upstreams are model engines.
+    uint64_t kvCapacityTokens_ = 0; ///< Tokens of requests that an engine's memory holds; 0 if there is no limit.
 };
 
 /// Workspace with its keys and its quota.
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -133,6 +133,17 @@
         state, now, bid.call_, call->mayHaveRun_ ? RefusalReason::UpstreamFailed : RefusalReason::Overloaded, outbox);
 }
 
+/// @return whether calls with less tokens than a request that found no upstream may find one now.
+bool hasSlotForSmallerCall(
+    GatewayState &state, TimePoint now, SlotRequest request, const std::set<std::string> &regions)
+{
+    if (request.memoryTokens_ == 0) {
+        return false;
+    }
+    request.memoryTokens_ = 0;
+    return findRow(state.upstreams_, chooseUpstream(state, now, request, regions)) != nullptr;
+}
+
 /// Passes a bid on to the broker of another region that has a free slot. @return whether there is one
 bool passOn(GatewayState &state, TimePoint now, const Bid &bid, const SlotRequest &request, GatewayOutbox &outbox)
 {
@@ -164,6 +175,7 @@
     state.callBySlotRequest_.erase(slot.number_);
     Upstream &upstream = *findRow(state.upstreams_, target);
     ++upstream.ownInFlight_;
+    upstream.ownTokens_ += memoryTokensOf(call.request_);
     markPeerUpdatesPending(state, upstream.region_);
     if (slot.number_ == 0) { // then nobody else knows of the call
         markCountsPending(state);
@@ -224,12 +236,15 @@
         const SlotRequest request = bid.request_ != nullptr
             ? bid.request_->request_
             : makeSlotRequest(state, now, *findRow(state.calls_, bid.call_));
-        const UpstreamId target = fullHere.contains(key)
-            ? UpstreamId{}
-            : chooseUpstream(state, now, request, bid.request_ != nullptr ? forOthers : assigned);
-        if (findRow(state.upstreams_, target) != nullptr) {
+        const std::set<std::string> &regions = bid.request_ != nullptr ? forOthers : assigned;
+        const UpstreamId target = fullHere.contains(key) ? UpstreamId{} : chooseUpstream(state, now, request, regions);
+        const bool placed = findRow(state.upstreams_, target) != nullptr;
+        if (!placed && !hasSlotForSmallerCall(state, now, request, regions)) {
+            fullHere.insert(key);
+        }
+        if (placed) {
             placeBid(state, now, bid, request.promptTokens_, target, outbox);
-        } else if (fullHere.insert(key); !passOn(state, now, bid, request, outbox)) {
+        } else if (!passOn(state, now, bid, request, outbox)) {
             fullElsewhere.insert(key);
             keepWaiting(state, now, bid, waitingByService[bid.service_], settled, outbox);
             continue;
@@ -249,11 +264,12 @@
     if (!mayHaveFreeSlot(state, now, call.service_, call.routeRank_)) {
         return false;
     }
+    const uint64_t memoryTokens = memoryTokensOf(state, call);
     bool found = false;
     forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
         found = found
             || (id != call.upstream_ && upstream.service_ == call.service_
-                && hasFreeSlot(state, now, upstream, call.routeRank_));
+                && hasFreeSlot(state, now, upstream, { call.routeRank_, memoryTokens }));
     });
     return found;
 }
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -116,8 +116,10 @@
     std::optional<Milliseconds> uptime_; ///< Time since the sender's start; only in its first quota window.
     uint64_t configurationVersion_ = 0; ///< Version of the configuration that the sender holds.
     uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that the sender holds.
-    bool hasCounts_ = true; ///< Whether the next three members are sent; only brokers and their standbys need them.
+    bool hasCounts_ = true; ///< Whether the next four members are sent; only brokers and their standbys need them.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< The sender's calls in flight, by upstream id.
+    /// Tokens of memory that they may take, by upstream id, of services that limit them.
+    std::unordered_map<std::string, uint64_t> memoryTokens_;
     std::unordered_map<uint64_t, uint64_t> grantsReceived_; ///< Newest grant received, by the broker's incarnation.
     std::unordered_map<std::string, UpstreamReport> reports_; ///< Outcomes since the last counts, by upstream id.
     uint32_t brokerWeight_ = 0; ///< See Peer::brokerWeight_; in full updates only.
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -195,6 +195,15 @@
 /// @return an upstream in the form of a row of the store's list.
 UpstreamRow makeUpstreamRow(const Upstream &upstream);
 
+/// @return the tokens that the memory of a service's engines holds; 0 if the configuration sets no limit.
+uint64_t memoryCapacityOf(const GatewayState &state, const std::string &service);
+
+/// @return the tokens of an engine's memory that a request may take: its prompt and its longest answer; 0 if unknown.
+uint64_t memoryTokensOf(const CallRequest &request);
+
+/// @return the same for a call whose service limits them, else 0.
+uint64_t memoryTokensOf(const GatewayState &state, const Call &call);
+
 /// @return the region of an availability zone; the zone itself if that is not known.
 const std::string &regionOf(const GatewayState &state, const std::string &zone);
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -54,18 +54,29 @@
     return result;
 }
 
-const std::string &drawTargetService(GatewayState &state, const Route &route)
+/// @return whether a request takes more memory than any engine of a service has; such a request would crash it.
+bool exceedsEngineMemory(const GatewayState &state, const std::string &service, const CallRequest &request)
+{
+    const uint64_t capacity = memoryCapacityOf(state, service);
+    return capacity > 0 && memoryTokensOf(request) > capacity;
+}
+
+/// Draws one of a route's targets by weight, among those whose engines have the memory for a request.
+const std::string &drawTargetService(GatewayState &state, const Route &route, const CallRequest &request)
 {
     static const std::string none;
     uint64_t total = 0;
     for (const RouteTarget &target : route.targets_) {
-        total += target.weight_;
+        total += exceedsEngineMemory(state, target.service_, request) ? 0 : target.weight_;
     }
     if (total == 0) {
         return route.targets_.empty() ? none : route.targets_.front().service_;
     }
     uint64_t drawn = state.random_() % total;
     for (const RouteTarget &target : route.targets_) {
+        if (exceedsEngineMemory(state, target.service_, request)) {
+            continue;
+        }
         if (drawn < target.weight_) {
             return target.service_;
         }
@@ -105,7 +116,7 @@
     call.exchange_ = arrival.exchange_;
     call.request_ = std::move(arrival.request_);
     call.routeName_ = route.name_;
-    call.service_ = drawTargetService(state, route);
+    call.service_ = drawTargetService(state, route, call.request_);
     call.workspace_ = intake.workspace_ == nullptr ? std::string() : intake.workspace_->name_;
     call.kind_ = route.kind_;
     const bool resumable = route.kind_ == CallKind::Streaming && route.resumable_;
@@ -156,6 +167,10 @@
     Call &row = *findRow(state.calls_, id);
     state.callByExchange_[row.exchange_.value_] = id;
     state.bodyBytes_ += row.request_.body_->size();
+    if (exceedsEngineMemory(state, row.service_, row.request_)) {
+        refuse(state, now, id, RefusalReason::ExceedsMemory, outbox);
+        return;
+    }
     if (!canEndBeforeExit(state, now, row)) {
         refuse(state, now, id, RefusalReason::Stopping, outbox);
         return;
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -66,8 +66,14 @@
     forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) {
         const auto count = peer.inFlight_.find(row.id_);
         upstream.peerInFlight_ += count == peer.inFlight_.end() ? 0 : count->second;
-        upstream.peerInFlight_ += static_cast<uint32_t>(std::count_if(peer.pendingGrants_.begin(),
-            peer.pendingGrants_.end(), [&row](const PendingGrant &grant) { return grant.upstream_ == row.id_; }));
+        const auto tokens = peer.memoryTokens_.find(row.id_);
+        upstream.peerTokens_ += tokens == peer.memoryTokens_.end() ? 0 : tokens->second;
+        for (const PendingGrant &grant : peer.pendingGrants_) {
+            if (grant.upstream_ == row.id_) {
+                ++upstream.peerInFlight_;
+                upstream.peerTokens_ += grant.memoryTokens_;
+            }
+        }
     });
     state.upstreamById_[row.id_] = insertRow(state.upstreams_, std::move(upstream));
     logUpstreamChange(row, row.draining_ ? "listed-draining" : "listed", source, outbox);
--- a/src/gateway_peer_updates.cpp
+++ b/src/gateway_peer_updates.cpp
@@ -41,6 +41,9 @@
     forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
         if (upstream.ownInFlight_ > 0) {
             update.inFlight_[upstream.id_] = upstream.ownInFlight_;
+            if (upstream.ownTokens_ > 0 && memoryCapacityOf(state, upstream.service_) > 0) {
+                update.memoryTokens_[upstream.id_] = upstream.ownTokens_;
+            }
             state.countedRegions_[upstream.region_] = now;
         }
     });
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -26,6 +26,7 @@
 constexpr std::string_view configurationField = "c";
 constexpr std::string_view upstreamsField = "u";
 constexpr std::string_view inFlightField = "f";
+constexpr std::string_view memoryTokensField = "k";
 constexpr std::string_view grantsReceivedField = "g";
 constexpr std::string_view reportsField = "o";
 constexpr std::string_view chargedUnitsField = "w";
@@ -288,6 +289,9 @@
         { chargedUnitsField, serializeCounts(update.chargedUnits_) } };
     if (update.hasCounts_) {
         object[inFlightField] = serializeCounts(update.inFlight_);
+        if (!update.memoryTokens_.empty()) {
+            object[memoryTokensField] = serializeCounts(update.memoryTokens_);
+        }
         serializeGrants(update, object);
         serializeReports(update, object);
     }
@@ -321,6 +325,7 @@
     read(reader, upstreamsField, update.upstreamsVersion_);
     update.hasCounts_ = readValue(reader, inFlightField, Presence::Optional) != nullptr;
     parseCounts(reader, inFlightField, update.inFlight_);
+    parseCounts(reader, memoryTokensField, update.memoryTokens_);
     parseGrants(reader, update);
     parseReports(reader, update);
     read(reader, "broker_weight", update.brokerWeight_, Presence::Optional);
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -20,6 +20,12 @@
 constexpr Milliseconds snapshotInterval{ 400 }; ///< Minimum time between fetches of a part of a snapshot.
 constexpr std::chrono::seconds snapshotGiveUpTime{ 10 }; ///< Longest fetch; brings 10 MB over the slowest links.
 
+void addPeerTokens(Upstream &upstream, uint64_t tokens, bool add)
+{
+    upstream.peerTokens_
+        = add ? upstream.peerTokens_ + tokens : upstream.peerTokens_ - std::min(upstream.peerTokens_, tokens);
+}
+
 /// Adds a peer's calls in flight to the counts at the upstreams, or subtracts them.
 void applyPeerCounts(GatewayState &state, const Peer &peer, bool add)
 {
@@ -29,6 +35,11 @@
                                           : upstream->peerInFlight_ - std::min(upstream->peerInFlight_, count);
         }
     }
+    for (const auto &[id, tokens] : peer.memoryTokens_) {
+        if (Upstream *upstream = findUpstream(state, id); upstream != nullptr) {
+            addPeerTokens(*upstream, tokens, add);
+        }
+    }
 }
 
 /// Adds a peer's pending grants to the counts at the upstreams, or subtracts them.
@@ -38,6 +49,7 @@
         if (Upstream *upstream = findUpstream(state, grant.upstream_); upstream != nullptr) {
             upstream->peerInFlight_
                 = add ? upstream->peerInFlight_ + 1 : upstream->peerInFlight_ - std::min(upstream->peerInFlight_, 1U);
+            addPeerTokens(*upstream, grant.memoryTokens_, add);
         }
     }
 }
@@ -47,6 +59,7 @@
     applyPeerCounts(state, peer, false);
     applyPendingGrants(state, peer, false);
     peer.inFlight_.clear();
+    peer.memoryTokens_.clear();
     peer.pendingGrants_.clear();
 }
 
@@ -63,6 +76,7 @@
     }
     clearPeerCounts(state, peer);
     peer.inFlight_ = std::move(update.inFlight_);
+    peer.memoryTokens_ = std::move(update.memoryTokens_);
     peer.pendingGrants_ = std::move(pending);
     peer.countsAt_ = now;
     applyPeerCounts(state, peer, true);
--- a/src/gateway_placement.cpp
+++ b/src/gateway_placement.cpp
@@ -60,6 +60,32 @@
     return upstream.ownInFlight_ + upstream.peerInFlight_;
 }
 
+/// @return the tokens of an upstream's memory that no call may take; the largest number if there is no limit.
+uint64_t freeMemory(const GatewayState &state, const Upstream &upstream)
+{
+    const uint64_t capacity = memoryCapacityOf(state, upstream.service_);
+    const uint64_t taken = upstream.ownTokens_ + upstream.peerTokens_;
+    return capacity == 0 ? UINT64_MAX : capacity - std::min(capacity, taken);
+}
+
+/// @return how many further calls like those in flight at an upstream its memory holds, rounded up.
+double callsThatFitMemory(const GatewayState &state, const Upstream &upstream)
+{
+    const uint64_t taken = upstream.ownTokens_ + upstream.peerTokens_;
+    if (taken == 0 || callsInFlight(upstream) == 0) {
+        return upstream.slots_ * engineCapacityFactors.front();
+    }
+    const double mean = static_cast<double>(taken) / callsInFlight(upstream);
+    return std::ceil(static_cast<double>(freeMemory(state, upstream)) / mean);
+}
+
+/// @return how many further calls an upstream may get of those that are some ranks below the top one.
+double freeSlotsOf(const GatewayState &state, const Upstream &upstream, size_t ranksBelow)
+{
+    const double room = std::max(0.0, capacityFor(state, upstream, ranksBelow) - callsInFlight(upstream));
+    return memoryCapacityOf(state, upstream.service_) == 0 ? room : std::min(room, callsThatFitMemory(state, upstream));
+}
+
 /// @return the cost of the time until an upstream has read a prompt, which delays all answers there.
 double costOfPrompt(const GatewayState &state, const Upstream &upstream, const SlotRequest &request, TimePoint now)
 {
@@ -104,10 +130,27 @@
         && upstream.avoidUntil_ <= now;
 }
 
-bool hasFreeSlot(const GatewayState &state, TimePoint now, const Upstream &upstream, uint32_t routeRank)
+uint64_t memoryCapacityOf(const GatewayState &state, const std::string &service)
+{
+    const Service *rule = findService(state.configuration_, service);
+    return rule == nullptr ? 0 : rule->kvCapacityTokens_;
+}
+
+uint64_t memoryTokensOf(const CallRequest &request)
+{
+    return request.tokens_.value_or(0);
+}
+
+uint64_t memoryTokensOf(const GatewayState &state, const Call &call)
+{
+    return memoryCapacityOf(state, call.service_) > 0 ? memoryTokensOf(call.request_) : 0;
+}
+
+bool hasFreeSlot(const GatewayState &state, TimePoint now, const Upstream &upstream, const CallNeed &need)
 {
-    const size_t ranksBelow = ranksBelowTop(state, upstream.service_, routeRank);
-    return isAvailable(upstream, now) && callsInFlight(upstream) < capacityFor(state, upstream, ranksBelow);
+    const size_t ranksBelow = ranksBelowTop(state, upstream.service_, need.routeRank_);
+    return isAvailable(upstream, now) && callsInFlight(upstream) < capacityFor(state, upstream, ranksBelow)
+        && need.memoryTokens_ <= freeMemory(state, upstream);
 }
 
 UpstreamId chooseUpstream(
@@ -119,7 +162,8 @@
     uint32_t ties = 0; // of upstreams with equal costs one is drawn
     forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
         if (upstream.service_ != request.service_ || !regions.contains(upstream.region_)
-            || !hasFreeSlot(state, now, upstream, request.routeRank_) || contains(request.excluded_, upstream.id_)) {
+            || !hasFreeSlot(state, now, upstream, { request.routeRank_, request.memoryTokens_ })
+            || contains(request.excluded_, upstream.id_)) {
             return;
         }
         const double cost = upstreamCost(state, upstream, request, now);
@@ -144,8 +188,8 @@
         }
         FreeSlots &slots = free[upstream.service_];
         for (size_t ranksBelow = 0; isAvailable(upstream, now) && ranksBelow < slots.size(); ++ranksBelow) {
-            const double room = capacityFor(state, upstream, ranksBelow) - callsInFlight(upstream);
-            slots[ranksBelow] += room > 0 ? static_cast<uint32_t>(std::ceil(room)) : 0;
+            const double room = freeSlotsOf(state, upstream, ranksBelow);
+            slots[ranksBelow] += static_cast<uint32_t>(std::ceil(room));
         }
     });
     return free;
--- a/src/gateway_placement_func.h
+++ b/src/gateway_placement_func.h
@@ -11,8 +11,15 @@
 /// @return whether an upstream wants calls, and has not failed to answer them just now.
 bool isAvailable(const Upstream &upstream, TimePoint now);
 
-/// @return whether an upstream is available and not too full for a call of a route's rank.
-bool hasFreeSlot(const GatewayState &state, TimePoint now, const Upstream &upstream, uint32_t routeRank);
+/// What a call needs of an upstream.
+struct CallNeed
+{
+    uint32_t routeRank_ = 0; ///< See Call::routeRank_.
+    uint64_t memoryTokens_ = 0; ///< See SlotRequest::memoryTokens_.
+};
+
+/// @return whether an upstream is available and not too full for a call.
+bool hasFreeSlot(const GatewayState &state, TimePoint now, const Upstream &upstream, const CallNeed &need);
 
 /// @return the best upstream with a free slot in some regions; an id that matches no row if there is none.
 UpstreamId chooseUpstream(
--- a/src/gateway_slot_type.h
+++ b/src/gateway_slot_type.h
@@ -29,6 +29,7 @@
     bool resumesStream_ = false; ///< Whether the call is a stream that has started.
     bool callerRetry_ = false; ///< See Call::callerRetry_.
     uint64_t promptTokens_ = 0; ///< Tokens of the prompt, 0 if unknown.
+    uint64_t memoryTokens_ = 0; ///< Tokens of an engine's memory that it may take; 0 if the service has no limit.
     Milliseconds age_{ 0 }; ///< Time since the call arrived.
     Milliseconds wait_{ 0 }; ///< Time for which the call may still wait.
     std::vector<std::string> excluded_; ///< Ids of upstreams that the call can't be sent to.
@@ -72,6 +73,7 @@
     uint64_t number_ = 0; ///< Number of the request.
     std::string upstream_; ///< Id of the upstream.
     TimePoint at_{}; ///< When it was granted.
+    uint64_t memoryTokens_ = 0; ///< See SlotRequest::memoryTokens_.
 };
 
 } // namespace Burdockfield::Gateway
--- a/src/gateway_slots.cpp
+++ b/src/gateway_slots.cpp
@@ -212,6 +212,7 @@
     request.resumesStream_ = call.streamStarted_;
     request.callerRetry_ = call.callerRetry_;
     request.promptTokens_ = call.request_.promptTokens_.value_or(0);
+    request.memoryTokens_ = memoryTokensOf(state, call);
     request.age_ = std::chrono::duration_cast<Milliseconds>(now - call.arrivedAt_);
     request.wait_ = std::chrono::duration_cast<Milliseconds>(std::max(Duration(0), call.waitUntil_ - now));
     request.tried_ = call.triedInstances_;
@@ -249,7 +250,9 @@
     }
     Upstream &upstream = *findRow(state.upstreams_, target);
     ++upstream.peerInFlight_;
-    origin->pendingGrants_.push_back({ ++origin->grantsSent_, queued.request_.number_, upstream.id_, now });
+    upstream.peerTokens_ += queued.request_.memoryTokens_;
+    origin->pendingGrants_.push_back(
+        { ++origin->grantsSent_, queued.request_.number_, upstream.id_, now, queued.request_.memoryTokens_ });
     messageTo(outbox, origin->address_)
         .replies_.push_back({ queued.request_.number_, origin->grantsSent_, upstream.id_,
             upstream.ownInFlight_ + upstream.peerInFlight_ });
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -130,6 +130,7 @@
     }
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         --upstream->ownInFlight_;
+        upstream->ownTokens_ -= memoryTokensOf(call.request_);
         markCountsPending(state);
     }
     state.callBySend_.erase(call.send_);
--- a/src/table/gateway_refusal_names.h
+++ b/src/table/gateway_refusal_names.h
@@ -12,7 +12,7 @@
 
 namespace Burdockfield {
 
-constexpr std::array<std::pair<std::string_view, Gateway::RefusalReason>, 13> refusalReasonNames{ {
+constexpr std::array<std::pair<std::string_view, Gateway::RefusalReason>, 14> refusalReasonNames{ {
     { "no-configuration", Gateway::RefusalReason::NoConfiguration },
     { "no-route", Gateway::RefusalReason::NoRoute },
     { "unknown-key", Gateway::RefusalReason::UnknownKey },
@@ -24,6 +24,7 @@
     { "no-upstream", Gateway::RefusalReason::NoUpstream },
     { "not-run-there", Gateway::RefusalReason::UpstreamRefused },
     { "crash-suspect", Gateway::RefusalReason::CrashSuspect },
+    { "exceeds-memory", Gateway::RefusalReason::ExceedsMemory },
     { "expired", Gateway::RefusalReason::Expired },
     { "upstream-failed", Gateway::RefusalReason::UpstreamFailed },
 } };
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -301,6 +301,7 @@
 {
     PeerUpdate update = makeUpdate();
     update.inFlight_ = { { "engine-1", 2 } };
+    update.memoryTokens_ = { { "engine-1", 9000 } };
     update.chargedUnits_ = { { "workspace-1", 700 } };
     update.uptime_ = Milliseconds(300);
     update.leaving_ = { { "engine-2", 7 } };
@@ -311,6 +312,7 @@
     PeerUpdate read;
     REQUIRE_FALSE(parsePeerUpdate(serializePeerUpdate(update), read));
     CHECK(read.inFlight_ == update.inFlight_);
+    CHECK(read.memoryTokens_ == update.memoryTokens_);
     CHECK(read.chargedUnits_ == update.chargedUnits_);
     CHECK(read.uptime_ == update.uptime_);
     CHECK(read.leaving_ == update.leaving_);
--- a/tests/gateway_slot_test.cpp
+++ b/tests/gateway_slot_test.cpp
@@ -302,6 +302,7 @@
     request.resumesStream_ = true;
     request.callerRetry_ = true;
     request.promptTokens_ = 2890;
+    request.memoryTokens_ = 5390;
     request.age_ = Milliseconds(4);
     request.wait_ = Milliseconds(240);
     request.excluded_ = { "engine-1" };
@@ -320,6 +321,7 @@
     CHECK(parsed.requests_[0].resumesStream_);
     CHECK(parsed.requests_[0].callerRetry_);
     CHECK(parsed.requests_[0].promptTokens_ == 2890);
+    CHECK(parsed.requests_[0].memoryTokens_ == 5390);
     CHECK(parsed.requests_[0].wait_ == Milliseconds(240));
     CHECK(parsed.requests_[0].excluded_ == request.excluded_);
     CHECK(parsed.requests_[0].tried_ == request.tried_);
