Gateways: hedged requests for slow idempotent calls

Problem: a few stragglers spoil the latency of plain services although other upstreams have free slots. Change: an idempotent call that is slower than a quantile of its route and size class, learnt by each gateway, gets a second send at another upstream; the first complete answer is returned and the other send is cancelled. Setting hedging.share (0 to 0.2, default 0: off) limits hedged sends to that share of a gateway's own first sends to the service; each also takes a retry, and none is made while a quarter of the retry budget is used. Overload, callers' retries, crash suspects and missing slots suppress hedging. Hedged sends are rows of their own table; a call keeps one own send.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -5,7 +5,7 @@
  * Answers that are not streamed are forwarded once they are complete. Of a stream only complete events are forwarded.
  * If a connection breaks within an event, another upstream can therefore resume after the last complete event.
  */
-#include "gateway_func.h"
+#include "gateway_hedging_func.h"
 
 #include "error_type.h"
 #include "gateway_event_stream_func.h"
@@ -151,6 +151,9 @@
     --call.attempts_;
     ++call.connectFailures_;
     detachFromUpstream(state, call);
+    if (continueWithOtherSend(state, now, id, outbox)) {
+        return;
+    }
     if (call.connectFailures_ < maxConnectFailures) {
         requeue(state, now, id);
         return;
@@ -171,6 +174,9 @@
         --call.attempts_;
         ++call.connectFailures_;
     }
+    if (continueWithOtherSend(state, now, id, outbox)) {
+        return;
+    }
     const bool retry
         = wrongInstance ? call.connectFailures_ < maxConnectFailures : consumeRetryIfAllowed(state, now, call);
     if (retry) {
@@ -198,6 +204,9 @@
         reportOutcome(state, *upstream, now, true);
     }
     detachFromUpstream(state, call);
+    if (continueWithOtherSend(state, now, id, outbox)) {
+        return;
+    }
     if (call.retryable_ && consumeRetryIfAllowed(state, now, call)) {
         requeue(state, now, id);
         return;
@@ -226,6 +235,8 @@
         handleFailure(state, now, id, call, true, outbox);
         return;
     }
+    recordHedgingAnswer(state, now, call);
+    cancelHedge(state, now, call, outbox);
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         reportOutcome(state, *upstream, now, status >= firstServerErrorStatus);
     }
@@ -364,12 +375,21 @@
         handleCheck(state, now, event, outbox);
     }
     for (HeadReceived &event : inbox.heads_) {
+        const bool takenUp = takeUpSend(state, event.send_);
         handleHead(state, now, event, outbox);
+        if (takenUp) {
+            putBackSend(state, event.send_);
+        }
     }
     for (BytesReceived &event : inbox.bytes_) {
+        const bool takenUp = takeUpSend(state, event.send_);
         handleBytes(state, now, event, outbox);
+        if (takenUp) {
+            putBackSend(state, event.send_);
+        }
     }
     for (const SendEnded &event : inbox.ends_) {
+        takeUpSend(state, event.send_); // the end of either send decides on the call
         handleSendEnd(state, now, event, outbox);
     }
 }
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -8,6 +8,7 @@
 #include "deadline_type.h"
 #include "gateway_call_type.h"
 #include "gateway_configuration_type.h"
+#include "gateway_hedging_type.h"
 #include "gateway_slot_type.h"
 #include "metrics_type.h"
 #include "pool_type.h"
@@ -79,6 +80,7 @@
     double backlogTokens_ = 0; ///< Tokens of prompts that it was to read as of backlogAt_.
     TimePoint backlogAt_{}; ///< When backlogTokens_ was last updated.
     ReportedLoad reportedLoad_; ///< Load that it has reported.
+    DecayingShare slowCalls_; ///< Calls of this gateway that may be hedged, and those of them that were slow.
     /// End of the time in which it gets no calls, after a failure to connect or an answer of another instance.
     TimePoint avoidUntil_{};
     uint32_t connectFailures_ = 0; ///< Consecutive failures to connect.
@@ -149,7 +151,7 @@
     uint32_t attempts_ = 0; ///< Sends that reached, or may have reached, an upstream.
     uint32_t connectFailures_ = 0; ///< Sends that reached no upstream, or another instance than the intended one.
     bool mayHaveRun_ = false; ///< Whether an earlier send may have run.
-    std::vector<std::string> triedInstances_; ///< Ids of the upstreams that it was sent to, in order.
+    std::vector<std::string> triedInstances_; ///< Ids of the upstreams that it was sent to, that of upstream_ last.
 
     AnswerHead head_; ///< Header of the answer to the latest send.
     bool headReceived_ = false; ///< Whether head_ has been received for the latest send.
@@ -158,6 +160,7 @@
     std::optional<uint64_t> lastEvent_; ///< Id of the last event that the caller has.
     uint32_t events_ = 0; ///< Events sent to the caller.
     uint32_t sendEvents_ = 0; ///< Events of the latest send.
+    CallHedging hedging_; ///< Its hedged send, if it may have one.
 };
 
 using CallId = PoolId<Call>; ///< Index of a call.
@@ -275,6 +278,7 @@
     size_t bodyBytes_ = 32U << 20U; ///< Most bytes that the bodies of all requests in progress may take together.
     size_t answerBytes_ = 32U << 20U; ///< Most bytes of answers that all calls in progress may buffer together.
     Milliseconds rowReturnTimeout_{ 2000 }; ///< Time after a store outage to write rows again that expired in it.
+    double hedgingShare_ = 0; ///< Hedged sends allowed for each first send of a service; 0 for none.
 };
 
 /// What this gateway has seen of crashes and has to tell its peers.
@@ -313,7 +317,7 @@
 
     Pool<Call> calls_; ///< Requests in progress.
     std::unordered_map<uint64_t, CallId> callByExchange_; ///< Index of calls_ by exchange.
-    std::unordered_map<uint64_t, CallId> callBySend_; ///< Index of calls_ by the number of the send in flight.
+    std::unordered_map<uint64_t, CallId> callBySend_; ///< Index of calls_ by the numbers of sends in flight.
     size_t bodyBytes_ = 0; ///< Bytes of the request bodies of all calls.
     size_t answerBytes_ = 0; ///< Bytes of answers that all calls buffer.
     std::vector<DeferredArrival> deferred_; ///< Calls that arrived before the first configuration.
@@ -323,6 +327,11 @@
     TimePoint slotCheckAt_{ noDeadline }; ///< When the slot requests of waiting calls have to be looked at again.
     DeadlineQueue<Call> deadlines_; ///< Times at which calls have to be checked.
     uint64_t nextSend_ = 1; ///< Number of the next send.
+    Pool<Hedge> hedges_; ///< Hedged sends, and the requests for their slots.
+    std::unordered_map<uint64_t, HedgeId> hedgeBySlotRequest_; ///< Index of hedges_ by their slot request.
+    DeadlineQueue<Call> hedgeChecks_; ///< Times at which calls become slow.
+    std::map<LatencyKey, LatencyProfile> latencyProfiles_; ///< Durations of calls that may be hedged.
+    std::unordered_map<std::string, ServiceHedging> hedgingByService_; ///< Budgets of hedged sends by service.
 
     std::unordered_map<std::string, WorkspaceQuota> quotaByWorkspace_; ///< Quotas by workspace.
     TimePoint quotasReportedAt_{}; ///< When quotas were last reported to the log.
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -6,6 +6,7 @@
  * its gateways. Answers the load pattern in which more urgent and less urgent calls want the same slots: whatever
  * becomes free goes to the most urgent of them, wherever it arrived.
  */
+#include "gateway_hedging_func.h"
 #include "gateway_placement_func.h"
 
 #include <algorithm>
@@ -156,6 +157,24 @@
 
 } // namespace
 
+SendCall makeSendCommand(
+    const GatewayState &state, TimePoint now, const Call &call, const Upstream &upstream, uint64_t send)
+{
+    SendCall command;
+    command.send_ = send;
+    command.exchange_ = call.exchange_;
+    command.address_ = upstream.address_;
+    command.request_ = call.request_;
+    command.parameters_.instance_ = upstream.id_;
+    command.parameters_.workspace_ = call.workspace_;
+    command.parameters_.wait_ = std::chrono::duration_cast<Milliseconds>(call.deadline_ - now);
+    command.parameters_.resumeAfter_ = call.lastEvent_;
+    command.retryable_ = call.retryable_;
+    command.newConnection_ = wasSentTo(call, upstream);
+    command.connectionShare_ = connectionShareOf(state, call.service_);
+    return command;
+}
+
 void sendCall(
     GatewayState &state, TimePoint now, CallId id, UpstreamId target, uint32_t inFlight, GatewayOutbox &outbox)
 {
@@ -179,19 +198,8 @@
     clearAnswer(state, call);
     ++call.attempts_;
     state.callBySend_[call.send_] = id;
-    SendCall command;
-    command.send_ = call.send_;
-    command.exchange_ = call.exchange_;
-    command.address_ = upstream.address_;
-    command.request_ = call.request_;
-    command.parameters_.instance_ = upstream.id_;
-    command.parameters_.workspace_ = call.workspace_;
-    command.parameters_.wait_ = std::chrono::duration_cast<Milliseconds>(call.deadline_ - now);
-    command.parameters_.resumeAfter_ = call.lastEvent_;
-    command.retryable_ = call.retryable_;
-    command.newConnection_ = wasSentTo(call, upstream);
+    SendCall command = makeSendCommand(state, now, call, upstream, call.send_);
     call.triedInstances_.push_back(upstream.id_);
-    command.connectionShare_ = connectionShareOf(state, call.service_);
     outbox.decisions_.push_back({ "sent",
         { { "request", call.request_.id_ }, { "upstream", upstream.id_ }, { "attempt", std::to_string(call.attempts_) },
             { "route", call.routeName_ }, { "rank", std::to_string(call.rank_) },
@@ -202,6 +210,7 @@
             { "left_ms", std::to_string(command.parameters_.wait_.count()) } } });
     outbox.sends_.push_back(std::move(command));
     pushDeadline(state.deadlines_, nextCallCheck(call), id);
+    prepareHedging(state, now, id, call);
 }
 
 void runDispatch(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -126,6 +126,9 @@
 /// @return what a call needs of an upstream.
 SlotRequest makeSlotRequest(const GatewayState &state, TimePoint now, const Call &call);
 
+/// Sends a request for a slot to a broker.
+void sendSlotRequest(GatewayState &state, const std::string &broker, SlotRequest request, GatewayOutbox &outbox);
+
 /// Grants a slot at an upstream to the gateway that requested it.
 void grantSlot(
     GatewayState &state, TimePoint now, const QueuedSlotRequest &queued, UpstreamId target, GatewayOutbox &outbox);
@@ -159,6 +162,10 @@
 void sendCall(
     GatewayState &state, TimePoint now, CallId id, UpstreamId target, uint32_t inFlight, GatewayOutbox &outbox);
 
+/// @return the command for a send of a call to an upstream.
+SendCall makeSendCommand(
+    const GatewayState &state, TimePoint now, const Call &call, const Upstream &upstream, uint64_t send);
+
 /// @return whether an upstream other than the call's present one has free capacity for the call.
 bool hasCapacityElsewhere(const GatewayState &state, TimePoint now, const Call &call);
 
@@ -189,6 +196,9 @@
 /// Takes one retry from a service's budget. @return whether one was left
 bool consumeRetry(GatewayState &state, const std::string &service);
 
+/// @return whether few retries are left in a service's budget, so that they are kept for calls that fail.
+bool isRetryBudgetLow(const GatewayState &state, const std::string &service);
+
 /// @return the call that a send belongs to; the id matches no row when the send has ended.
 CallId findCallBySend(const GatewayState &state, uint64_t send);
 
@@ -207,9 +217,12 @@
 /// Detaches a call from the upstream that it was sent to, if any, after the send has ended.
 void detachFromUpstream(GatewayState &state, Call &call);
 
-/// Cancels a call's send, if it is in flight, and detaches the call from its upstream.
+/// Cancels a call's sends that are in flight, the hedged one included, and detaches the call from its upstream.
 void cancelSend(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox);
 
+/// Cancels a call's own send, if it is in flight, and detaches the call from its upstream; a hedged one goes on.
+void cancelOwnSend(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox);
+
 /// Drops what is buffered of the answer to a call's latest send.
 void clearAnswer(GatewayState &state, Call &call);
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -2,7 +2,7 @@
  * @file gateway_intake.cpp
  * @brief Systems that admit new calls, and end calls whose caller has disconnected.
  */
-#include "gateway_func.h"
+#include "gateway_hedging_func.h"
 
 #include "digest_func.h"
 #include "json_func.h"
@@ -151,6 +151,7 @@
     const uint64_t charge = quotaCharge(intake.workspace_, arrival.request_);
     Call call = makeCall(state, now, arrival, intake);
     creditRetryBudget(state, call.service_);
+    recordHedgingArrival(state, now, call);
     count(state.metrics_, "calls", call.routeName_);
     const CallId id = insertRow(state.calls_, std::move(call));
     Call &row = *findRow(state.calls_, id);
--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -25,6 +25,15 @@
 constexpr double retryRatioShare = 0.75; ///< Share of the allowed ratio that is used; the rest covers delayed counts.
 constexpr double retrySlackShare = 0.6; ///< The same for the allowed slack.
 
+constexpr double retryReserveShare
+    = 0.75; ///< Fill of the retry budget below which a call that is only slow takes none.
+
+/// @return the most retries that a service's budget holds.
+double retryBudgetSize(const GatewayState &state)
+{
+    return state.bounds_.retrySlack_ * retrySlackShare / static_cast<double>(1 + state.peers_.size_);
+}
+
 bool isQuotaPeerReachable(const Peer &peer, TimePoint now)
 {
     return now - peer.lastReceivedAt_ < quotaPeerTimeout;
@@ -196,7 +205,7 @@
 void creditRetryBudget(GatewayState &state, const std::string &service)
 {
     RetryBudget &budget = state.retryBudgets_[service];
-    const double slack = state.bounds_.retrySlack_ * retrySlackShare / static_cast<double>(1 + state.peers_.size_);
+    const double slack = retryBudgetSize(state);
     if (!budget.started_) {
         budget.started_ = true;
         budget.level_ = slack;
@@ -204,6 +213,13 @@
     budget.level_ = std::min(slack, budget.level_ + state.bounds_.retryRatio_ * retryRatioShare);
 }
 
+bool isRetryBudgetLow(const GatewayState &state, const std::string &service)
+{
+    const auto found = state.retryBudgets_.find(service);
+    return found == state.retryBudgets_.end()
+        || found->second.level_ < std::max(1.0, retryReserveShare * retryBudgetSize(state));
+}
+
 bool consumeRetry(GatewayState &state, const std::string &service)
 {
     RetryBudget &budget = state.retryBudgets_[service];
--- a/src/gateway_slots.cpp
+++ b/src/gateway_slots.cpp
@@ -8,6 +8,7 @@
  * next counts arrive. A broker that doesn't reply is replaced by the next candidate; without any, gateways choose
  * themselves.
  */
+#include "gateway_hedging_func.h"
 #include "gateway_placement_func.h"
 
 #include <algorithm>
@@ -61,8 +62,7 @@
     call.slot_.broker_ = broker;
     call.slot_.askedAt_ = now;
     call.slot_.queued_ = false;
-    messageTo(outbox, broker).requests_.push_back(makeSlotRequest(state, now, call));
-    count(state.metrics_, "slot_requests", "sent");
+    sendSlotRequest(state, broker, makeSlotRequest(state, now, call), outbox);
 }
 
 /// @return when the request of a call has to be looked at again.
@@ -171,6 +171,9 @@
         uint64_t &newest = state.grantsReceived_[message.incarnation_];
         newest = std::max(newest, reply.grant_);
     }
+    if (applyHedgeReply(state, now, reply, outbox)) {
+        return;
+    }
     const auto found = state.callBySlotRequest_.find(reply.number_);
     const CallId id = found == state.callBySlotRequest_.end() ? CallId{} : found->second;
     Call *call = findRow(state.calls_, id);
@@ -223,6 +226,12 @@
     return request;
 }
 
+void sendSlotRequest(GatewayState &state, const std::string &broker, SlotRequest request, GatewayOutbox &outbox)
+{
+    messageTo(outbox, broker).requests_.push_back(std::move(request));
+    count(state.metrics_, "slot_requests", "sent");
+}
+
 void runSlots(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
 {
     for (SlotMessage &message : inbox.slotMessages_) {
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -2,7 +2,7 @@
  * @file gateway_tick.cpp
  * @brief Tick of a gateway, deadlines of calls, and functions that several systems share.
  */
-#include "gateway_func.h"
+#include "gateway_hedging_func.h"
 #include "json_func.h"
 #include "table/gateway_refusal_names.h"
 
@@ -66,22 +66,39 @@
     refuse(state, now, id, sent ? RefusalReason::Expired : RefusalReason::Overloaded, outbox);
 }
 
+void logSilence(const GatewayState &state, TimePoint now, const Call &call, GatewayOutbox &outbox)
+{
+    outbox.decisions_.push_back({ "upstream-silent",
+        { { "request", call.request_.id_ }, { "upstream", lastUpstreamId(state, call) },
+            { "silent_ms", upstreamSilenceText(now, call) }, { "events", std::to_string(call.events_) } },
+        true });
+}
+
+/// Gives up the silent send of a call.
+void giveUpSilentSend(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox)
+{
+    if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
+        reportOutcome(state, *upstream, now, true);
+    }
+    logSilence(state, now, call, outbox);
+    call.mayHaveRun_ = true;
+    cancelOwnSend(state, now, call, outbox);
+}
+
 /// Retries a call of a silent upstream if another has free capacity now; silence alone is no reason to end the call.
 void retrySilentCall(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
 {
+    if (hasTwoSends(state, call)) {
+        giveUpSilentSend(state, now, call, outbox);
+        continueWithOtherSend(state, now, id, outbox);
+        return;
+    }
     if (!hasCapacityElsewhere(state, now, call) || !consumeRetry(state, call.service_)) {
         pushDeadline(state.deadlines_, std::min(call.deadline_, now + capacityRecheckInterval), id);
         return;
     }
-    if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
-        reportOutcome(state, *upstream, now, true);
-    }
-    outbox.decisions_.push_back({ "upstream-silent",
-        { { "request", call.request_.id_ }, { "upstream", lastUpstreamId(state, call) },
-            { "silent_ms", upstreamSilenceText(now, call) }, { "events", std::to_string(call.events_) } },
-        true });
-    call.mayHaveRun_ = true;
-    cancelSend(state, now, call, outbox);
+    eraseHedge(state, call);
+    giveUpSilentSend(state, now, call, outbox);
     requeue(state, now, id);
 }
 
@@ -137,6 +154,12 @@
 }
 
 void cancelSend(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox)
+{
+    cancelHedge(state, now, call, outbox);
+    cancelOwnSend(state, now, call, outbox);
+}
+
+void cancelOwnSend(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox)
 {
     if (call.stage_ != CallStage::Waiting) {
         recordUnansweredCall(state, now, call, true);
@@ -165,7 +188,8 @@
 
 void eraseCall(GatewayState &state, CallId id)
 {
-    if (const Call *call = findRow(state.calls_, id); call != nullptr) {
+    if (Call *call = findRow(state.calls_, id); call != nullptr) {
+        eraseHedge(state, *call);
         state.bodyBytes_ -= call->request_.body_->size();
         state.answerBytes_ -= call->body_.size();
         state.callByExchange_.erase(call->exchange_.value_);
@@ -257,6 +281,7 @@
     runDeadlines(state, now, outbox);
     runSlots(state, now, inbox, outbox);
     runDispatch(state, now, outbox);
+    runHedging(state, now, outbox); // after the dispatch: calls that wait get free slots first
     runSlotRequests(state, now, outbox);
     runPeerUpdates(state, now, outbox);
     reportQuotas(state, now, outbox);
@@ -267,7 +292,7 @@
 TimePoint nextGatewayDeadline(const GatewayState &state)
 {
     return std::min({ nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state),
-        nextDeferredDeadline(state), state.crashEvidence_.reviewAt_, state.slotCheckAt_ });
+        nextDeferredDeadline(state), state.crashEvidence_.reviewAt_, state.slotCheckAt_, nextHedgingDeadline(state) });
 }
 
 } // namespace Burdockfield::Gateway
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -30,6 +30,7 @@
 constexpr double retryRatioBound = 10; ///< Largest repeat_ratio, in retries per request.
 constexpr double retrySlackBound = 1e6; ///< Largest repeat_slack, in retries per window.
 constexpr double quotaOvershootBound = 10; ///< Largest quota_overshoot, as a share of the quota.
+constexpr double hedgingShareBound = 0.2; ///< Largest hedging.share: the retries that the users allow, see P7.
 constexpr double quotaSlackBound = 1e12; ///< Largest quota_token_slack, in tokens.
 
 void readLimits(const SettingsReader &reader, Settings &settings)
@@ -174,11 +175,18 @@
     readDuration(*inner, "row_return", bounds.rowReturnTimeout_);
 }
 
+void readHedging(const SettingsReader &reader, Gateway::Bounds &bounds)
+{
+    if (const auto hedging = openMapping(reader, "hedging", false, { "share" }); hedging) {
+        readNumber(*hedging, "share", bounds.hedgingShare_, hedgingShareBound);
+    }
+}
+
 void readGateway(const SettingsReader &reader, Settings &settings)
 {
     checkKeys(reader,
         { "role", "name", "region", "zone", "listen", "ready", "peer", "metrics", "platform", "log", "seed", "seeds",
-            "zones", "memory", "processor", "first_start", "bounds" });
+            "zones", "memory", "processor", "first_start", "bounds", "hedging" });
     readAddress(reader, "ready", settings.gateway_.readyAddress_);
     readAddress(reader, "peer", settings.gateway_.peerAddress_);
     readAddress(reader, "metrics", settings.gateway_.metrics_);
@@ -188,6 +196,7 @@
     readAddresses(reader, "seeds", settings.seeds_);
     readZones(reader, settings.gateway_.regionByZone_);
     readBounds(reader, settings.gateway_.bounds_);
+    readHedging(reader, settings.gateway_.bounds_);
     settings.identity_.address_ = settings.gateway_.peerAddress_;
 }
 
--- a/src/settings_reader.cpp
+++ b/src/settings_reader.cpp
@@ -7,12 +7,21 @@
 #include "address_func.h"
 #include "settings_func.h"
 
+#include <array>
 #include <charconv>
 
 namespace Burdockfield {
 
 namespace {
 
+/// @return a number in decimal notation, with as many digits as it needs.
+std::string numberText(double number)
+{
+    std::array<char, 400> text{}; // the longest double has 309 digits before its point
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed).ptr;
+    return { text.data(), end };
+}
+
 int lineNumber(const YAML::Node &node)
 {
     return node.Mark().is_null() ? 0 : node.Mark().line + 1;
@@ -183,7 +192,7 @@
 
 void readNumber(const SettingsReader &reader, const char *key, double &target, double maximum)
 {
-    const std::string accepted = "a number from 0 to " + std::to_string(static_cast<uint64_t>(maximum));
+    const std::string accepted = "a number from 0 to " + numberText(maximum);
     const auto text = readScalar(reader, key, false, accepted);
     if (!text) {
         return;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -96,3 +96,22 @@
     CHECK(settings_.gateway_.bounds_.drainDelay_ == Milliseconds(3000));
     CHECK(settings_.gateway_.bounds_.grace_ == Milliseconds(5000));
 }
+
+TEST_CASE_FIXTURE(SettingsFixture, "GatewaySettings_WhenTheHedgingShareIsOutOfRange_AreRejected")
+{
+    const std::string common = "role: gateway\nname: g\nregion: r\nzone: z\nlisten: 127.0.0.1:1\nready: 127.0.0.1:2\n"
+                               "peer: 127.0.0.1:3\nmetrics: 127.0.0.1:4\nplatform: 127.0.0.1:5\n";
+    text_ = common;
+    REQUIRE_FALSE(parse().error_);
+    CHECK(settings_.gateway_.bounds_.hedgingShare_ == 0); // guards against hedging that nobody has enabled
+    text_ = common + "hedging: { share: 0.2 }\n";
+    REQUIRE_FALSE(parse().error_);
+    CHECK(settings_.gateway_.bounds_.hedgingShare_ == 0.2);
+    for (const char *share : { "0.21", "-0.1", "nan" }) {
+        text_ = common + "hedging: { share: " + share + " }\n";
+        const SettingsError error = parse();
+        CHECK(error.error_ == SettingsErrc::OutOfRange);
+        CHECK(error.key_ == "hedging.share");
+        CHECK(error.accepted_ == "a number from 0 to 0.2");
+    }
+}
