--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -117,10 +117,12 @@
     const GatewayState &state, const Call &call, std::error_code error, TimePoint now, GatewayOutbox &outbox)
 {
     const std::string status = call.headReceived_ ? std::to_string(call.head_.reply_.status_) : "none";
+    const bool firstOfTwo = hasTwoSends(state, call) && !call.hedging_.ownSendIsHedge_;
     outbox.decisions_.push_back({ "send-failed",
         { { "request", call.request_.id_ }, { "upstream", lastUpstreamId(state, call) },
             { "error", error ? error.message() : std::string("answer-refused") }, { "status", status },
-            { "not_run", isReportedNotRun(call) ? "yes" : "no" }, { "attempt", std::to_string(call.attempts_) },
+            { "not_run", isReportedNotRun(call) ? "yes" : "no" },
+            { "attempt", std::to_string(call.attempts_ - (firstOfTwo ? 1 : 0)) },
             { "events", std::to_string(call.events_) }, { "after_ms", millisecondsText(now - call.sentAt_) } },
         true });
 }
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -216,6 +216,7 @@
             continue;
         }
         call->attempts_ -= unsent ? 1 : 0;
+        cancelSend(state, now, *call, outbox); // before the line that says how the call ended
         outbox.decisions_.push_back({ "caller-left",
             { { "request", call->request_.id_ }, { "after_ms", millisecondsText(now - call->arrivedAt_) },
                 { "attempts", std::to_string(call->attempts_) }, { "events", std::to_string(call->events_) },
@@ -225,7 +226,6 @@
             refundQuota(state, now, call->workspace_, call->charge_);
         }
         const CallId id = found->second;
-        cancelSend(state, now, *call, outbox);
         eraseCall(state, id);
     }
 }
--- a/tests/gateway_hedging_test.cpp
+++ b/tests/gateway_hedging_test.cpp
@@ -174,6 +174,10 @@
     const GatewayOutbox outbox = receiveAnswer(hedge.send_, makeHead(200), "done");
     REQUIRE(outbox.answers_.size() == 1);
     CHECK(outbox.answers_[0].reply_.body_ == "done");
+    const Decision &answered = outbox.decisions_.back();
+    CHECK(answered.event_ == "answered");
+    const std::pair<std::string, std::string> answeredBy("upstream", hedge.parameters_.instance_);
+    CHECK(std::count(answered.fields_.begin(), answered.fields_.end(), answeredBy) == 1);
     CHECK(outbox.cancels_ == std::vector{ first_.send_ });
     CHECK(countOf("hedges", "won") == 1);
     CHECK(hasNoTraces());
@@ -213,6 +217,10 @@
     CHECK(failed.sends_.empty());
     CHECK(failed.refusals_.empty());
     CHECK(failed.checks_.size() == 1);
+    const std::pair<std::string, std::string> firstAttempt("attempt", "1");
+    const Decision &logged = failed.decisions_.at(0);
+    CHECK(logged.event_ == "send-failed");
+    CHECK(std::count(logged.fields_.begin(), logged.fields_.end(), firstAttempt) == 1);
     const GatewayOutbox outbox = receiveAnswer(hedge.send_, makeHead(200), "done");
     CHECK(outbox.answers_.size() == 1);
     CHECK(outbox.cancels_.empty());
@@ -323,6 +331,14 @@
     CHECK(state_.hedgingByService_.at("engines").tokens_ == doctest::Approx(1)); // a full budget is not credited
 }
 
+TEST_CASE_FIXTURE(HedgingFixture, "FirstSend_WhenItReachesNoUpstream_IsCreditedToTheBudgetOnce")
+{
+    state_.hedgingByService_["engines"].tokens_ = 0;
+    const uint64_t send = receiveCall("read", 1).sends_.at(0).send_;
+    REQUIRE(endSend(send, TransportErrc::NotSent).sends_.size() == 1);
+    CHECK(state_.hedgingByService_["engines"].tokens_ == doctest::Approx(0.2));
+}
+
 TEST_CASE_FIXTURE(HedgingFixture, "Call_WhenTheBudgetIsUsedUp_IsNotHedged")
 {
     state_.hedgingByService_["engines"].tokens_ = 0.5;
@@ -447,9 +463,10 @@
 /// Gateways that exchange messages over a network that delays and loses some, with drawn calls and answers.
 struct HedgingFleetFixture
 {
-    static constexpr double share = 0.1; ///< Hedged sends allowed.
+    static constexpr double share = 0.02; ///< Hedged sends allowed; a fifth of the calls that become slow.
     static constexpr double burst = 2; ///< Hedged sends that a gateway may make at once.
     static constexpr size_t gatewayCount = 4;
+    static constexpr size_t engineCount = 12;
     static constexpr Milliseconds stepTime{ 5 };
 
     explicit HedgingFleetFixture(uint64_t seed)
@@ -469,6 +486,12 @@
             for (int call = 0; call < 100; ++call) {
                 addDuration(profile, usualTime);
             }
+            UpstreamsReceived list;
+            for (size_t engine = 1; engine <= engineCount; ++engine) {
+                list.rows_.push_back(GatewayFixture::makeRow("engine-" + std::to_string(engine), "engines"));
+            }
+            list.version_ = 20;
+            inboxes_[index].upstreams_.push_back(std::move(list));
             for (size_t peer = 0; peer < gatewayCount; ++peer) {
                 inboxes_[index].peerAddresses_.push_back(addressOf(peer));
             }
