Command burdockfield where: where a gateway would send a request now, and why

GET /v1/where on the metrics address, read only. It calls the functions of intake and dispatch; for that the cost of an upstream is a struct of its parts, and the charge, the quota's level, the longest wait and the forecast are functions of their own.

--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -11,6 +11,7 @@
 #include "http_call.h"
 #include "settings_func.h"
 #include "trace_wire.h"
+#include "where_wire.h"
 
 #include <fstream>
 #include <iostream>
@@ -135,6 +136,28 @@
     return status;
 }
 
+ExitStatus whereCommand(const std::string &address, const Gateway::WhereQuery &query, bool json)
+{
+    std::error_code error;
+    const std::string target = Gateway::makeWhereTarget(query, error);
+    if (error) {
+        std::cerr << "host, path and workspace: " << error.message()
+                  << " (accepted: printable characters other than space & # % +)\n";
+        return ExitStatus::Usage;
+    }
+    std::string body;
+    if (const ExitStatus status = sendGet(address, target, body); status != ExitStatus::Done) {
+        return status;
+    }
+    const std::string text = json ? body + "\n" : Gateway::formatWhereReport(body, error);
+    if (error) {
+        std::cerr << address << ": " << error.message() << '\n';
+        return ExitStatus::Unreachable;
+    }
+    std::cout << text;
+    return ExitStatus::Done;
+}
+
 ExitStatus configurationCommand(const std::string &control)
 {
     std::string body;
--- a/src/cli_func.h
+++ b/src/cli_func.h
@@ -6,6 +6,7 @@
 
 #include "configuration_type.h"
 #include "replay_func.h"
+#include "where_type.h"
 
 #include <string>
 #include <vector>
@@ -23,6 +24,9 @@
 /// Parses a settings file and prints the error, or that the file is valid.
 ExitStatus checkSettingsCommand(const std::string &file);
 
+/// Prints where a gateway would send a request, as a table or as JSON.
+ExitStatus whereCommand(const std::string &address, const Gateway::WhereQuery &query, bool json);
+
 /// Prints the status that a node returns, as JSON.
 ExitStatus statusCommand(const std::string &address);
 
--- a/src/cli_main.cpp
+++ b/src/cli_main.cpp
@@ -34,6 +34,8 @@
     double weight_ = 0; ///< Weight of a workspace; 0 keeps the current one.
     uint32_t maxInProgress_ = 0; ///< Limit of a workspace's requests in progress; 0 keeps the current one.
     bool endDrain_ = false; ///< Whether to end a drain instead of starting one.
+    Gateway::WhereQuery where_; ///< Request that where is about.
+    bool json_ = false; ///< Whether where prints JSON.
     ReplayCommand replay_;
     ExitStatus status_ = ExitStatus::Done; ///< Set by the command that ran.
 };
@@ -198,6 +200,16 @@
     explain->add_option("request", arguments.name_, "Id of the request")->required();
     explain->add_option("files", arguments.files_, "Log files of the processes")->required();
     explain->callback([&arguments] { arguments.status_ = explainCommand(arguments.name_, arguments.files_); });
+    CLI::App *where = addCommand(app, "where", "Show where a gateway would send a request now, and why");
+    where->add_option("address", arguments.address_, "Metrics IP:PORT of a gateway")->required();
+    where->add_option("--host", arguments.where_.host_, "Requested host")->required();
+    where->add_option("--path", arguments.where_.path_, "Path without query")->required();
+    where->add_option("--workspace", arguments.where_.workspace_, "Name of the workspace");
+    where->add_option("--prompt-tokens", arguments.where_.promptTokens_, "Tokens of the prompt");
+    where->add_option("--tokens", arguments.where_.tokens_, "Tokens that the quota is charged with");
+    where->add_flag("--json", arguments.json_, "Print JSON instead of a table");
+    where->callback(
+        [&arguments] { arguments.status_ = whereCommand(arguments.address_, arguments.where_, arguments.json_); });
     CLI::App *status = addCommand(app, "status", "Print the status of a node");
     status->add_option("address", arguments.address_, "Control IP:PORT of an entry, or IP:PORT of an agent");
     status->callback([&arguments] { arguments.status_ = statusCommand(arguments.address_); });
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -157,6 +157,15 @@
 
 } // namespace
 
+size_t countWaitingAhead(const GatewayState &state, TimePoint now, const Call &call)
+{
+    const Bid own{ {}, nullptr, call.service_, call.streamStarted_, call.rank_, call.routeRank_, call.callerRetry_,
+        now };
+    const std::vector<Bid> bids = collectBids(state);
+    return static_cast<size_t>(std::count_if(bids.begin(), bids.end(),
+        [&own](const Bid &bid) { return bid.service_ == own.service_ && hasPriorityOver(bid, own); }));
+}
+
 SendCall makeSendCommand(
     const GatewayState &state, TimePoint now, const Call &call, const Upstream &upstream, uint64_t send)
 {
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -139,6 +139,12 @@
 /// Updates the averages of how fast slots become free.
 void updateSlotFlows(GatewayState &state, TimePoint now);
 
+/// @return the time until a call gets a slot that has @p ahead others before it; empty if there is no forecast.
+std::optional<FractionalSeconds> forecastSlotWait(const GatewayState &state, const std::string &service, size_t ahead);
+
+/// @return the calls and requests of others that wait here for the same service and go first.
+size_t countWaitingAhead(const GatewayState &state, TimePoint now, const Call &call);
+
 /// @return whether a call is not expected to get a slot in time.
 bool cannotGetSlotInTime(const GatewayState &state, const std::string &service, size_t ahead, Duration wait);
 
@@ -169,6 +175,21 @@
 /// @return whether an upstream other than the call's present one has free capacity for the call.
 bool hasCapacityElsewhere(const GatewayState &state, TimePoint now, const Call &call);
 
+/// @return the units left of a workspace's quota, as this gateway knows it.
+double quotaLevelAt(const GatewayState &state, TimePoint now, const WorkspaceRule &rule);
+
+/// @return whether a call that costs some units is admitted at a level of its workspace's quota.
+bool isWithinQuota(const GatewayState &state, double level, uint64_t units);
+
+/// @return the units that a request is charged with; 0 without a workspace or quota.
+uint64_t quotaCharge(const WorkspaceRule *workspace, const CallRequest &request);
+
+/// @return the longest time for which a new call of a route waits for a slot.
+Milliseconds queueWaitOf(const Route &route);
+
+/// @return the rank of a call: the workspace's if it has one, else the route's.
+uint32_t rankOf(const Route &route, const WorkspaceRule *workspace);
+
 /// Charges units to a workspace's quota. @return false if too little is left of it; then nothing is charged
 bool chargeQuota(GatewayState &state, TimePoint now, const WorkspaceRule &rule, uint64_t units);
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -82,14 +82,6 @@
     return wait + callerRetryMargin < longest;
 }
 
-uint64_t quotaCharge(const WorkspaceRule *workspace, const CallRequest &request)
-{
-    if (workspace == nullptr || workspace->ratePerSecond_ <= 0) {
-        return 0;
-    }
-    return workspace->countsTokens_ ? request.tokens_.value_or(workspace->defaultTokens_) : 1;
-}
-
 /// @return what a request may have in common with others that crash upstreams.
 std::vector<Trait> makeTraits(const CallRequest &request, const std::string &workspace)
 {
@@ -110,7 +102,7 @@
     call.kind_ = route.kind_;
     const bool resumable = route.kind_ == CallKind::Streaming && route.resumable_;
     call.retryable_ = route.kind_ == CallKind::Idempotent || resumable;
-    call.rank_ = intake.workspace_ == nullptr ? route.rank_ : intake.workspace_->rank_.value_or(route.rank_);
+    call.rank_ = rankOf(route, intake.workspace_);
     call.routeRank_ = route.rank_;
     call.attemptLimit_ = std::max(1U, route.attempts_);
     call.latencyTarget_ = route.latencyTarget_;
@@ -121,8 +113,7 @@
     const Milliseconds wait = call.request_.wait_.value_or(route.timeout_);
     call.callerRetry_ = isCallerRetry(state, route, wait);
     call.deadline_ = std::min(call.arrivedAt_ + std::min(wait, route.timeout_), lastAnswerTime(state));
-    const FractionalSeconds queueWait = FractionalSeconds(route.latencyTarget_) * queueWaitShare;
-    call.waitUntil_ = std::min(call.deadline_, now + std::chrono::duration_cast<Milliseconds>(queueWait));
+    call.waitUntil_ = std::min(call.deadline_, now + queueWaitOf(route));
     return call;
 }
 
@@ -194,6 +185,24 @@
 
 } // namespace
 
+uint64_t quotaCharge(const WorkspaceRule *workspace, const CallRequest &request)
+{
+    if (workspace == nullptr || workspace->ratePerSecond_ <= 0) {
+        return 0;
+    }
+    return workspace->countsTokens_ ? request.tokens_.value_or(workspace->defaultTokens_) : 1;
+}
+
+Milliseconds queueWaitOf(const Route &route)
+{
+    return std::chrono::duration_cast<Milliseconds>(FractionalSeconds(route.latencyTarget_) * queueWaitShare);
+}
+
+uint32_t rankOf(const Route &route, const WorkspaceRule *workspace)
+{
+    return workspace == nullptr ? route.rank_ : workspace->rank_.value_or(route.rank_);
+}
+
 void runIntake(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
 {
     admitDeferred(state, now, outbox);
--- a/src/gateway_internal_server.cpp
+++ b/src/gateway_internal_server.cpp
@@ -7,6 +7,8 @@
 #include "gateway_status_wire.h"
 #include "http_func.h"
 #include "log_func.h"
+#include "where_func.h"
+#include "where_wire.h"
 
 #include "header_names.h"
 
@@ -31,6 +33,13 @@
     if (path == "/v1/status") {
         return makeJsonReply(serializeGatewayStatus(state, Clock::now()));
     }
+    if (path == wherePath) {
+        WhereQuery query;
+        if (const std::error_code error = parseWhereQuery(target.query_, query); error) {
+            return makeTextReply(400, error.message() + "\n");
+        }
+        return makeJsonReply(serializeWhereReport(findWhere(state, Clock::now(), query)));
+    }
     if (path == snapshotPath) {
         return makeJsonReply(encodeSnapshot(daemon, parseSnapshotPart(target.query_["part"])));
     }
--- a/src/gateway_placement.cpp
+++ b/src/gateway_placement.cpp
@@ -79,25 +79,44 @@
     return std::exp2(-halfLives) * (upstream.reportedLoad_.excess_ / upstream.slots_ + slowdown);
 }
 
-/// @return the load of an upstream in calls per slot, plus the costs above that apply; calls go where it is lowest.
-double upstreamCost(const GatewayState &state, const Upstream &upstream, const SlotRequest &request, TimePoint now)
+/// @return the cost of the way to an upstream.
+double costOfDistance(const GatewayState &state, const Upstream &upstream, const SlotRequest &request)
 {
-    double cost = static_cast<double>(callsInFlight(upstream)) / upstream.slots_;
     if (upstream.region_ != regionOf(state, request.zone_)) {
-        cost += otherRegionCost;
-    } else if (upstream.zone_ != request.zone_) {
-        cost += otherZoneCost;
+        return otherRegionCost;
     }
-    cost += failureRateAt(upstream, now) * failureCost;
-    cost += costOfPrompt(state, upstream, request, now) + costOfReportedLoad(upstream, now);
-    if (contains(request.tried_, upstream.id_)) {
-        cost += alreadyTriedCost;
-    }
-    return upstream.missingSince_ == noDeadline ? cost : cost + missingCost;
+    return upstream.zone_ == request.zone_ ? 0 : otherZoneCost;
 }
 
 } // namespace
 
+UpstreamCost upstreamCost(
+    const GatewayState &state, const Upstream &upstream, const SlotRequest &request, TimePoint now)
+{
+    UpstreamCost cost;
+    cost.load_ = static_cast<double>(callsInFlight(upstream)) / upstream.slots_;
+    cost.distance_ = costOfDistance(state, upstream, request);
+    cost.failures_ = failureRateAt(upstream, now) * failureCost;
+    cost.prompt_ = costOfPrompt(state, upstream, request, now);
+    cost.reportedLoad_ = costOfReportedLoad(upstream, now);
+    cost.tried_ = contains(request.tried_, upstream.id_) ? alreadyTriedCost : 0;
+    cost.missing_ = upstream.missingSince_ == noDeadline ? 0 : missingCost;
+    return cost;
+}
+
+double sumOf(const UpstreamCost &cost)
+{
+    return cost.load_ + cost.distance_ + cost.failures_ + cost.prompt_ + cost.reportedLoad_ + cost.tried_
+        + cost.missing_;
+}
+
+bool isCandidate(const GatewayState &state, TimePoint now, const SlotRequest &request,
+    const std::set<std::string> &regions, const Upstream &upstream)
+{
+    return upstream.service_ == request.service_ && regions.contains(upstream.region_)
+        && hasFreeSlot(state, now, upstream, request.routeRank_) && !contains(request.excluded_, upstream.id_);
+}
+
 bool isAvailable(const Upstream &upstream, TimePoint now)
 {
     return !upstream.draining_ && !upstream.announcement_.leaving_ && upstream.announcement_.pausedUntil_ <= now
@@ -118,11 +137,10 @@
     double lowest = 0;
     uint32_t ties = 0; // of upstreams with equal costs one is drawn
     forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
-        if (upstream.service_ != request.service_ || !regions.contains(upstream.region_)
-            || !hasFreeSlot(state, now, upstream, request.routeRank_) || contains(request.excluded_, upstream.id_)) {
+        if (!isCandidate(state, now, request, regions, upstream)) {
             return;
         }
-        const double cost = upstreamCost(state, upstream, request, now);
+        const double cost = sumOf(upstreamCost(state, upstream, request, now));
         if (ties == 0 || cost < lowest - costTolerance) {
             chosen = id;
             lowest = cost;
--- a/src/gateway_quota.cpp
+++ b/src/gateway_quota.cpp
@@ -70,6 +70,12 @@
     return { size, rule.ratePerSecond_ + (excess - size) / window };
 }
 
+/// @return the level at which a bucket begins.
+double initialLevel(const GatewayState &state, double size)
+{
+    return size * (state.firstStart_ ? 1 : restartLevelShare);
+}
+
 /// Updates the level of a workspace's quota to @p now. @return the quota
 WorkspaceQuota &refill(GatewayState &state, TimePoint now, const WorkspaceRule &rule)
 {
@@ -78,7 +84,7 @@
     const auto [entry, added] = state.quotaByWorkspace_.try_emplace(rule.name_);
     WorkspaceQuota &quota = entry->second;
     if (added) {
-        quota.level_ = size * share * (state.firstStart_ ? 1 : restartLevelShare);
+        quota.level_ = initialLevel(state, size * share);
         quota.levelAt_ = now;
         quota.levelAssumed_ = !state.firstStart_;
     }
@@ -111,16 +117,33 @@
     return static_cast<double>(reachable) / static_cast<double>(known);
 }
 
+double quotaLevelAt(const GatewayState &state, TimePoint now, const WorkspaceRule &rule)
+{
+    const double share = reachableGatewayShare(state, now);
+    const auto [size, rate] = computeBucket(state, now, rule);
+    const auto found = state.quotaByWorkspace_.find(rule.name_);
+    if (found == state.quotaByWorkspace_.end()) {
+        return initialLevel(state, size * share);
+    }
+    const double seconds = FractionalSeconds(now - found->second.levelAt_).count();
+    const double mostDebt = rate * FractionalSeconds(state.bounds_.quotaWindow_).count();
+    return std::clamp(found->second.level_ + seconds * rate * share, -mostDebt, size * share);
+}
+
+bool isWithinQuota(const GatewayState &state, double level, uint64_t units)
+{
+    // In a small cluster a call may overdraw the bucket; no more calls are admitted until its level is positive again.
+    // If the bucket had to hold the whole charge, small calls would use up the quota before a large one is admitted.
+    return level > 0 && (state.peers_.size_ <= smallClusterPeers || level >= static_cast<double>(units));
+}
+
 bool chargeQuota(GatewayState &state, TimePoint now, const WorkspaceRule &rule, uint64_t units)
 {
     if (rule.ratePerSecond_ <= 0) {
         return true;
     }
     WorkspaceQuota &quota = refill(state, now, rule);
-    // In a small cluster a call may overdraw the bucket; no more calls are admitted until its level is positive again.
-    // If the bucket had to hold the whole charge, small calls would use up the quota before a large one is admitted.
-    const double needed = state.peers_.size_ <= smallClusterPeers ? 0 : static_cast<double>(units);
-    if (quota.level_ <= 0 || quota.level_ < needed) {
+    if (!isWithinQuota(state, quota.level_, units)) {
         ++quota.refusedCalls_;
         return false;
     }
--- a/src/gateway_slot_forecast.cpp
+++ b/src/gateway_slot_forecast.cpp
@@ -49,17 +49,23 @@
     }
 }
 
-bool cannotGetSlotInTime(const GatewayState &state, const std::string &service, size_t ahead, Duration wait)
+std::optional<FractionalSeconds> forecastSlotWait(const GatewayState &state, const std::string &service, size_t ahead)
 {
     const auto found = state.slotFlows_.find(service);
     if (found == state.slotFlows_.end() || found->second.perSecond_ < leastPerSecond) {
-        return false;
+        return std::nullopt;
     }
     const SlotFlow &flow = found->second;
     // At the beginning of a burst slots are given out faster than on average: as many times as there are more calls.
     const double growth = flow.inFlight_ < 1 ? 1 : flow.latestInFlight_ / flow.inFlight_;
     const double perSecond = flow.perSecond_ * std::max(1.0, growth);
-    return static_cast<double>(ahead + 1) / perSecond > FractionalSeconds(wait).count() * waitMargin;
+    return FractionalSeconds(static_cast<double>(ahead + 1) / perSecond);
+}
+
+bool cannotGetSlotInTime(const GatewayState &state, const std::string &service, size_t ahead, Duration wait)
+{
+    const auto forecast = forecastSlotWait(state, service, ahead);
+    return forecast && *forecast > FractionalSeconds(wait) * waitMargin;
 }
 
 } // namespace Burdockfield::Gateway
