--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -5,7 +5,7 @@
  * Answers that are not streamed are forwarded once they are complete. Of a stream only complete events are forwarded.
  * If a connection breaks within an event, another upstream can therefore resume after the last complete event.
  */
-#include "gateway_func.h"
+#include "gateway_hedging_func.h"
 
 #include "error_type.h"
 #include "gateway_event_stream_func.h"
@@ -117,10 +117,12 @@
     const GatewayState &state, const Call &call, std::error_code error, TimePoint now, GatewayOutbox &outbox)
 {
     const std::string status = call.headReceived_ ? std::to_string(call.head_.reply_.status_) : "none";
+    const bool firstOfTwo = hasTwoSends(state, call) && !call.hedging_.ownSendIsHedge_;
     outbox.decisions_.push_back({ "send-failed",
         { { "request", call.request_.id_ }, { "upstream", lastUpstreamId(state, call) },
             { "error", error ? error.message() : std::string("answer-refused") }, { "status", status },
-            { "not_run", isReportedNotRun(call) ? "yes" : "no" }, { "attempt", std::to_string(call.attempts_) },
+            { "not_run", isReportedNotRun(call) ? "yes" : "no" },
+            { "attempt", std::to_string(call.attempts_ - (firstOfTwo ? 1 : 0)) },
             { "events", std::to_string(call.events_) }, { "after_ms", millisecondsText(now - call.sentAt_) } },
         true });
 }
@@ -157,6 +159,9 @@
     --call.attempts_;
     ++call.connectFailures_;
     detachFromUpstream(state, call);
+    if (continueWithOtherSend(state, now, id, outbox)) {
+        return;
+    }
     if (call.connectFailures_ < maxConnectFailures) {
         requeue(state, now, id);
         return;
@@ -177,6 +182,9 @@
         --call.attempts_;
         ++call.connectFailures_;
     }
+    if (continueWithOtherSend(state, now, id, outbox)) {
+        return;
+    }
     const bool retry
         = wrongInstance ? call.connectFailures_ < maxConnectFailures : consumeRetryIfAllowed(state, now, call);
     if (retry) {
@@ -204,6 +212,9 @@
         reportOutcome(state, *upstream, now, true);
     }
     detachFromUpstream(state, call);
+    if (continueWithOtherSend(state, now, id, outbox)) {
+        return;
+    }
     if (call.retryable_ && consumeRetryIfAllowed(state, now, call)) {
         requeue(state, now, id);
         return;
@@ -232,6 +243,8 @@
         handleFailure(state, now, id, call, true, outbox);
         return;
     }
+    recordHedgingAnswer(state, now, call);
+    cancelHedge(state, now, call, outbox);
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         reportOutcome(state, *upstream, now, status >= firstServerErrorStatus);
     }
@@ -406,7 +419,11 @@
     } else if (event.error_) {
         handleBrokenAnswer(state, now, id, *call, outbox);
     } else if (call->head_.endsWithConnection_ && (!isStreamed(*call) || call->sendEvents_ > 0)) {
-        verifyAnswerEnd(state, now, *call, outbox);
+        if (hasTwoSends(state, *call)) { // the other send goes on, so that nothing is gained by the check
+            handleBrokenAnswer(state, now, id, *call, outbox);
+        } else {
+            verifyAnswerEnd(state, now, *call, outbox);
+        }
     } else {
         handleCompleteAnswer(state, now, id, *call, outbox);
     }
@@ -429,12 +446,21 @@
         handleCheck(state, now, event, outbox);
     }
     for (HeadReceived &event : inbox.heads_) {
+        const bool takenUp = takeUpSend(state, event.send_);
         handleHead(state, now, event, outbox);
+        if (takenUp) {
+            putBackSend(state, event.send_);
+        }
     }
     for (BytesReceived &event : inbox.bytes_) {
+        const bool takenUp = takeUpSend(state, event.send_);
         handleBytes(state, now, event, outbox);
+        if (takenUp) {
+            putBackSend(state, event.send_);
+        }
     }
     for (const SendEnded &event : inbox.ends_) {
+        takeUpSend(state, event.send_); // the end of either send decides on the call
         handleSendEnd(state, now, event, outbox);
     }
 }
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -129,6 +129,9 @@
 /// @return what a call needs of an upstream.
 SlotRequest makeSlotRequest(const GatewayState &state, TimePoint now, const Call &call);
 
+/// Sends a request for a slot to a broker.
+void sendSlotRequest(GatewayState &state, const std::string &broker, SlotRequest request, GatewayOutbox &outbox);
+
 /// Grants a slot at an upstream to the gateway that requested it.
 void grantSlot(
     GatewayState &state, TimePoint now, const QueuedSlotRequest &queued, UpstreamId target, GatewayOutbox &outbox);
@@ -139,6 +142,12 @@
 /// Updates the averages of how fast slots become free.
 void updateSlotFlows(GatewayState &state, TimePoint now);
 
+/// @return the time until a call gets a slot that has @p ahead others before it; empty if there is no forecast.
+std::optional<FractionalSeconds> forecastSlotWait(const GatewayState &state, const std::string &service, size_t ahead);
+
+/// @return the calls and requests of others that wait here for the same service and go first.
+size_t countWaitingAhead(const GatewayState &state, TimePoint now, const Call &call);
+
 /// @return whether a call is not expected to get a slot in time.
 bool cannotGetSlotInTime(const GatewayState &state, const std::string &service, size_t ahead, Duration wait);
 
@@ -162,9 +171,28 @@
 void sendCall(
     GatewayState &state, TimePoint now, CallId id, UpstreamId target, uint32_t inFlight, GatewayOutbox &outbox);
 
+/// @return the command for a send of a call to an upstream.
+SendCall makeSendCommand(
+    const GatewayState &state, TimePoint now, const Call &call, const Upstream &upstream, uint64_t send);
+
 /// @return whether an upstream other than the call's present one has free capacity for the call.
 bool hasCapacityElsewhere(const GatewayState &state, TimePoint now, const Call &call);
 
+/// @return the units left of a workspace's quota, as this gateway knows it.
+double quotaLevelAt(const GatewayState &state, TimePoint now, const WorkspaceRule &rule);
+
+/// @return whether a call that costs some units is admitted at a level of its workspace's quota.
+bool isWithinQuota(const GatewayState &state, double level, uint64_t units);
+
+/// @return the units that a request is charged with; 0 without a workspace or quota.
+uint64_t quotaCharge(const WorkspaceRule *workspace, const CallRequest &request);
+
+/// @return the longest time for which a new call of a route waits for a slot.
+Milliseconds queueWaitOf(const Route &route);
+
+/// @return the rank of a call: the workspace's if it has one, else the route's.
+uint32_t rankOf(const Route &route, const WorkspaceRule *workspace);
+
 /// Charges units to a workspace's quota. @return false if too little is left of it; then nothing is charged
 bool chargeQuota(GatewayState &state, TimePoint now, const WorkspaceRule &rule, uint64_t units);
 
@@ -192,6 +220,9 @@
 /// Takes one retry from a service's budget. @return whether one was left
 bool consumeRetry(GatewayState &state, const std::string &service);
 
+/// @return whether few retries are left in a service's budget, so that they are kept for calls that fail.
+bool isRetryBudgetLow(const GatewayState &state, const std::string &service);
+
 /// @return the call that a send belongs to; the id matches no row when the send has ended.
 CallId findCallBySend(const GatewayState &state, uint64_t send);
 
@@ -219,9 +250,12 @@
 /// Detaches a call from the upstream that it was sent to, if any, after the send has ended.
 void detachFromUpstream(GatewayState &state, Call &call);
 
-/// Cancels a call's send, if it is in flight, and detaches the call from its upstream.
+/// Cancels a call's sends that are in flight, the hedged one included, and detaches the call from its upstream.
 void cancelSend(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox);
 
+/// Cancels a call's own send, if it is in flight, and detaches the call from its upstream; a hedged one goes on.
+void cancelOwnSend(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox);
+
 /// Drops what is buffered of the answer to a call's latest send.
 void clearAnswer(GatewayState &state, Call &call);
 
--- a/src/gateway_intake.cpp
+++ b/src/gateway_intake.cpp
@@ -2,7 +2,7 @@
  * @file gateway_intake.cpp
  * @brief Systems that admit new calls, and end calls whose caller has disconnected.
  */
-#include "gateway_func.h"
+#include "gateway_hedging_func.h"
 
 #include "digest_func.h"
 #include "json_func.h"
@@ -93,14 +93,6 @@
     return wait + callerRetryMargin < longest;
 }
 
-uint64_t quotaCharge(const WorkspaceRule *workspace, const CallRequest &request)
-{
-    if (workspace == nullptr || workspace->ratePerSecond_ <= 0) {
-        return 0;
-    }
-    return workspace->countsTokens_ ? request.tokens_.value_or(workspace->defaultTokens_) : 1;
-}
-
 /// @return what a request may have in common with others that crash upstreams.
 std::vector<Trait> makeTraits(const CallRequest &request, const std::string &workspace)
 {
@@ -121,7 +113,7 @@
     call.kind_ = route.kind_;
     const bool resumable = route.kind_ == CallKind::Streaming && route.resumable_;
     call.retryable_ = route.kind_ == CallKind::Idempotent || resumable;
-    call.rank_ = intake.workspace_ == nullptr ? route.rank_ : intake.workspace_->rank_.value_or(route.rank_);
+    call.rank_ = rankOf(route, intake.workspace_);
     call.routeRank_ = route.rank_;
     call.attemptLimit_ = std::max(1U, route.attempts_);
     call.latencyTarget_ = route.latencyTarget_;
@@ -132,8 +124,7 @@
     const Milliseconds wait = call.request_.wait_.value_or(route.timeout_);
     call.callerRetry_ = isCallerRetry(state, route, wait);
     call.deadline_ = std::min(call.arrivedAt_ + std::min(wait, route.timeout_), lastAnswerTime(state));
-    const FractionalSeconds queueWait = FractionalSeconds(route.latencyTarget_) * queueWaitShare;
-    call.waitUntil_ = std::min(call.deadline_, now + std::chrono::duration_cast<Milliseconds>(queueWait));
+    call.waitUntil_ = std::min(call.deadline_, now + queueWaitOf(route));
     return call;
 }
 
@@ -162,6 +153,7 @@
     const uint64_t charge = quotaCharge(intake.workspace_, arrival.request_);
     Call call = makeCall(state, now, arrival, intake);
     creditRetryBudget(state, call.service_);
+    recordHedgingArrival(state, now, call);
     count(state.metrics_, "calls", call.routeName_);
     const CallId id = insertRow(state.calls_, std::move(call));
     Call &row = *findRow(state.calls_, id);
@@ -208,6 +200,24 @@
 
 } // namespace
 
+uint64_t quotaCharge(const WorkspaceRule *workspace, const CallRequest &request)
+{
+    if (workspace == nullptr || workspace->ratePerSecond_ <= 0) {
+        return 0;
+    }
+    return workspace->countsTokens_ ? request.tokens_.value_or(workspace->defaultTokens_) : 1;
+}
+
+Milliseconds queueWaitOf(const Route &route)
+{
+    return std::chrono::duration_cast<Milliseconds>(FractionalSeconds(route.latencyTarget_) * queueWaitShare);
+}
+
+uint32_t rankOf(const Route &route, const WorkspaceRule *workspace)
+{
+    return workspace == nullptr ? route.rank_ : workspace->rank_.value_or(route.rank_);
+}
+
 void runIntake(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
 {
     admitDeferred(state, now, outbox);
@@ -230,6 +240,7 @@
             continue;
         }
         call->attempts_ -= unsent ? 1 : 0;
+        cancelSend(state, now, *call, outbox); // before the line that says how the call ended
         outbox.decisions_.push_back({ "caller-left",
             { { "request", call->request_.id_ }, { "after_ms", millisecondsText(now - call->arrivedAt_) },
                 { "attempts", std::to_string(call->attempts_) }, { "events", std::to_string(call->events_) },
@@ -239,7 +250,6 @@
             refundQuota(state, now, call->workspace_, call->charge_);
         }
         const CallId id = found->second;
-        cancelSend(state, now, *call, outbox);
         eraseCall(state, id);
     }
 }
