--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -25,6 +25,7 @@
     uint32_t slots_ = 4; ///< Requests that each upstream runs at once.
     uint64_t seed_ = 1; ///< Gateways seed their random numbers with this plus their index.
     bool linked_ = false; ///< Whether gateways reach each upstream through a link.
+    std::string settings_; ///< Further lines of the gateways' settings.
 };
 
 /// Request that callGateway() makes.
