HTTP server: connections are counted in one memory budget of the process

Bodies are read in parts, as far as the budget grants memory; headers, queued answers, buffered answers, idle connections and unread input of paused connections (SO_RCVBUF of 64 KiB) count too. The allocator maps blocks from 128 KiB on one by one, so that freed bodies are returned to the system.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -12,16 +12,27 @@
 #include "store_client.h"
 #include "vm_wire.h"
 
+#include <malloc.h>
 #include <random>
 
 namespace Burdockfield {
 
 namespace {
 
+/// Retry-After of a request that found no memory: uploads that hold memory without progress are ended within a second.
+constexpr Milliseconds overloadedRetryAfter{ 1000 };
+/// Blocks from this size on are mapped one by one. Set explicitly, since glibc raises its own threshold up to 32 MiB
+/// when large blocks are freed and keeps such blocks afterwards.
+constexpr int mappedBlockBytes = 128 << 10;
 constexpr Milliseconds vmListTimeout{ 2000 }; ///< Longest time to read a page of the VM list.
 
 } // namespace
 
+void configureAllocator()
+{
+    mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+}
+
 uint64_t chooseSeed(const Settings &settings)
 {
     if (settings.seed_) {
@@ -77,6 +88,7 @@
     const bool isWireError = error.category() == make_error_code(WireErrc::MalformedJson).category();
     Refusal refusal;
     refusal.error_ = error;
+    refusal.retryAfter_ = error == RefusalErrc::Overloaded ? overloadedRetryAfter : Milliseconds(0);
     if (isWireError) {
         const bool isUnknownPath = error == WireErrc::UnknownPath;
         refusal.error_ = isUnknownPath ? RefusalErrc::UnknownRoute : RefusalErrc::BadRequest;
--- a/src/daemon_func.h
+++ b/src/daemon_func.h
@@ -35,6 +35,9 @@
 
 } // namespace Gateway
 
+/// Makes the allocator return large blocks to the system when they are freed.
+void configureAllocator();
+
 /// @return the seed of the settings, or a random one from the system.
 uint64_t chooseSeed(const Settings &settings);
 
--- a/src/daemon_main.cpp
+++ b/src/daemon_main.cpp
@@ -25,6 +25,7 @@
         std::cerr << describe(error) << '\n';
         return startFailureStatus;
     }
+    configureAllocator();
     startLog("burdockfieldd", settings.identity_.name_, settings.logLevel_);
     installTerminationHandlers(settings.identity_.name_);
     int status = 0;
--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -399,6 +399,7 @@
     daemon.callerServer_ = std::make_unique<HttpServer>(daemon.io_, daemon.settings_.limits_, callerHandlers(daemon));
     daemon.controlServer_ = std::make_unique<HttpServer>(daemon.io_, ServerLimits{}, controlHandlers(daemon));
     daemon.controlServer_->nextExchange_ = firstControlExchange;
+    daemon.controlServer_->budget_ = daemon.callerServer_->budget_;
     const std::error_code error = listen(*daemon.callerServer_, daemon.settings_.listenAddress_);
     return error ? error : listen(*daemon.controlServer_, daemon.settings_.controlAddress_);
 }
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -165,6 +165,8 @@
     GatewayInbox inbox = std::move(daemon.inbox_);
     daemon.inbox_ = {};
     executeOutbox(daemon, tickGateway(daemon.state_, Clock::now(), std::move(inbox)));
+    daemon.budget_->table_.otherBytes_ = daemon.state_.answerBytes_;
+    enforceLimits(daemon.budget_);
     daemon.tickDueAt_ = nextGatewayDeadline(daemon.state_);
     daemon.tickTimer_.expires_at(daemon.tickDueAt_);
     daemon.tickTimer_.async_wait([&daemon](const boost::system::error_code &error) {
@@ -260,6 +262,7 @@
     const auto memory = static_cast<double>(daemon.settings_.gateway_.memoryBytes_);
     daemon.state_.bounds_.bodyBytes_ = static_cast<size_t>(memory * bodyMemoryShare);
     daemon.state_.bounds_.answerBytes_ = static_cast<size_t>(memory * answerMemoryShare);
+    setBudgetMemory(*daemon.budget_, daemon.settings_.gateway_.memoryBytes_);
     daemon.follower_.updateDelay_
         = std::min(daemon.state_.bounds_.configurationDelay_, daemon.state_.bounds_.drainDelay_);
 }
@@ -318,6 +321,18 @@
     });
 }
 
+/// Lets all servers use the budget of the process.
+void shareBudget(GatewayDaemon &daemon)
+{
+    for (HttpServer *server :
+        { &daemon.callerServer_, &daemon.readyServer_, &daemon.peerServer_, &daemon.metricsServer_ }) {
+        server->budget_ = daemon.budget_;
+    }
+    daemon.budget_->onDecision_ = [&daemon](const BudgetDecision &decision) {
+        count(daemon.state_.metrics_, "connections_refused", budgetReasonName(decision.reason_));
+    };
+}
+
 void initializeState(GatewayDaemon &daemon)
 {
     const Settings &settings = daemon.settings_;
@@ -382,6 +397,7 @@
 {
     GatewayDaemon daemon(settings, file);
     initializeState(daemon);
+    shareBudget(daemon);
     if (const std::error_code error = openListeners(daemon); error) {
         logLine(
             LogLevel::Error, "cannot-listen", { { "address", settings.listenAddress_ }, { "error", error.message() } });
--- a/src/gateway_daemon_type.h
+++ b/src/gateway_daemon_type.h
@@ -53,6 +53,7 @@
     Asio::steady_timer housekeepingTimer_{ io_ }; ///< Expires when housekeeping is due.
     Asio::steady_timer exitTimer_{ io_ }; ///< Ends the process when it expires.
     Asio::signal_set signals_{ io_, SIGTERM, SIGINT, SIGHUP }; ///< Signals to stop and to reload the settings.
+    std::shared_ptr<ServerBudget> budget_ = std::make_shared<ServerBudget>(io_); ///< Memory held for others.
     HttpServer callerServer_; ///< Serves callers.
     HttpServer readyServer_; ///< Serves the load balancer's readiness checks.
     HttpServer peerServer_; ///< Serves snapshots to peers.
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -7,8 +7,8 @@
 #include "address_func.h"
 #include "coroutine_func.h"
 #include "error_type.h"
-#include "http_fields_func.h"
 #include "http_limit_type.h"
+#include "http_server_input.h"
 #include "http_server_output.h"
 #include "socket_func.h"
 
@@ -26,136 +26,11 @@
 
 constexpr int backlog = 1024; ///< Connections that may wait to be accepted.
 constexpr std::chrono::seconds discardTime{ 1 }; ///< Time for which input after a rejected request is read.
-constexpr Milliseconds cancelInterval{ 5 }; ///< Between attempts to end a read whose timeout has passed.
 /// Connections accepted in one turn of the event loop. With one only, new connections would wait for seconds on a busy
 /// machine while those that are open are served.
 constexpr int acceptsPerTurn = 64;
 constexpr Milliseconds acceptRetryInterval{ 20 }; ///< After a failed accept, such as for lack of descriptors.
 
-/// How the read of a request ended.
-enum class ReadOutcome : uint8_t {
-    Request, ///< A complete request was received.
-    Bad, ///< The request is malformed, too large or too slow.
-    Closed, ///< The peer closed, or the idle timeout passed.
-};
-
-/// Ends the read in progress. A read that has just received bytes continues with another one, so this is repeated.
-void cancelRead(ServerConnection &connection)
-{
-    connection.timedOut_ = true;
-    boost::system::error_code ignored;
-    connection.stream_.socket().cancel(ignored);
-    startTimeout(connection.readTimeout_, cancelInterval, [&connection] { cancelRead(connection); });
-}
-
-void startReadTimeout(ServerConnection &connection, Milliseconds timeout)
-{
-    connection.timedOut_ = false;
-    startTimeout(connection.readTimeout_, timeout, [&connection] { cancelRead(connection); });
-}
-
-std::error_code classifyReadError(const ServerConnection &connection, const boost::system::error_code &error)
-{
-    if (connection.timedOut_) {
-        return RefusalErrc::SlowRequest;
-    }
-    if (error == Http::error::body_limit) {
-        return RefusalErrc::BodyTooLarge;
-    }
-    if (error == Http::error::header_limit || error == Http::error::buffer_overflow) {
-        return RefusalErrc::HeaderTooLarge;
-    }
-    return RefusalErrc::BadRequest;
-}
-
-bool hasUnreadBytes(const ServerConnection &connection)
-{
-    boost::system::error_code ignored;
-    return connection.stream_.socket().available(ignored) > 0;
-}
-
-/// Waits for the first byte of a request. @return false if the peer closed or the idle timeout passed
-bool waitForFirstByte(HttpServer &server, const ConnectionPointer &pointer, Asio::yield_context yield)
-{
-    ServerConnection &connection = *pointer;
-    if (connection.buffer_.size() > 0) {
-        return true;
-    }
-    boost::system::error_code error;
-    startReadTimeout(connection, server.limits_.idleTimeout_);
-    server.idle_.insert(pointer);
-    connection.stream_.socket().async_wait(Tcp::socket::wait_read, yield[error]);
-    server.idle_.erase(pointer);
-    cancelTimeout(connection.readTimeout_);
-    return !error || hasUnreadBytes(connection); // that arrived while the wait was being cancelled
-}
-
-/// Copies the header. Called before the body is read, so trailer fields are left out.
-void copyHeader(const Http::request<Http::string_body> &message, HttpRequest &request)
-{
-    request.method_ = std::string(message.method_string());
-    request.target_ = std::string(message.target());
-    request.headers_ = copyFields(message);
-}
-
-/// @return whether the header gives the length of the body in only one way.
-bool hasUnambiguousLength(const Http::request<Http::string_body> &message)
-{
-    const auto codings = message.count(Http::field::transfer_encoding);
-    const bool chunked = Beast::iequals(message[Http::field::transfer_encoding], "chunked");
-    return codings == 0 || (codings == 1 && chunked && message.count(Http::field::content_length) == 0);
-}
-
-/// Reads the body; first sends 100 Continue if the peer expects it.
-void readRequestBody(ServerConnection &connection, Http::request_parser<Http::string_body> &parser,
-    boost::system::error_code &error, Asio::yield_context yield)
-{
-    if (Beast::iequals(parser.get()[Http::field::expect], "100-continue")) {
-        constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-        Asio::async_write(connection.stream_.socket(), Asio::buffer(continueResponse), yield[error]);
-    }
-    if (!error) {
-        Http::async_read(connection.stream_.socket(), connection.buffer_, parser, yield[error]);
-    }
-}
-
-ReadOutcome readRequest(HttpServer &server, const ConnectionPointer &pointer, HttpRequest &request,
-    std::error_code &failure, Asio::yield_context yield)
-{
-    ServerConnection &connection = *pointer;
-    if (!waitForFirstByte(server, pointer, yield)) {
-        return ReadOutcome::Closed;
-    }
-    server.busy_.insert(pointer);
-    Http::request_parser<Http::string_body> parser;
-    parser.header_limit(static_cast<uint32_t>(std::min(server.limits_.headerBytes_, maxHeaderBytes)));
-    parser.body_limit(server.limits_.bodyBytes_);
-    boost::system::error_code error;
-    startReadTimeout(connection, server.limits_.readTimeout_);
-    Http::async_read_header(connection.stream_.socket(), connection.buffer_, parser, yield[error]);
-    if (!error && !hasUnambiguousLength(parser.get())) {
-        error = Http::error::bad_transfer_encoding;
-    }
-    if (!error) {
-        copyHeader(parser.get(), request);
-        readRequestBody(connection, parser, error, yield);
-    }
-    cancelTimeout(connection.readTimeout_);
-    if (!error) {
-        connection.closeAfterExchange_ = !parser.get().keep_alive();
-        request.body_ = std::move(parser.get().body());
-        request.age_ = timeSinceReceipt(connection.stream_.socket());
-        return ReadOutcome::Request;
-    }
-    const bool protocolError = error.category() == Http::make_error_code(Http::error::body_limit).category();
-    const bool closed = error == Http::error::end_of_stream || error == Http::error::partial_message;
-    if ((!protocolError && !connection.timedOut_) || closed) {
-        return ReadOutcome::Closed;
-    }
-    failure = classifyReadError(connection, error);
-    return ReadOutcome::Bad;
-}
-
 /// Calls onDisconnect_ if the peer closes while its exchange is in progress.
 void watchForClose(HttpServer &server, const ConnectionPointer &connection)
 {
@@ -166,6 +41,8 @@
         }
         boost::system::error_code ignored;
         if (!error && connection->stream_.socket().available(ignored) > 0) {
+            recordUnread(server.budget_->table_, connection->holding_);
+            enforceLimits(server.budget_);
             return;
         }
         connection->peerClosed_ = true;
@@ -179,6 +56,7 @@
 void rejectBadRequest(
     const HttpServer &server, ServerConnection &connection, std::error_code failure, Asio::yield_context yield)
 {
+    startPhase(server.budget_->table_, Clock::now(), connection.holding_, HoldingPhase::Closing);
     connection.closeAfterExchange_ = true;
     HttpReply reply = server.handlers_.onBadRequest_(failure);
     connection.stream_.expires_after(server.limits_.writeTimeout_);
@@ -208,6 +86,7 @@
     HttpServer &server, const ConnectionPointer &connection, HttpRequest request, Asio::yield_context yield)
 {
     const ExchangeId exchange{ server.nextExchange_++ };
+    startPhase(server.budget_->table_, Clock::now(), connection->holding_, HoldingPhase::Exchange);
     connection->exchange_ = exchange;
     connection->output_.clear();
     server.exchanges_[exchange] = connection;
@@ -219,6 +98,7 @@
     if (!complete && !connection->peerClosed_) {
         server.handlers_.onDisconnect_(exchange);
     }
+    startPhase(server.budget_->table_, Clock::now(), connection->holding_, HoldingPhase::Idle);
     return complete && !connection->closeAfterExchange_ && !server.stopping_;
 }
 
@@ -243,6 +123,7 @@
     boost::system::error_code ignored;
     connection->stream_.socket().shutdown(Tcp::socket::shutdown_both, ignored);
     connection->stream_.close();
+    closeHolding(*server.budget_, *connection);
 }
 
 /// Closes a connection whose coroutine has ended by an exception.
@@ -251,6 +132,7 @@
     server.idle_.erase(connection);
     server.busy_.erase(connection);
     connection->stream_.close();
+    closeHolding(*server.budget_, *connection);
     const ExchangeId exchange = std::exchange(connection->exchange_, ExchangeId{});
     if (server.exchanges_.erase(exchange) > 0) {
         server.handlers_.onDisconnect_(exchange);
@@ -265,6 +147,7 @@
     socket.non_blocking(true, ignored); // for isPeerConnected()
     const auto connection = std::make_shared<ServerConnection>(std::move(socket));
     connection->buffer_.max_size(maxHeaderBytes);
+    openHolding(server.budget_, connection);
     const auto serve = [&server, connection](Asio::yield_context yield) {
         serveConnection(server, connection, yield);
     };
@@ -312,8 +195,10 @@
     if (found == server.exchanges_.end()) {
         return;
     }
+    addOutput(server.budget_->table_, Clock::now(), found->second->holding_, memoryOf(output));
     found->second->output_.push_back(std::move(output));
     found->second->outputSignal_.cancel();
+    enforceLimits(server.budget_);
 }
 
 } // namespace
@@ -332,6 +217,9 @@
     if (!error) {
         server.acceptor_.bind(*endpoint, error);
     }
+    if (!error) { // accepted connections inherit it
+        server.acceptor_.set_option(Asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
+    }
     if (!error) {
         server.acceptor_.listen(backlog, error);
     }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "http_server_budget.h"
 #include "http_type.h"
 #include "request_type.h"
 #include "time_type.h"
@@ -81,7 +82,9 @@
     std::deque<ServerOutput> output_; ///< Parts queued for writing.
     ExchangeId exchange_; ///< Exchange in progress; 0 when there is none.
     bool peerClosed_ = false; ///< Whether the peer has disconnected.
-    bool timedOut_ = false; ///< Whether readTimeout_ has ended a read.
+    HoldingId holding_; ///< What the budget counts for this connection.
+    bool timedOut_ = false; ///< Whether readTimeout_ or the budget has ended a read.
+    std::error_code refusal_; ///< Why the budget has ended a read.
     bool closeAfterExchange_ = false; ///< Whether the connection closes after this exchange.
 };
 
@@ -94,6 +97,7 @@
         , acceptTimeout_(io)
         , limits_(limits)
         , handlers_(std::move(handlers))
+        , budget_(std::make_shared<ServerBudget>(io))
     {
     }
 
@@ -102,6 +106,7 @@
     Timeout acceptTimeout_; ///< Pause after a failed accept.
     ServerLimits limits_;
     ServerHandlers handlers_;
+    std::shared_ptr<ServerBudget> budget_; ///< All servers of a process share one, set before listen().
     std::map<ExchangeId, std::shared_ptr<ServerConnection>> exchanges_; ///< Connections of the exchanges in progress.
     std::set<std::shared_ptr<ServerConnection>> idle_; ///< Connections that wait for a request.
     /// Connections between the first byte of a request and the end of its exchange or rejection.
--- a/src/http_server_output.cpp
+++ b/src/http_server_output.cpp
@@ -13,6 +13,8 @@
 
 namespace Http = Beast::http;
 
+constexpr size_t maxJoinedBytes = 64U << 10U; ///< Chunks are joined up to this size, so that writes show progress.
+
 template<typename Body>
 void fillHeader(Http::response<Body> &message, const HttpReply &reply)
 {
@@ -69,14 +71,18 @@
 }
 
 /// Removes the next part from the queue; consecutive chunks are joined into one.
-ServerOutput popOutput(ServerConnection &connection)
+/// @param memory memory of the parts as they were queued
+ServerOutput popOutput(ServerConnection &connection, size_t &memory)
 {
     ServerOutput output = std::move(connection.output_.front());
     connection.output_.pop_front();
+    memory = memoryOf(output);
     const auto isChunk = [](const ServerOutput &item) {
         return item.kind_ == ServerOutput::Kind::Chunk;
     };
-    while (isChunk(output) && !connection.output_.empty() && isChunk(connection.output_.front())) {
+    while (isChunk(output) && !connection.output_.empty() && isChunk(connection.output_.front())
+        && output.bytes_.size() < maxJoinedBytes) {
+        memory += memoryOf(connection.output_.front());
         output.bytes_ += connection.output_.front().bytes_;
         connection.output_.pop_front();
     }
@@ -85,6 +91,11 @@
 
 } // namespace
 
+size_t memoryOf(const ServerOutput &output)
+{
+    return sizeof(ServerOutput) + output.bytes_.capacity() + output.reply_.body_.capacity();
+}
+
 boost::system::error_code writeReply(ServerConnection &connection, HttpReply &reply, Asio::yield_context yield)
 {
     Http::response<Http::string_body> message;
@@ -106,11 +117,13 @@
             connection.outputSignal_.async_wait(yield[ignored]);
             continue;
         }
-        ServerOutput output = popOutput(connection);
+        size_t memory = 0;
+        ServerOutput output = popOutput(connection, memory);
         connection.closeAfterExchange_ = connection.closeAfterExchange_ || server.announceClose_ || server.stopping_;
         connection.stream_.expires_after(server.limits_.writeTimeout_);
         const boost::system::error_code error = writeOutput(connection, output, yield);
         connection.stream_.expires_never();
+        removeOutput(server.budget_->table_, Clock::now(), connection.holding_, memory);
         if (error) {
             return false;
         }
--- a/src/http_server_output.h
+++ b/src/http_server_output.h
@@ -10,6 +10,9 @@
 
 namespace Burdockfield {
 
+/// @return the memory that a queued part of a response takes.
+size_t memoryOf(const ServerOutput &output);
+
 /// Writes a complete response and clears its body. @return success or the error of the connection
 boost::system::error_code writeReply(ServerConnection &connection, HttpReply &reply, Asio::yield_context yield);
 
