--- a/src/agent_daemon.cpp
+++ b/src/agent_daemon.cpp
@@ -292,6 +292,7 @@
     ServerLimits limits;
     limits.bodyBytes_ = size_t{ 64 } << 20U; // holds a caller's body, escaped as JSON, and the rest of the run order
     daemon.server_ = std::make_unique<HttpServer>(daemon.io_, limits, makeHandlers(daemon));
+    setBudgetMemory(*daemon.server_->budget_, settings.serverMemoryBytes_);
     if (const std::error_code error = listen(*daemon.server_, settings.listenAddress_); error) {
         return logListenFailure(settings, error);
     }
--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -400,6 +400,7 @@
     daemon.controlServer_ = std::make_unique<HttpServer>(daemon.io_, ServerLimits{}, controlHandlers(daemon));
     daemon.controlServer_->nextExchange_ = firstControlExchange;
     daemon.controlServer_->budget_ = daemon.callerServer_->budget_;
+    setBudgetMemory(*daemon.callerServer_->budget_, daemon.settings_.serverMemoryBytes_);
     const std::error_code error = listen(*daemon.callerServer_, daemon.settings_.listenAddress_);
     return error ? error : listen(*daemon.controlServer_, daemon.settings_.controlAddress_);
 }
--- a/src/gateway_internal_server.cpp
+++ b/src/gateway_internal_server.cpp
@@ -26,6 +26,8 @@
     if (path == "/metrics") {
         setGauge(state.metrics_, "calls_in_progress", static_cast<double>(state.calls_.size_));
         setGauge(state.metrics_, "upstream_connections_opened", static_cast<double>(daemon.link_.connectionsOpened_));
+        setGauge(state.metrics_, "memory_held_bytes", static_cast<double>(heldBytes(daemon.budget_->table_)));
+        setGauge(state.metrics_, "connections_open", static_cast<double>(daemon.budget_->table_.open_));
         return makeTextReply(200, serializeMetrics(state.metrics_));
     }
     if (path == "/v1/status") {
--- a/src/http_server_input.cpp
+++ b/src/http_server_input.cpp
@@ -95,7 +95,7 @@
         connection.outputSignal_.expires_at(Clock::time_point::max());
         connection.outputSignal_.async_wait(yield[ignored]);
     }
-    return !connection.timedOut_;
+    return !connection.timedOut_ && reserveInput(table, Clock::now(), connection.holding_, bytes);
 }
 
 /// @return the size that the buffer of a body needs before the next read: as announced, or twice the size so far.
@@ -194,6 +194,10 @@
         readRequestBody(server, connection, parser, error, yield);
     }
     cancelTimeout(connection.readTimeout_);
+    if (!error && connection.refusal_) { // decided while the last bytes were being received
+        failure = connection.refusal_;
+        return ReadOutcome::Bad;
+    }
     if (!error) {
         connection.closeAfterExchange_ = !parser.get().keep_alive();
         request.body_ = std::move(parser.get().body());
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -25,7 +25,7 @@
 constexpr uint64_t queueLimitBound = 1000000; ///< Largest queue_limit, in requests.
 constexpr size_t headerBytesBound = 1U << 20U; ///< Largest limit of a request's header.
 constexpr size_t bodyBytesBound = 32U << 20U; ///< Largest limit of a request's body.
-constexpr size_t memoryBytesBound = size_t{ 1 } << 40U; ///< Largest memory of a gateway.
+constexpr size_t memoryBytesBound = size_t{ 1 } << 40U; ///< Largest memory of a process.
 constexpr double processorShareBound = 1024; ///< Largest processor of a gateway, in cores.
 constexpr double retryRatioBound = 10; ///< Largest repeat_ratio, in retries per request.
 constexpr double retrySlackBound = 1e6; ///< Largest repeat_slack, in retries per window.
@@ -198,10 +198,11 @@
         readGateway(reader, settings);
         return;
     }
+    readSize(reader, "memory", settings.serverMemoryBytes_, memoryBytesBound);
     if (settings.role_ == Role::Entry) {
         checkKeys(reader,
             { "role", "name", "region", "zone", "listen", "control", "platform", "log", "seed", "seeds", "limits",
-                "policy" });
+                "memory", "policy" });
         readAddress(reader, "control", settings.controlAddress_);
         readAddresses(reader, "seeds", settings.seeds_);
         readLimits(reader, settings);
@@ -209,7 +210,8 @@
         settings.identity_.address_ = settings.controlAddress_;
         return;
     }
-    checkKeys(reader, { "role", "name", "region", "zone", "listen", "platform", "log", "seed", "upstream", "policy" });
+    checkKeys(reader,
+        { "role", "name", "region", "zone", "listen", "platform", "log", "seed", "memory", "upstream", "policy" });
     readUpstream(reader, settings);
     readAgentPolicy(reader, settings);
     settings.identity_.address_ = settings.listenAddress_;
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -53,6 +53,7 @@
     std::vector<std::string> seeds_; ///< IP:PORT of nodes of the same role from which the list of peers can be fetched.
     LogLevel logLevel_ = LogLevel::Info; ///< Lowest severity that is logged.
     std::optional<uint64_t> seed_; ///< Seed of the random numbers; random if absent.
+    size_t serverMemoryBytes_ = defaultServerMemory; ///< Memory that the process may use, in bytes (entry, agent).
     ServerLimits limits_; ///< Limits of callers' HTTP requests (entry).
     EntryPolicy entryPolicy_; ///< Scheduling policy (entry).
     AgentPolicy agentPolicy_; ///< Scheduling policy (agent).
--- a/tests/http_server_limits_test.cpp
+++ b/tests/http_server_limits_test.cpp
@@ -43,6 +43,7 @@
         handlers.onBadRequest_ = [](std::error_code error) {
             HttpReply reply;
             reply.status_ = error == RefusalErrc::HeaderTooLarge ? 431 : 400;
+            reply.status_ = error == RefusalErrc::Overloaded ? 503 : reply.status_;
             return reply;
         };
         return handlers;
@@ -114,6 +115,20 @@
     CHECK(exchange(head + body) == "HTTP/1.1 200 OK");
 }
 
+TEST_CASE_FIXTURE(HttpServerLimitsFixture, "Server_WhenItsMemoryHasNoRoomForABody_RefusesItAsOverloaded")
+{
+    setBudgetMemory(*server_.budget_, 8U << 20U);
+    const std::string head = "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(4U << 20U) + "\r\n\r\n";
+    CHECK(exchange(head) == "HTTP/1.1 503 Service Unavailable");
+}
+
+TEST_CASE_FIXTURE(HttpServerLimitsFixture, "Server_WhenItsMemoryIsTooSmallForAChunkedBody_RefusesItAsOverloaded")
+{
+    setBudgetMemory(*server_.budget_, 8U << 20U);
+    const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    CHECK(exchange(head + "200000\r\n" + std::string(2U << 20U, 'x')) == "HTTP/1.1 503 Service Unavailable");
+}
+
 TEST_CASE_FIXTURE(HttpServerLimitsFixture, "Server_WhenAChunkIsLongerThanTheLongestHeader_ServesIt")
 {
     const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
