--- a/src/gateway_hedging_type.h
+++ b/src/gateway_hedging_type.h
@@ -84,9 +84,9 @@
     TimePoint askedAt_{}; ///< When it was sent.
 
     uint64_t send_ = 0; ///< Number of the send; 0 while there is no slot.
-    PoolId<Upstream> std::string upstreamAddress_; ///< IP:PORT of that upstream.
-    UpstreamId upstream_ ///< Upstream of the send.
-        TimePoint sentAt_{}; ///< Time of the send.
+    PoolId<Upstream> upstream_; ///< Upstream of the send.
+    std::string upstreamAddress_; ///< IP:PORT of that upstream.
+    TimePoint sentAt_{}; ///< Time of the send.
     TimePoint lastReceivedAt_{}; ///< See Call::lastReceivedAt_.
     AnswerHead head_; ///< Header of the answer.
     bool headReceived_ = false; ///< Whether head_ has been received.
