--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -24,7 +24,8 @@
 }
 
 /// Adds a gateway. Its readiness address is kept under a process entry without a command, which is never started.
-void addGateway(Fleet &fleet, const std::string &name, uint64_t seed, const std::vector<std::string> &addresses)
+void addGateway(Fleet &fleet, const std::string &name, uint64_t seed, double hedgingShare,
+    const std::vector<std::string> &addresses)
 {
     const std::string &listen = addresses[0];
     const std::string &store = addresses[4];
@@ -36,7 +37,9 @@
     const std::string settings = "role: gateway\nname: " + name + "\nregion: region-1\nzone: zone-1\nlisten: " + listen
         + "\nready: " + addresses[1] + "\npeer: " + addresses[2] + "\nmetrics: " + addresses[3] + "\nplatform: " + store
         + "\nseed: " + std::to_string(seed)
-        + "\nzones: { zone-1: region-1 }\nfirst_start: true\nbounds: { repeat_slack: 1000, grace: 5s }\n";
+        + "\nzones: { zone-1: region-1 }\nfirst_start: true\nbounds: { repeat_slack: 1000, grace: 5s }\nhedging: { "
+          "share: "
+        + std::to_string(hedgingShare) + " }\n";
     addDaemon(fleet, name, listen, addresses[3], settings);
     fleet.processes_[name + "-ready"].address_ = addresses[1];
     fleet.entries_.push_back(name);
@@ -137,7 +140,8 @@
     addUpstreams(fleet, "desk", spec.desks_, spec.linked_, addresses, next);
     for (uint32_t index = 1; index <= spec.gateways_; ++index) {
         const auto first = addresses.begin() + static_cast<ptrdiff_t>(next);
-        addGateway(fleet, "gateway-" + std::to_string(index), spec.seed_ + index, { first, first + gatewayAddresses });
+        addGateway(fleet, "gateway-" + std::to_string(index), spec.seed_ + index, spec.hedgingShare_,
+            { first, first + gatewayAddresses });
         next += gatewayAddresses;
     }
     for (auto &[name, process] : fleet.processes_) {
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -24,6 +24,7 @@
     uint32_t desks_ = 1; ///< Count of upstreams of the service "desk", which is not a model engine.
     uint32_t slots_ = 4; ///< Requests that each upstream runs at once.
     uint64_t seed_ = 1; ///< Gateways seed their random numbers with this plus their index.
+    double hedgingShare_ = 0; ///< Hedged sends that gateways may make, see hedging.share.
     bool linked_ = false; ///< Whether gateways reach each upstream through a link.
 };
 
--- a/tests/gateway_process_test.cpp
+++ b/tests/gateway_process_test.cpp
@@ -231,3 +231,54 @@
     CHECK(reply.status_ == 200);
     CHECK(reply.body_.find("burdockfield_calls{kind=\"once\"} 1") != std::string::npos);
 }
+
+namespace {
+
+/// One gateway that hedges, and two engines.
+struct HedgingProcessFixture : ProcessFixture
+{
+    HedgingProcessFixture()
+    {
+        GatewayFleetSpec spec;
+        spec.gateways_ = 1;
+        spec.hedgingShare_ = 0.2;
+        REQUIRE(startGatewayFleet(fleet_, spec));
+    }
+
+    HttpReply call(uint64_t number)
+    {
+        return callGateway(fleet_, "gateway-1", { "r" + std::to_string(number), "/read/x" });
+    }
+
+    HttpReply readPage(const std::string &target)
+    {
+        return callNode(fleet_.processes_.at("gateway-1").control_, "GET", target);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(HedgingProcessFixture, "Gateway_WhenAnUpstreamIsSilent_AnswersIdempotentCallsByAHedgedRequest")
+{
+    // The silence timeout is 3 s; without a hedge the calls at the silent engine are answered after that.
+    constexpr uint64_t learntCalls = 100;
+    uint64_t number = 0;
+    while (number < learntCalls) {
+        REQUIRE(call(++number).status_ == 200);
+    }
+    controlStandin(fleet_, "engines-1", R"({"mode":"mute"})");
+    for (uint64_t last = number + 4; number < last;) {
+        CHECK(call(++number).status_ == 200);
+    }
+    CHECK(readPage("/metrics").body_.find("burdockfield_hedges{kind=\"won\"}") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(HedgingProcessFixture, "Gateway_WhenAskedWhereARequestWouldGo_ReportsItOnTheMetricsAddress")
+{
+    const std::string target = std::string("/v1/where?host=") + gatewayHost + "&path=/once/x&workspace=workspace-1";
+    const HttpReply reply = readPage(target);
+    CHECK(reply.status_ == 200);
+    CHECK(reply.body_.find(R"("choice":"desk-1")") != std::string::npos);
+    CHECK(reply.body_.find("key-1") == std::string::npos);
+    CHECK(readPage("/v1/where?host=x").status_ == 400);
+}
