--- a/tests/untrusted_client_process_test.cpp
+++ b/tests/untrusted_client_process_test.cpp
@@ -181,8 +181,8 @@
         for (std::string line; std::getline(file, line);) {
             unsigned port = 0;
             unsigned long received = 0;
-            const int fields = std::sscanf(
-                line.c_str(), " %*d: %*8x:%x %*8x:%*x 01 %*8x:%8lx", &port, &received); // 01: established
+            const int fields
+                = std::sscanf(line.c_str(), " %*d: %*8x:%x %*8x:%*x 01 %*8x:%8lx", &port, &received); // 01: established
             unread += fields == 2 && port == listenPort ? received : 0;
         }
         return unread;
