Contain requests that crash upstreams late in a stream or as simultaneous copies

Cause: an answer counted as complete after 250 ms of events, so a request that crashes its upstream later cleared itself each time. Simultaneous crashes always counted as one, so three copies at once crashed nine upstreams before the verdict. A crash was recorded only if one connection, tried at once, was refused, and an exiting process may still accept it.

Now only a complete answer clears a trait. Simultaneous crashes count individually for a trait that was at all of them; a trait that has three crashes only if each counts is condemned with a first trial after one second, which tells an outage of a rack from two deadly requests. Upstreams are checked again for two seconds, until they have refused, have answered a later call, or another start takes their place.

Ruled out: counting simultaneous crashes individually only for a trait that explains the whole moment; two deadly requests in three copies each explain none.

--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -15,7 +15,7 @@
 
 constexpr size_t crashLimit = 3; ///< Crashes that have to be explained by a trait for it to be condemned.
 constexpr size_t strongSuspectLimit = 2; ///< Crashes from which a trait is a strong suspect.
-constexpr Milliseconds simultaneity{ 100 }; ///< Crashes within this time may have one cause and count once.
+constexpr Milliseconds simultaneity{ 100 }; ///< Crashes within this time may have one cause, as that of a rack.
 constexpr Milliseconds settleTime{ 300 }; ///< Time for the reports of all gateways that see a crash to arrive.
 /// Time after an answer for which its traits are no suspects; a trait may begin to cause crashes later.
 constexpr std::chrono::seconds answerValidity{ 10 };
@@ -26,6 +26,13 @@
 /// Times until the trials of a verdict, the first from its beginning. Two, as a third could be sent by mistake while
 /// gateways disagree on who is to send it, and callers are promised that no more than three crash anything.
 constexpr std::array<std::chrono::seconds, 2> trialDelays{ std::chrono::seconds(15), std::chrono::seconds(60) };
+/// Time until the first trial of a verdict whose crashes an outage may have caused. A trial within the contact time
+/// after the third crash is none of those that callers are promised; it has to follow the reports of that crash.
+constexpr std::chrono::seconds outageTrialDelay{ 1 };
+/// Requests that have crashed upstreams later than this after their third crash count among those that callers are
+/// promised. Deployments have 3 or 4 s as contactMs.
+constexpr std::chrono::seconds contactTime{ 3 };
+constexpr size_t lateSendLimit = 3; ///< Such requests that callers are promised at most.
 constexpr std::chrono::minutes verdictRetention{ 10 }; ///< Time without a request after which a verdict is dropped.
 /// Time without a request after which a verdict is no longer sent; less than its retention, so that it can't come back.
 constexpr std::chrono::minutes verdictAnnouncement{ 5 };
@@ -57,32 +64,75 @@
     dropCrash(evidence, UpstreamStart(oldest->first));
 }
 
-/// @return how many of the crashes are neither explained already nor simultaneous with another one.
-size_t countMoments(const CrashEvidence &evidence, const std::set<UpstreamStart> &crashes,
-    const std::set<UpstreamStart> *unexplained = nullptr)
+/// How simultaneous crashes count for a trait.
+enum class CrashCounting : uint8_t {
+    ByMoment, ///< Individually if the trait was at all of that moment, else once, as an outage may have caused them.
+    Individual, ///< Individually.
+};
+
+/// Crashes that happened at the same moment, and how many these are.
+struct CrashMoments
 {
-    std::vector<TimePoint> times;
+    std::map<UpstreamStart, size_t> moments_; ///< Number of the moment of each crash.
+    std::vector<size_t> sizes_; ///< Crashes of each moment.
+};
+
+CrashMoments findMoments(const CrashEvidence &evidence, const std::set<UpstreamStart> &crashes)
+{
+    std::vector<std::pair<TimePoint, UpstreamStart>> byTime;
     for (const UpstreamStart &upstream : crashes) {
-        if (unexplained == nullptr || unexplained->contains(upstream)) {
-            times.push_back(evidence.crashes_.at(upstream));
+        byTime.emplace_back(evidence.crashes_.at(upstream), upstream);
+    }
+    std::sort(byTime.begin(), byTime.end());
+    CrashMoments result;
+    TimePoint begin{};
+    for (const auto &[at, upstream] : byTime) {
+        if (result.sizes_.empty() || at - begin >= simultaneity) {
+            result.sizes_.push_back(0);
+            begin = at;
         }
+        ++result.sizes_.back();
+        result.moments_[upstream] = result.sizes_.size() - 1;
     }
-    std::sort(times.begin(), times.end());
-    size_t moments = 0;
-    TimePoint last{};
-    for (const TimePoint time : times) {
-        if (moments == 0 || time - last >= simultaneity) {
-            ++moments;
-            last = time;
+    return result;
+}
+
+/// @return how many of the crashes that have a moment count for a suspect.
+size_t countCrashes(const CrashSuspect &suspect, const CrashMoments &moments, CrashCounting counting)
+{
+    std::map<size_t, size_t> byMoment;
+    for (const UpstreamStart &upstream : suspect.crashes_) {
+        if (const auto found = moments.moments_.find(upstream); found != moments.moments_.end()) {
+            ++byMoment[found->second];
         }
     }
-    return moments;
+    size_t counted = 0;
+    for (const auto &[moment, crashes] : byMoment) {
+        const bool individually = counting == CrashCounting::Individual || crashes == moments.sizes_[moment];
+        counted += individually ? crashes : 1;
+    }
+    return counted;
 }
 
+/// @return how many of a suspect's crashes were later than the contact time after the third one.
+size_t countLateCrashes(const CrashEvidence &evidence, const CrashSuspect &suspect)
+{
+    std::vector<TimePoint> times;
+    for (const UpstreamStart &upstream : suspect.crashes_) {
+        times.push_back(evidence.crashes_.at(upstream));
+    }
+    std::sort(times.begin(), times.end());
+    return static_cast<size_t>(std::count_if(times.begin(), times.end(),
+        [&times](TimePoint at) { return times.size() >= crashLimit && at > times[crashLimit - 1] + contactTime; }));
+}
+
+/// Begins a verdict with as many trials as the requests that have crashed upstreams late leave.
 void condemn(CrashEvidence &evidence, Trait trait, TimePoint now)
 {
+    const size_t late = std::min(countLateCrashes(evidence, evidence.suspects_.at(trait)), lateSendLimit);
+    const size_t left = std::min(lateSendLimit - late, trialDelays.size());
     CrashVerdict &verdict = evidence.verdicts_[trait];
-    verdict = { verdict.number_ + 1, false, 0, {}, now };
+    verdict = { verdict.number_ + 1, false, static_cast<uint32_t>(trialDelays.size() - left), {}, now };
     verdict.nextTrialAt_ = trialTime(verdict, now);
 }
 
@@ -102,15 +152,17 @@
 }
 
 /// @return the trait that explains the most of the crashes, the deepest of several; none if too few are explained.
-std::optional<Trait> findBestExplanation(const CrashEvidence &evidence, const std::set<UpstreamStart> &unexplained)
+std::optional<Trait> findBestExplanation(
+    const CrashEvidence &evidence, const std::set<UpstreamStart> &unexplained, CrashCounting counting)
 {
+    const CrashMoments moments = findMoments(evidence, unexplained);
     std::optional<Trait> best;
     std::pair<size_t, TraitDepth> bestRank{ crashLimit, 0 };
     for (const auto &[trait, suspect] : evidence.suspects_) {
         if (suspect.crashes_.size() < bestRank.first) {
             continue;
         }
-        const std::pair rank(countMoments(evidence, suspect.crashes_, &unexplained), suspect.depth_);
+        const std::pair rank(countCrashes(suspect, moments, counting), suspect.depth_);
         if (rank > bestRank || (rank == bestRank && (!best || trait < *best))) { // the same one in every gateway
             best = trait;
             bestRank = rank;
@@ -137,6 +189,9 @@
     if (const auto found = evidence.verdicts_.find(trait); found != evidence.verdicts_.end()) {
         CrashVerdict &verdict = found->second;
         changed = changed || isInForce(verdict);
+        if (isInForce(verdict)) { // crashes that it explained may condemn another trait
+            evidence.reviewAt_ = std::min(evidence.reviewAt_, now);
+        }
         verdict.usedAt_ = isInForce(verdict) ? now : verdict.usedAt_;
         verdict.withdrawn_ = true;
     }
@@ -169,12 +224,18 @@
 {
     std::vector<Trait> condemned;
     std::set<UpstreamStart> unexplained = findSettledCrashes(evidence, now);
-    while (const auto trait = findBestExplanation(evidence, unexplained)) {
-        const std::set<UpstreamStart> &explained = evidence.suspects_.at(*trait).crashes_;
-        std::erase_if(unexplained, [&explained](const auto &upstream) { return explained.contains(upstream); });
-        if (!isCondemned(evidence, *trait)) {
-            condemn(evidence, *trait, now);
-            condemned.push_back(*trait);
+    for (const CrashCounting counting : { CrashCounting::ByMoment, CrashCounting::Individual }) {
+        while (const auto trait = findBestExplanation(evidence, unexplained, counting)) {
+            const std::set<UpstreamStart> &explained = evidence.suspects_.at(*trait).crashes_;
+            std::erase_if(unexplained, [&explained](const auto &upstream) { return explained.contains(upstream); });
+            if (!isCondemned(evidence, *trait)) {
+                condemn(evidence, *trait, now);
+                condemned.push_back(*trait);
+            }
+            CrashVerdict &verdict = evidence.verdicts_.at(*trait);
+            if (counting == CrashCounting::Individual && verdict.trials_ == 0) {
+                verdict.nextTrialAt_ = std::min(verdict.nextTrialAt_, now + outageTrialDelay);
+            }
         }
     }
     return condemned;
@@ -209,7 +270,15 @@
 bool isStrongSuspect(const CrashEvidence &evidence, Trait trait)
 {
     const auto found = evidence.suspects_.find(trait);
-    return found != evidence.suspects_.end() && countMoments(evidence, found->second.crashes_) >= strongSuspectLimit;
+    if (found == evidence.suspects_.end() || found->second.crashes_.size() < strongSuspectLimit) {
+        return false;
+    }
+    std::set<UpstreamStart> crashes;
+    for (const auto &[upstream, at] : evidence.crashes_) {
+        crashes.insert(upstream);
+    }
+    const CrashMoments moments = findMoments(evidence, crashes);
+    return countCrashes(found->second, moments, CrashCounting::ByMoment) >= strongSuspectLimit;
 }
 
 bool isTrialDue(const CrashVerdict &verdict, TimePoint now)
--- a/src/crash_evidence_type.h
+++ b/src/crash_evidence_type.h
@@ -42,7 +42,7 @@
 {
     UpstreamStart upstream_; ///< What crashed.
     TimePoint at_{}; ///< When the first connection to it broke.
-    TraitDepths traits_; ///< Traits of the calls that were there and had no answer under way.
+    TraitDepths traits_; ///< Traits of the calls that were there and whose answer was not complete.
 };
 
 /// Trait that was at crashes and has not been answered.
@@ -57,7 +57,9 @@
 {
     uint32_t number_ = 0; ///< How often the trait has been condemned.
     bool withdrawn_ = false; ///< Whether the trait has been answered since.
-    uint32_t trials_ = 0; ///< Requests that were sent all the same, to find out whether the verdict still holds.
+    /// Requests that were sent all the same, to find out whether the verdict still holds. Those that crashed upstreams
+    /// long after the third one, before the verdict, count among them.
+    uint32_t trials_ = 0;
     TimePoint nextTrialAt_{ noDeadline }; ///< When the next such request may be sent.
     TimePoint usedAt_{}; ///< When the verdict last changed, or a request with the trait last arrived.
 };
--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -82,7 +82,7 @@
     }
     call.sendEvents_ += scan.events_;
     call.lastEvent_ = scan.lastEvent_;
-    recordAnswerProgress(state, now, call, outbox);
+    call.answerBegunAt_ = std::min(call.answerBegunAt_, now);
     outbox.events_.push_back({ call.exchange_, scan.bytes_ });
     eraseFromAnswer(state, call, scan.consumed_);
     return true;
@@ -259,6 +259,7 @@
     if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
         upstream->connectFailures_ = 0;
         recordReportedLoad(state, now, call->head_, *upstream, outbox);
+        recordAnsweringStart(state, now, *call, *upstream, outbox);
     }
     recordAnnouncement(state, now, *call, outbox);
 }
@@ -327,6 +328,7 @@
     if (event.error_) {
         handleFailedConnect(state, now, *upstream, event.error_, outbox);
     }
+    scheduleNextCheck(state, now, *upstream);
 }
 
 void handleSendEnd(GatewayState &state, TimePoint now, const SendEnded &event, GatewayOutbox &outbox)
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -23,7 +23,7 @@
 
 namespace Burdockfield::Gateway {
 
-/// Call whose connection to an upstream broke or was closed before its answer was under way.
+/// Call whose connection to an upstream broke or was closed before its answer was complete.
 struct BrokenCall
 {
     std::string request_; ///< Id of its request.
@@ -84,6 +84,9 @@
     uint32_t connectFailures_ = 0; ///< Consecutive failures to connect.
     std::vector<BrokenCall> brokenCalls_; ///< Recently broken calls; suspects if the upstream is found to be down.
     bool checking_ = false; ///< Whether a connection is being made to find out whether it is down.
+    TimePoint checksUntil_{}; ///< Until when it is checked after a broken call; in the past if it is not.
+    TimePoint nextCheckAt_{ noDeadline }; ///< When the next of these checks begins; noDeadline if none is scheduled.
+    Milliseconds checkInterval_{ 0 }; ///< Time from the end of a check to the next one.
     TimePoint missingSince_{ noDeadline }; ///< Since when its row is missing after a store outage; else noDeadline.
 };
 
@@ -144,7 +147,6 @@
     UpstreamId upstream_; ///< Upstream of the latest send.
     TimePoint sentAt_{}; ///< Time of the latest send.
     TimePoint answerBegunAt_{ noDeadline }; ///< When the first event of the latest send was received, if any.
-    bool answered_ = false; ///< Whether its traits have been recorded as answered.
     TimePoint lastReceivedAt_{}; ///< When the answer last made progress, a stream by a whole event; at first sentAt_.
     uint32_t attempts_ = 0; ///< Sends that reached, or may have reached, an upstream.
     uint32_t connectFailures_ = 0; ///< Sends that reached no upstream, or another instance than the intended one.
@@ -297,7 +299,6 @@
     bool firstStart_ = false; ///< Whether the whole system starts for the first time, so that no quota is used yet.
     std::mt19937_64 random_; ///< Source of random choices.
     TimePoint startedAt_{}; ///< When this process started.
-    TimePoint previousTickAt_{}; ///< When the tick before this one ran; what is handled now may be as old as that.
     TimePoint lastPeerDisruptionAt_{}; ///< When a peer last restarted or was unreachable, or this node started.
 
     Configuration configuration_; ///< Configuration in force.
@@ -330,6 +331,7 @@
     std::unordered_map<std::string, Duration> longestDurationByRoute_; ///< Longest recent time to a whole answer.
     std::unordered_map<std::string, Milliseconds> longestWaitByRoute_; ///< Longest wait that callers asked for.
     CrashEvidence crashEvidence_; ///< Crashes of upstreams, and what requests are refused because of them.
+    TimePoint upstreamChecksAt_{ noDeadline }; ///< When upstreams are checked again next, see Upstream::nextCheckAt_.
     CrashNews crashNews_; ///< Part of the evidence that peers may not have yet.
     bool verdictsChanged_ = false; ///< Whether a verdict came into force whose calls in progress have to be ended.
 
--- a/src/gateway_crashes.cpp
+++ b/src/gateway_crashes.cpp
@@ -3,8 +3,9 @@
  * @brief System that finds out which requests crash the upstreams that answer them, and has them refused.
  *
  * A broken connection alone is no evidence, because upstreams also reset single calls. An upstream has crashed if it
- * refuses connections shortly after calls broke there. Upstreams that are silent or cut off refuse nothing, and those
- * that leave are left out. Gateways tell each other which calls were at a crash, so that a crash counts once, and of
+ * refuses connections shortly after calls broke there, or if another start takes its place. It is checked until one of
+ * these is seen or it has answered a later call. Upstreams that are silent or cut off refuse nothing, and those that
+ * leave are left out. Gateways tell each other which calls were at a crash, so that a crash counts once, and of
  * which suspects they have received answers.
  */
 #include "gateway_func.h"
@@ -19,9 +20,9 @@
 namespace {
 
 constexpr Milliseconds crashWindow{ 2000 }; ///< Longest time from a broken call to a crash that it may have caused.
-/// Time that an upstream has to survive after the first event of an answer, as later events show; a crash breaks its
-/// connections at once.
-constexpr Milliseconds survivalTime{ 250 };
+/// Time from a check that found no crash to the next one; doubles with each. A process that exits may still accept
+/// connections: with a single check 5 of 8 crashes were not noticed in one run.
+constexpr Milliseconds firstCheckInterval{ 50 };
 constexpr size_t maxReportedTraits = 48; ///< Traits of a crash; with a full update every second about 1 KB.
 constexpr Milliseconds newsRetention{ 2500 }; ///< Time for which news are in full updates; some of these are lost.
 
@@ -60,29 +61,30 @@
         true });
 }
 
-/// Adds the traits of a call to a report: its whole request, then the parts of its prompt in order.
-void addTraits(CrashReport &report, const std::vector<Trait> &traits)
+void addTrait(CrashReport &report, Trait trait, TraitDepth depth)
 {
-    TraitDepth depth = wholeRequestDepth;
-    for (const Trait trait : traits) {
-        if (report.traits_.size() < maxReportedTraits) {
-            report.traits_.try_emplace(trait, depth);
-        }
-        depth = depth == wholeRequestDepth ? 0 : depth + 1;
+    if (report.traits_.size() < maxReportedTraits) {
+        report.traits_.try_emplace(trait, depth);
     }
 }
 
-/// @return the report of a crash, which is limited, so that calls whose answer had begun come first.
+/**
+ * @return the report of a crash, which is limited: the hashes of all requests come first, as a request may recur only
+ * as a whole, then the parts of their prompts, beginning with calls whose answer had begun.
+ */
 CrashReport makeCrashReport(const Upstream &upstream, TimePoint now)
 {
     CrashReport report{ { upstream.id_, upstream.startedAtMs_ }, now, {} };
     for (const BrokenCall &call : upstream.brokenCalls_) {
         report.at_ = call.cancelled_ ? report.at_ : std::min(report.at_, call.at_);
+        if (!call.traits_.empty()) {
+            addTrait(report, call.traits_.front(), wholeRequestDepth);
+        }
     }
     for (const bool begun : { true, false }) {
         for (const BrokenCall &call : upstream.brokenCalls_) {
-            if (call.headReceived_ == begun) {
-                addTraits(report, call.traits_);
+            for (size_t part = 1; part < call.traits_.size() && call.headReceived_ == begun; ++part) {
+                addTrait(report, call.traits_[part], static_cast<TraitDepth>(part - 1));
             }
         }
     }
@@ -165,7 +167,7 @@
 Upstream *recordUnansweredCall(GatewayState &state, TimePoint now, const Call &call, bool cancelled)
 {
     Upstream *upstream = findRow(state.upstreams_, call.upstream_);
-    if (upstream == nullptr || call.answered_) {
+    if (upstream == nullptr) {
         return nullptr;
     }
     removeExpiredBrokenCalls(*upstream, now);
@@ -176,14 +178,71 @@
 void recordBrokenCall(GatewayState &state, TimePoint now, const Call &call, GatewayOutbox &outbox)
 {
     Upstream *upstream = recordUnansweredCall(state, now, call, false);
-    if (upstream != nullptr && !upstream->checking_) {
+    if (upstream == nullptr) {
+        return;
+    }
+    upstream->checksUntil_ = now + crashWindow;
+    upstream->checkInterval_ = firstCheckInterval;
+    if (!upstream->checking_) {
         upstream->checking_ = true;
         outbox.checks_.push_back({ upstream->id_, upstream->address_ });
     }
 }
 
+void scheduleNextCheck(GatewayState &state, TimePoint now, Upstream &upstream)
+{
+    if (now >= upstream.checksUntil_) {
+        return;
+    }
+    upstream.nextCheckAt_ = now + upstream.checkInterval_;
+    upstream.checkInterval_ *= 2;
+    state.upstreamChecksAt_ = std::min(state.upstreamChecksAt_, upstream.nextCheckAt_);
+}
+
+void endUpstreamChecks(Upstream &upstream)
+{
+    upstream.checksUntil_ = {};
+    upstream.nextCheckAt_ = noDeadline;
+}
+
+void recordAnsweringStart(
+    GatewayState &state, TimePoint now, const Call &call, Upstream &upstream, GatewayOutbox &outbox)
+{
+    const bool later = std::all_of(upstream.brokenCalls_.begin(), upstream.brokenCalls_.end(),
+        [&call](const BrokenCall &broken) { return broken.cancelled_ || broken.at_ < call.sentAt_; });
+    if (call.head_.wrongInstance_) {
+        recordReplacedUpstream(state, now, upstream, outbox);
+    } else if (later) {
+        endUpstreamChecks(upstream);
+    }
+}
+
+void recordReplacedUpstream(GatewayState &state, TimePoint now, Upstream &upstream, GatewayOutbox &outbox)
+{
+    if (now < upstream.checksUntil_) {
+        recordUpstreamCrash(state, now, upstream, outbox);
+    }
+}
+
+void runUpstreamChecks(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
+{
+    if (now < state.upstreamChecksAt_) {
+        return;
+    }
+    state.upstreamChecksAt_ = noDeadline;
+    forEachRow(state.upstreams_, [&](UpstreamId /*id*/, Upstream &upstream) {
+        if (now >= upstream.nextCheckAt_) {
+            upstream.nextCheckAt_ = noDeadline;
+            upstream.checking_ = true;
+            outbox.checks_.push_back({ upstream.id_, upstream.address_ });
+        }
+        state.upstreamChecksAt_ = std::min(state.upstreamChecksAt_, upstream.nextCheckAt_);
+    });
+}
+
 void recordUpstreamCrash(GatewayState &state, TimePoint now, Upstream &upstream, GatewayOutbox &outbox)
 {
+    endUpstreamChecks(upstream);
     removeExpiredBrokenCalls(upstream, now);
     if (upstream.brokenCalls_.empty() || upstream.draining_ || upstream.announcement_.leaving_) {
         return;
@@ -204,24 +263,8 @@
     state.lastFullUpdateAt_ = {}; // makes a full update due: peers need the suspects before further requests reach them
 }
 
-void recordAnswerProgress(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox)
+void recordAnswered(GatewayState &state, TimePoint now, const Call &call, GatewayOutbox &outbox)
 {
-    if (call.answerBegunAt_ == noDeadline) {
-        call.answerBegunAt_ = now;
-    }
-    // An event that is handled now may have been sent at any time since the tick before: a stalled gateway receives the
-    // last events of an upstream long after its crash.
-    if (!call.answered_ && state.previousTickAt_ - call.answerBegunAt_ >= survivalTime) {
-        recordAnswered(state, now, call, outbox);
-    }
-}
-
-void recordAnswered(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox)
-{
-    if (call.answered_) {
-        return;
-    }
-    call.answered_ = true;
     for (const Trait trait : call.traits_) {
         const bool condemned = isCondemned(state.crashEvidence_, trait);
         if (recordAnswer(state.crashEvidence_, trait, now, now)) {
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -251,10 +251,10 @@
 double failureRateAt(const Upstream &upstream, TimePoint now);
 
 /**
- * Records that a call's connection to its upstream ended before its answer was under way. The call is a suspect if the
+ * Records that a call's connection to its upstream ended before its answer was complete. The call is a suspect if the
  * upstream turns out to have crashed.
  * @param cancelled whether this gateway closed the connection
- * @return its upstream; nullptr if that is not listed any more or the answer was under way
+ * @return its upstream; nullptr if that is not listed any more
  */
 Upstream *recordUnansweredCall(GatewayState &state, TimePoint now, const Call &call, bool cancelled);
 
@@ -264,11 +264,22 @@
 /// Records the crash of an upstream that refuses connections, if calls broke there recently. A planned end is no crash.
 void recordUpstreamCrash(GatewayState &state, TimePoint now, Upstream &upstream, GatewayOutbox &outbox);
 
-/// Records that events of a call's answer were received; once its upstream has survived that, its traits are sound.
-void recordAnswerProgress(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox);
+/// Schedules another check of an upstream that the last one has not found to be down, as long as a crash may be seen.
+void scheduleNextCheck(GatewayState &state, TimePoint now, Upstream &upstream);
 
-/// Records that a call was answered, so that its traits are sound.
-void recordAnswered(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox);
+/// Records what an answer says of its upstream: one to a call that was sent after others broke ends the checks; one of
+/// another start shows a crash.
+void recordAnsweringStart(
+    GatewayState &state, TimePoint now, const Call &call, Upstream &upstream, GatewayOutbox &outbox);
+
+/// Records the crash of an upstream that is still checked and whose place another start takes.
+void recordReplacedUpstream(GatewayState &state, TimePoint now, Upstream &upstream, GatewayOutbox &outbox);
+
+/// Checks the upstreams again that are due.
+void runUpstreamChecks(GatewayState &state, TimePoint now, GatewayOutbox &outbox);
+
+/// Records that a call was answered completely, so that its traits are sound.
+void recordAnswered(GatewayState &state, TimePoint now, const Call &call, GatewayOutbox &outbox);
 
 /// @return whether a call has a condemned trait and must not be admitted. It is admitted as a trial when one is due.
 bool isRefusedAsCrashSuspect(GatewayState &state, TimePoint now, Call &call, GatewayOutbox &outbox);
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -76,11 +76,12 @@
 void removeUpstream(
     GatewayState &state, TimePoint now, const std::string &id, const std::string &source, GatewayOutbox &outbox)
 {
-    const Upstream *upstream = findUpstream(state, id);
+    Upstream *upstream = findUpstream(state, id);
     if (upstream == nullptr) {
         return;
     }
     logUpstreamChange(makeUpstreamRow(*upstream), "removed", source, outbox);
+    recordReplacedUpstream(state, now, *upstream, outbox);
     std::erase_if(
         state.removedUpstreams_, [now](const auto &item) { return now - item.second.removedAt_ > removedRetention; });
     state.removedUpstreams_[id] = { upstream->startedAtMs_, upstream->announcement_, now };
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -253,6 +253,7 @@
     runIntake(state, now, inbox, outbox);
     runCallerDisconnects(state, now, inbox, outbox); // after the intake: a caller may leave in the tick of its request
     runAnswers(state, now, inbox, outbox);
+    runUpstreamChecks(state, now, outbox);
     runCrashReview(state, now, outbox);
     runDeadlines(state, now, outbox);
     runSlots(state, now, inbox, outbox);
@@ -260,14 +261,13 @@
     runSlotRequests(state, now, outbox);
     runPeerUpdates(state, now, outbox);
     reportQuotas(state, now, outbox);
-    state.previousTickAt_ = now;
     return outbox;
 }
 
 TimePoint nextGatewayDeadline(const GatewayState &state)
 {
     return std::min({ nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state),
-        nextDeferredDeadline(state), state.crashEvidence_.reviewAt_, state.slotCheckAt_ });
+        nextDeferredDeadline(state), state.crashEvidence_.reviewAt_, state.upstreamChecksAt_, state.slotCheckAt_ });
 }
 
 } // namespace Burdockfield::Gateway
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -42,13 +42,54 @@
     CHECK(crash({ { 1, 0 } }) == std::vector<Trait>{ 1 });
 }
 
-TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenItsCrashesAreSimultaneous_IsNotCondemned")
+TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenItExplainsAllSimultaneousCrashes_IsCondemned")
+{
+    crash({ { 1, 0 } }, Milliseconds(20));
+    crash({ { 1, 0 }, { 2, 0 } }, Milliseconds(20));
+    CHECK(crash({ { 1, 0 } }) == std::vector<Trait>{ 1 });
+    CHECK_FALSE(isTrialDue(evidence_.verdicts_.at(1), now_ + std::chrono::seconds(14)));
+}
+
+TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenOthersCrashAtTheSameTime_GetsAnEarlyTrial")
 {
     crash({ { 1, 0 } }, Milliseconds(20));
     crash({ { 1, 0 } }, Milliseconds(20));
+    crash({ { 2, 0 } }, Milliseconds(20));
+    CHECK_FALSE(isStrongSuspect(evidence_, 1));
+    CHECK(crash({ { 1, 0 } }) == std::vector<Trait>{ 1 });
+    CHECK(isTrialDue(evidence_.verdicts_.at(1), now_ + std::chrono::seconds(1)));
+}
+
+TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenItIsAnsweredElsewhereDuringAnOutage_IsNotCondemned")
+{
+    for (int upstream = 0; upstream < 6; ++upstream) {
+        CHECK(crash({ { 1, 0 }, { 100 + static_cast<Trait>(upstream), 0 } }, Milliseconds(10)).empty());
+    }
+    answer(1);
     CHECK(crash({ { 1, 0 } }).empty());
 }
 
+TEST_CASE_FIXTURE(CrashEvidenceFixture, "Verdict_WhenRequestsCrashedUpstreamsLongAfterTheThird_HasFewerTrials")
+{
+    for (const int pause : { 10, 10, 4000, 1000, 1000 }) {
+        recordCrash(evidence_, { { "engine-" + std::to_string(++crashes_), 1 }, now_, { { 1, 0 } } });
+        now_ += Milliseconds(pause);
+    }
+    CHECK(reviewSuspects(evidence_, now_) == std::vector<Trait>{ 1 });
+    CHECK(evidence_.verdicts_.at(1).trials_ == 1);
+}
+
+TEST_CASE_FIXTURE(CrashEvidenceFixture, "Verdict_WhenWithdrawn_HasItsCrashesReviewedAgain")
+{
+    for (int upstream = 0; upstream < 3; ++upstream) {
+        crash({ { 1, 0 }, { 2, 0 } }, Milliseconds(200));
+    }
+    CHECK(crash({ { 1, 0 } }) == std::vector<Trait>{ 1 });
+    answer(1);
+    CHECK(evidence_.reviewAt_ <= now_);
+    CHECK(reviewSuspects(evidence_, now_) == std::vector<Trait>{ 2 });
+}
+
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Trait_WhenItWasAnsweredBetweenCrashes_IsNotCondemned")
 {
     for (int round = 0; round < 10; ++round) {
--- a/tests/crash_fleet_fixture.cpp
+++ b/tests/crash_fleet_fixture.cpp
@@ -11,9 +11,7 @@
 constexpr Milliseconds stepTime{ 10 }; ///< Simulated time of a step; also the delay of all messages.
 constexpr Milliseconds answerDelay{ 100 }; ///< Time until an answer begins, and from there to its end.
 constexpr Milliseconds downTime{ 3000 }; ///< Time for which a crashed engine is down.
-
-constexpr const char *firstEvent = "id: 1\ndata: a\n\n"; ///< First event of every answer.
-constexpr const char *secondEvent = "id: 2\ndata: b\n\n"; ///< Last event of an answer that ends in a crash.
+constexpr Milliseconds eventInterval{ 200 }; ///< Time between events of an answer that ends in a crash.
 
 std::string peerAddress(size_t gateway)
 {
@@ -26,6 +24,7 @@
 {
     engines_.clear();
     runs_.clear();
+    deadlyRequests_.clear();
     for (size_t engine = 0; engine < spec.engines_; ++engine) {
         UpstreamRow row = GatewayFixture::makeRow("engine-" + std::to_string(engine), "engines");
         row.address_ = "10.0.1." + std::to_string(engine + 1) + ":80";
@@ -224,8 +223,9 @@
 
 bool CrashFleetFixture::isUp(const std::string &address) const
 {
-    return std::any_of(engines_.begin(), engines_.end(),
-        [&](const SimulatedEngine &engine) { return engine.row_.address_ == address && !engine.row_.removed_; });
+    return std::any_of(engines_.begin(), engines_.end(), [&](const SimulatedEngine &engine) {
+        return engine.row_.address_ == address && (!engine.row_.removed_ || now_ < engine.exitedAt_);
+    });
 }
 
 void CrashFleetFixture::acceptSend(size_t gateway, const SendCall &command)
@@ -233,16 +233,21 @@
     const auto engine = std::find_if(engines_.begin(), engines_.end(),
         [&](const SimulatedEngine &candidate) { return candidate.row_.address_ == command.address_; });
     if (engine == engines_.end() || engine->row_.removed_) {
-        inboxes_[gateway].ends_.push_back({ command.send_, TransportErrc::ConnectionRefused });
+        const bool exiting = engine != engines_.end() && now_ < engine->exitedAt_;
+        inboxes_[gateway].ends_.push_back(
+            { command.send_, exiting ? TransportErrc::Lost : TransportErrc::ConnectionRefused });
         return;
     }
     const bool deadly = deadlyExchanges_.contains(command.exchange_.value_);
-    counts_.deadlyRuns_ += deadly ? 1 : 0;
+    if (deadly) {
+        ++counts_.deadlyRuns_;
+        deadlyRequests_[*command.request_.body_].sends_.push_back(now_);
+    }
     const auto running = std::count_if(runs_.begin(), runs_.end(),
         [&](const SimulatedRun &run) { return run.engine_ == static_cast<size_t>(engine - engines_.begin()); });
     counts_.crowdedRuns_ += static_cast<size_t>(running) > engine->row_.slots_ ? 1 : 0;
     runs_.push_back({ gateway, command.send_, static_cast<size_t>(engine - engines_.begin()), deadly, false, true,
-        now_ + answerDelay });
+        now_ + answerDelay, *command.request_.body_ });
 }
 
 void CrashFleetFixture::stepEngines()
@@ -261,18 +266,19 @@
         if (run.dueAt_ > now_) {
             continue;
         }
-        const bool ends = run.begun_ || (run.deadly_ && disturbance_.longestCrashDelay_ == Milliseconds(0));
         if (!run.begun_) {
-            stepRun(run);
+            beginAnswer(run);
         }
-        if (!ends) {
+        if (now_ < run.endsAt_) {
+            sendEvent(run);
             continue;
         }
         GatewayInbox &inbox = inboxes_[run.gateway_];
         if (run.deadly_) {
-            if (run.begun_ && run.sendsEvents_ && disturbance_.longestCrashDelay_ > Milliseconds(0)) {
-                inbox.bytes_.push_back({ run.send_, secondEvent });
+            if (run.events_ > 0 && disturbance_.longestCrashDelay_ > Milliseconds(0)) {
+                sendEvent(run);
             }
+            deadlyRequests_[run.body_].crashes_.push_back(now_);
             crash(run.engine_);
             index = 0;
             continue;
@@ -282,19 +288,29 @@
     }
 }
 
-void CrashFleetFixture::stepRun(SimulatedRun &run)
+void CrashFleetFixture::beginAnswer(SimulatedRun &run)
 {
-    GatewayInbox &inbox = inboxes_[run.gateway_];
-    inbox.heads_.push_back({ run.send_, GatewayFixture::makeHead(200, true) });
+    inboxes_[run.gateway_].heads_.push_back({ run.send_, GatewayFixture::makeHead(200, true) });
     std::uniform_real_distribution<double> draw;
     if (run.deadly_) {
         run.sendsEvents_ = crashesAfterFirstEvent_ || draw(random_) < disturbance_.eventShare_;
     }
+    const Milliseconds shortest = disturbance_.shortestCrashDelay_;
+    const Milliseconds untilCrash = shortest + drawUpTo(disturbance_.longestCrashDelay_ - shortest);
+    run.begun_ = true;
+    run.endsAt_ = now_ + (run.deadly_ ? untilCrash : answerDelay);
+    if (run.endsAt_ == now_) { // it crashes with its first event
+        sendEvent(run);
+    }
+}
+
+void CrashFleetFixture::sendEvent(SimulatedRun &run)
+{
     if (run.sendsEvents_) {
-        inbox.bytes_.push_back({ run.send_, firstEvent });
+        const std::string id = std::to_string(++run.events_);
+        inboxes_[run.gateway_].bytes_.push_back({ run.send_, "id: " + id + "\ndata: a\n\n" });
     }
-    run.begun_ = true;
-    run.dueAt_ = now_ + (run.deadly_ ? drawUpTo(disturbance_.longestCrashDelay_) : answerDelay);
+    run.dueAt_ = std::min(run.endsAt_, now_ + eventInterval);
 }
 
 void CrashFleetFixture::crashEngines(const std::vector<size_t> &engines)
@@ -312,6 +328,7 @@
     ++counts_.crashes_;
     engines_[engine].row_.removed_ = true;
     engines_[engine].upAt_ = now_ + downTime;
+    engines_[engine].exitedAt_ = now_ + drawUpTo(disturbance_.longestExit_);
     std::erase_if(runs_, [&](const SimulatedRun &run) {
         if (run.engine_ == engine) {
             inboxes_[run.gateway_].ends_.push_back({ run.send_, TransportErrc::Lost });
--- a/tests/crash_fleet_fixture.h
+++ b/tests/crash_fleet_fixture.h
@@ -32,7 +32,16 @@
     double lostShare_ = 0; ///< Share of the messages between gateways that are lost.
     Milliseconds longestDelay_{ 0 }; ///< Longest extra delay of such a message.
     double eventShare_ = 0; ///< Share of deadly requests whose engine sends events before it crashes.
-    Milliseconds longestCrashDelay_{ 0 }; ///< Longest time from the header of such an answer to the crash.
+    Milliseconds shortestCrashDelay_{ 0 }; ///< Shortest time from the header of such an answer to the crash.
+    Milliseconds longestCrashDelay_{ 0 }; ///< Longest such time; 0 for a crash as soon as the answer begins.
+    Milliseconds longestExit_{ 0 }; ///< Longest time for which a crashed engine still accepts connections.
+};
+
+/// What became of all copies of one request that has a deadly part.
+struct DeadlyRequestRecord
+{
+    std::vector<TimePoint> sends_; ///< When copies reached an engine.
+    std::vector<TimePoint> crashes_; ///< When a copy crashed its engine.
 };
 
 /// Engine of a simulated fleet.
@@ -40,6 +49,7 @@
 {
     UpstreamRow row_; ///< Row of its latest start; removed_ while it is down.
     TimePoint upAt_{}; ///< When it is up again after a crash.
+    TimePoint exitedAt_{}; ///< Until when it accepts connections after a crash, without answering.
 };
 
 /// Request at an engine.
@@ -51,7 +61,10 @@
     bool deadly_ = false; ///< Whether the engine crashes when it begins to answer.
     bool begun_ = false; ///< Whether its header has been sent.
     bool sendsEvents_ = true; ///< Whether events follow the header.
-    TimePoint dueAt_{}; ///< When its answer begins, or ends if it has begun.
+    TimePoint dueAt_{}; ///< When its answer begins; if it has begun, when its next event is sent or it ends.
+    std::string body_{}; ///< Body of the request.
+    TimePoint endsAt_{}; ///< When the answer ends, by a crash if the request is deadly.
+    uint64_t events_ = 0; ///< Events sent.
 };
 
 /// What happened in a simulated fleet since the counts were last cleared.
@@ -102,6 +115,7 @@
     std::set<size_t> isolated_; ///< Gateways whose messages to and from peers are lost.
     std::set<uint64_t> deadlyParts_{ deadlyPart }; ///< Parts that crash engines.
     std::set<uint64_t> deadlyExchanges_; ///< Requests that have one of them.
+    std::map<std::string, DeadlyRequestRecord> deadlyRequests_; ///< The same requests by body, copies together.
     std::vector<Decision> decisions_; ///< Log records of all gateways.
     std::vector<RefuseCall> refusals_; ///< Refusals by all gateways.
     std::map<uint64_t, TimePoint> arrivedAt_; ///< When requests arrived.
@@ -113,7 +127,8 @@
     void startGateway(size_t gateway);
     void step();
     void stepEngines();
-    void stepRun(SimulatedRun &run);
+    void beginAnswer(SimulatedRun &run);
+    void sendEvent(SimulatedRun &run);
     void deliverUpdates();
     void sendUpdate(size_t gateway, SendUpdate &command);
     bool isDelivered(size_t gateway, size_t peer);
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -6,6 +6,7 @@
 
 #include "crash_evidence_func.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <string>
 #include <utility>
@@ -18,6 +19,8 @@
 constexpr Milliseconds settleTime{ 3000 }; ///< Time after the fifth crash from which hardly any request may follow.
 constexpr Milliseconds returnTime{ 3000 }; ///< Time for engines to come back.
 constexpr size_t allowedRuns = 3; ///< Requests with a deadly part that may reach engines after that.
+constexpr Milliseconds contactTime{ 3000 }; ///< Time after its third crash from which copies of a request count.
+constexpr Trait secondPart = 667; ///< Another part that crashes engines.
 
 /// @return the seeds of drawn schedules, the first and the one after the last: a few, or as the environment variable
 /// BURDOCKFIELD_CRASH_SEEDS says (FIRST:COUNT).
@@ -61,6 +64,69 @@
     fleet.counts_.soundServed_ = 0;
 }
 
+/// @return how many copies of a request reached engines later than the contact time after the third crash that it
+/// caused.
+size_t countLateSends(const DeadlyRequestRecord &record)
+{
+    if (record.crashes_.size() < 3) {
+        return 0;
+    }
+    const TimePoint limit = record.crashes_[2] + contactTime;
+    return std::count_if(record.sends_.begin(), record.sends_.end(), [limit](TimePoint at) { return at > limit; });
+}
+
+/// Copies of a deadly request that recur.
+struct CopySchedule
+{
+    const char *body_ = "deadly"; ///< Body of the request.
+    size_t copies_ = 1; ///< Copies that come one after another, each at another gateway.
+    Milliseconds stagger_{ 0 }; ///< Time between these.
+    Milliseconds interval_{ 0 }; ///< Time from these to the next ones.
+    int rounds_ = 12; ///< How often they come.
+    double sound_ = 30; ///< Sound requests a second beside them.
+};
+
+/// Sends copies of deadly requests beside sound requests, and has every request stay within the bound.
+void checkContainment(CrashFleetFixture &fleet, const CopySchedule &schedule, const char *secondBody = nullptr)
+{
+    for (int round = 0; round < schedule.rounds_; ++round) {
+        for (size_t copy = 0; copy < schedule.copies_; ++copy) {
+            fleet.arrive(
+                (round + copy) % fleet.gateways_.size(), { fleet.firstPart, fleet.deadlyPart }, schedule.body_);
+            if (secondBody != nullptr) {
+                fleet.arrive((round + copy) % fleet.gateways_.size(), { fleet.firstPart, secondPart }, secondBody);
+            }
+            fleet.run(schedule.stagger_, schedule.sound_, 0);
+        }
+        fleet.run(schedule.interval_, schedule.sound_, 0);
+    }
+    for (const auto &[body, record] : fleet.deadlyRequests_) {
+        CAPTURE(body);
+        CHECK(record.crashes_.size() >= 3);
+        CHECK(countLateSends(record) <= allowedRuns);
+    }
+    CHECK_FALSE(isCondemned(fleet.gateways_[0].crashEvidence_, fleet.firstPart));
+}
+
+/// Disturbances, and the copies of deadly requests that come during them.
+void drawCopies(CrashFleetFixture &fleet, size_t requests)
+{
+    std::mt19937_64 &random = fleet.random_;
+    const size_t request = random() % requests;
+    const size_t copies = 1 + random() % 4;
+    const Milliseconds stagger(random() % 2 == 0 ? 0 : random() % 200);
+    for (size_t copy = 0; copy < copies; ++copy) {
+        fleet.arrive(random() % fleet.gateways_.size(), { fleet.firstPart, fleet.deadlyPart + request },
+            "deadly-" + std::to_string(request));
+        fleet.run(stagger, 40, 0);
+    }
+    if (random() % 8 == 0) { // a rack
+        const size_t first = random() % fleet.engines_.size();
+        fleet.crashEngines({ first, (first + 1) % fleet.engines_.size(), (first + 2) % fleet.engines_.size() });
+    }
+    fleet.run(Milliseconds(random() % 4000), 40, 0);
+}
+
 } // namespace
 
 TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyPart_WhenItsRequestsAreAllDifferent_ReachesEnginesNoMore")
@@ -245,3 +311,97 @@
         CHECK(counts_.deadlyRuns_ <= allowedRuns);
     }
 }
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyRequest_WhenItsEngineCrashesWithinTheStream_IsContained")
+{
+    crashesAfterFirstEvent_ = true;
+    for (const int delay : { 100, 500, 1500, 3000 }) {
+        CAPTURE(delay);
+        disturbance_.shortestCrashDelay_ = disturbance_.longestCrashDelay_ = Milliseconds(delay);
+        start({});
+        checkContainment(*this, { .interval_ = Milliseconds(3200) });
+    }
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyRequest_WhenCopiesComeTogether_IsContained")
+{
+    for (const int stagger : { 0, 30, 90, 150 }) {
+        CAPTURE(stagger);
+        start({ 3, 12 });
+        checkContainment(*this, { .copies_ = 3, .stagger_ = Milliseconds(stagger), .interval_ = Milliseconds(4000) });
+    }
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyRequests_WhenTwoCrashEnginesAtTheSameTime_AreBothContained")
+{
+    deadlyParts_ = { deadlyPart, secondPart };
+    for (const size_t copies : { 1, 2, 3 }) {
+        CAPTURE(copies);
+        start({ 3, 18 });
+        checkContainment(*this, { .copies_ = copies, .interval_ = Milliseconds(4000) }, "deadly too");
+    }
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyRequest_WhenOtherEnginesCrashAtTheSameTime_IsContained")
+{
+    start({ 3, 18 });
+    for (int round = 0; round < 12; ++round) {
+        for (size_t copy = 0; copy < 3; ++copy) {
+            arrive(copy, { firstPart, deadlyPart }, "deadly");
+        }
+        run(Milliseconds(100), 30, 0);
+        crashEngines({ static_cast<size_t>(round) % 18, static_cast<size_t>(round + 5) % 18 });
+        run(Milliseconds(4000), 30, 0);
+    }
+    CHECK(countLateSends(deadlyRequests_.at("deadly")) <= allowedRuns);
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyRequest_WhenItsEndingEngineAcceptsConnections_IsContained")
+{
+    disturbance_.longestExit_ = Milliseconds(300);
+    checkContainment(*this, { .interval_ = Milliseconds(3200), .sound_ = 0.5 });
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "SoundCopies_WhenARackOfTheirEnginesCrashes_AreServedAgainSoon")
+{
+    for (size_t copy = 0; copy < 9; ++copy) {
+        arrive(copy % gateways_.size(), { firstPart, Trait{ 7 } }, "copy");
+    }
+    run(Milliseconds(50), 30, 0);
+    crashEngines({ 0, 1, 2, 3, 4, 5 });
+    run(Milliseconds(2000), 30, 0);
+    arrive(0, { firstPart, Trait{ 7 } }, "copy");
+    run(Milliseconds(2000), 30, 0); // a trial, if there was a verdict
+    refusals_.clear();
+    counts_ = {};
+    for (size_t copy = 0; copy < 9; ++copy) {
+        arrive(copy % gateways_.size(), { firstPart, Trait{ 7 } }, "copy");
+        run(Milliseconds(300), 30, 0);
+    }
+    CHECK(refusals_.empty());
+    CHECK(counts_.soundServed_ + 10 >= counts_.soundCalls_);
+}
+
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyRequests_UnderDrawnSchedules_StayWithinTheBound")
+{
+    const std::pair<uint64_t, uint64_t> seeds = scheduleSeeds();
+    for (uint64_t seed = seeds.first; seed < seeds.second; ++seed) {
+        CAPTURE(seed);
+        random_.seed(seed);
+        disturbance_ = {};
+        deadlyParts_ = { deadlyPart, deadlyPart + 1, deadlyPart + 2 };
+        crashesAfterFirstEvent_ = random_() % 2 == 0;
+        start({ 3 + random_() % 4, 12 });
+        disturbance_ = drawDisturbance(random_);
+        disturbance_.longestCrashDelay_ = Milliseconds(random_() % 3 == 0 ? 0 : random_() % 5000);
+        disturbance_.longestExit_ = Milliseconds(random_() % 300);
+        const size_t requests = 1 + random_() % 3;
+        for (const TimePoint end = now_ + std::chrono::seconds(90); now_ < end;) {
+            drawCopies(*this, requests);
+        }
+        for (const auto &[body, record] : deadlyRequests_) {
+            CAPTURE(body);
+            CHECK(countLateSends(record) <= allowedRuns);
+        }
+    }
+}
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -164,6 +164,14 @@
         return tick(std::move(inbox));
     }
 
+    /// Runs a tick that receives the end of the check of an upstream.
+    GatewayOutbox reportCheck(const std::string &id, std::error_code error)
+    {
+        GatewayInbox inbox;
+        inbox.checks_.push_back({ id, error });
+        return tick(std::move(inbox));
+    }
+
     /**
      * Breaks the only call sent by a tick, then lets the check of its upstream end, which returns as another start.
      * @return whether the upstream was checked
@@ -173,9 +181,7 @@
         const SendCall &command = sent.sends_.at(0);
         const std::string id = command.parameters_.instance_;
         const GatewayOutbox broken = endSend(command.send_, TransportErrc::Lost);
-        GatewayInbox inbox;
-        inbox.checks_.push_back({ id, checkError });
-        tick(std::move(inbox));
+        reportCheck(id, checkError);
         tickAfter(Milliseconds(5000));
         UpstreamsReceived change;
         change.rows_ = { makeRow(id, "engines") };
--- a/tests/gateway_suspect_test.cpp
+++ b/tests/gateway_suspect_test.cpp
@@ -113,3 +113,54 @@
     }
     CHECK_FALSE(isCondemned(state_.crashEvidence_, trait));
 }
+
+TEST_CASE_FIXTURE(GatewayFixture, "Crash_WhenTheEndingUpstreamAcceptsTheFirstChecks_IsRecorded")
+{
+    const GatewayOutbox sent = receiveCall("read", 1);
+    const std::string engine = sent.sends_.at(0).parameters_.instance_;
+    endSend(sent.sends_[0].send_, TransportErrc::Lost);
+    for (const Milliseconds interval : { Milliseconds(50), Milliseconds(100) }) {
+        CHECK(reportCheck(engine, {}).checks_.empty());
+        CHECK(tickAfter(interval).checks_.size() == 1);
+    }
+    reportCheck(engine, TransportErrc::ConnectionRefused);
+    CHECK(state_.crashEvidence_.crashes_.size() == 1);
+    CHECK(tickAfter(Milliseconds(1000)).checks_.empty());
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "Check_WhenTheUpstreamAnswersALaterCall_IsNotRepeated")
+{
+    state_.configuration_.routes_[2].attempts_ = 1;
+    upstream("engine-2").draining_ = true;
+    endSend(receiveCall("read", 1).sends_.at(0).send_, TransportErrc::Lost);
+    reportCheck("engine-1", {});
+    now_ += Milliseconds(10);
+    const GatewayOutbox later = receiveCall("read", 2);
+    receiveAnswer(later.sends_.at(0).send_, makeHead(200), "body");
+    CHECK(tickAfter(Milliseconds(1000)).checks_.empty());
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "Check_WhenTheUpstreamAcceptsItForTwoSeconds_IsNotRepeated")
+{
+    state_.configuration_.routes_[2].attempts_ = 1;
+    upstream("engine-2").draining_ = true;
+    endSend(receiveCall("read", 1).sends_.at(0).send_, TransportErrc::Lost);
+    tickAfter(Milliseconds(2000));
+    reportCheck("engine-1", {});
+    CHECK(tickAfter(Milliseconds(4000)).checks_.empty());
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "Crash_WhenANewStartTakesThePlaceOfTheUpstream_IsRecorded")
+{
+    const GatewayOutbox sent = receiveCall("read", 1);
+    const std::string engine = sent.sends_.at(0).parameters_.instance_;
+    endSend(sent.sends_[0].send_, TransportErrc::Lost);
+    reportCheck(engine, {});
+    UpstreamsReceived change;
+    change.rows_ = { makeRow(engine, "engines") };
+    change.rows_[0].startedAtMs_ = 99;
+    GatewayInbox listed;
+    listed.upstreams_.push_back(change);
+    tick(std::move(listed));
+    CHECK(state_.crashEvidence_.crashes_.contains({ engine, 1 }));
+}
