Don't move trials; contain requests beside another deadly one

Calls that may crash another upstream stay where they are. A whole request at three crashes is condemned even if others explain some of them, with a first trial after one second.

--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -26,9 +26,10 @@
 /// Times until the trials of a verdict, the first from its beginning. Two, as a third could be sent by mistake while
 /// gateways disagree on who is to send it, and callers are promised that no more than three crash anything.
 constexpr std::array<std::chrono::seconds, 2> trialDelays{ std::chrono::seconds(15), std::chrono::seconds(60) };
-/// Time until the first trial of a verdict whose crashes an outage may have caused. A trial within the contact time
-/// after the third crash is none of those that callers are promised; it has to follow the reports of that crash.
-constexpr std::chrono::seconds outageTrialDelay{ 1 };
+/// Time until the first trial of a verdict whose crashes an outage or another request may have caused. A trial within
+/// the contact time after the third crash is none of those that callers are promised; it has to follow the reports of
+/// that crash.
+constexpr std::chrono::seconds uncertainTrialDelay{ 1 };
 /// Requests that have crashed upstreams later than this after their third crash count among those that callers are
 /// promised. Deployments have 3 or 4 s as contactMs.
 constexpr std::chrono::seconds contactTime{ 3 };
@@ -224,18 +225,29 @@
 {
     std::vector<Trait> condemned;
     std::set<UpstreamStart> unexplained = findSettledCrashes(evidence, now);
+    const CrashMoments moments = findMoments(evidence, unexplained);
+    const auto convict = [&](Trait trait, bool uncertain) {
+        if (!isCondemned(evidence, trait)) {
+            condemn(evidence, trait, now);
+            condemned.push_back(trait);
+        }
+        CrashVerdict &verdict = evidence.verdicts_.at(trait);
+        if (uncertain && verdict.trials_ == 0) {
+            verdict.nextTrialAt_ = std::min(verdict.nextTrialAt_, now + uncertainTrialDelay);
+        }
+    };
     for (const CrashCounting counting : { CrashCounting::ByMoment, CrashCounting::Individual }) {
         while (const auto trait = findBestExplanation(evidence, unexplained, counting)) {
             const std::set<UpstreamStart> &explained = evidence.suspects_.at(*trait).crashes_;
             std::erase_if(unexplained, [&explained](const auto &upstream) { return explained.contains(upstream); });
-            if (!isCondemned(evidence, *trait)) {
-                condemn(evidence, *trait, now);
-                condemned.push_back(*trait);
-            }
-            CrashVerdict &verdict = evidence.verdicts_.at(*trait);
-            if (counting == CrashCounting::Individual && verdict.trials_ == 0) {
-                verdict.nextTrialAt_ = std::min(verdict.nextTrialAt_, now + outageTrialDelay);
-            }
+            convict(*trait, counting == CrashCounting::Individual);
+        }
+    }
+    // A request may have crashed upstreams at which another one was that explains these crashes as well.
+    for (const auto &[trait, suspect] : evidence.suspects_) {
+        if (suspect.depth_ == wholeRequestDepth && !isCondemned(evidence, trait)
+            && countCrashes(suspect, moments, CrashCounting::Individual) >= crashLimit) {
+            convict(trait, true);
         }
     }
     return condemned;
--- a/src/crash_evidence_func.h
+++ b/src/crash_evidence_func.h
@@ -23,7 +23,8 @@
 /**
  * Condemns the traits that explain the most crashes, if these are enough. Of those that explain the same ones, the
  * deepest is condemned: if that is wrong, crashes will follow that only another one explains. Traits that are at enough
- * crashes only because some were simultaneous with others, as in the outage of a rack, get an early trial.
+ * crashes only because some were simultaneous with others, as in the outage of a rack, get an early trial. So do whole
+ * requests at enough crashes that others explain.
  * @return the traits condemned now
  */
 std::vector<Trait> reviewSuspects(CrashEvidence &evidence, TimePoint now);
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -66,10 +66,12 @@
     refuse(state, now, id, sent ? RefusalReason::Expired : RefusalReason::Overloaded, outbox);
 }
 
-/// Retries a call of a silent upstream if another has free capacity now; silence alone is no reason to end the call.
+/// Retries a call of a silent upstream if another has free capacity now; silence alone is no reason to end the call. A
+/// call that may crash another upstream stays: a trial that moved would be sent twice.
 void retrySilentCall(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
 {
-    if (!hasCapacityElsewhere(state, now, call) || !consumeRetry(state, call.service_)) {
+    if (isLikelyToCrash(state, call) || !hasCapacityElsewhere(state, now, call)
+        || !consumeRetry(state, call.service_)) {
         pushDeadline(state.deadlines_, std::min(call.deadline_, now + capacityRecheckInterval), id);
         return;
     }
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -69,6 +69,18 @@
     CHECK(crash({ { 1, 0 } }).empty());
 }
 
+TEST_CASE_FIXTURE(CrashEvidenceFixture, "Request_WhenAnotherOneExplainsSomeOfItsCrashes_GetsAnEarlyTrial")
+{
+    for (int upstream = 0; upstream < 3; ++upstream) {
+        crash({ { 1, wholeRequestDepth } });
+    }
+    crash({ { 1, wholeRequestDepth }, { 2, wholeRequestDepth }, { 3, 0 } });
+    crash({ { 2, wholeRequestDepth }, { 3, 0 } });
+    CHECK(crash({ { 2, wholeRequestDepth } }) == std::vector<Trait>{ 2 });
+    CHECK(isTrialDue(evidence_.verdicts_.at(2), now_ + std::chrono::seconds(1)));
+    CHECK_FALSE(isCondemned(evidence_, 3));
+}
+
 TEST_CASE_FIXTURE(CrashEvidenceFixture, "Verdict_WhenRequestsCrashedUpstreamsLongAfterTheThird_HasFewerTrials")
 {
     for (const int pause : { 10, 10, 4000, 1000, 1000 }) {
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -323,6 +323,12 @@
     }
 }
 
+TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyRequest_WhenItsEngineIsSilentBeforeItCrashes_IsContained")
+{
+    disturbance_.shortestCrashDelay_ = disturbance_.longestCrashDelay_ = Milliseconds(1800);
+    checkContainment(*this, { .interval_ = Milliseconds(3200), .rounds_ = 30 }); // until both trials have been sent
+}
+
 TEST_CASE_FIXTURE(CrashFleetFixture, "DeadlyRequest_WhenCopiesComeTogether_IsContained")
 {
     for (const int stagger : { 0, 30, 90, 150 }) {
