Don't check an upstream twice at once after several broken calls

Cause: a broken call began a check while the next one of an earlier broken call was still scheduled, so both ran.

--- a/src/gateway_crashes.cpp
+++ b/src/gateway_crashes.cpp
@@ -183,6 +183,7 @@
     }
     upstream->checksUntil_ = now + crashWindow;
     upstream->checkInterval_ = firstCheckInterval;
+    upstream->nextCheckAt_ = noDeadline; // the check that begins now or is in progress schedules the next one
     if (!upstream->checking_) {
         upstream->checking_ = true;
         outbox.checks_.push_back({ upstream->id_, upstream->address_ });
--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -108,7 +108,7 @@
     CHECK_FALSE(isCondemned(fleet.gateways_[0].crashEvidence_, fleet.firstPart));
 }
 
-/// Disturbances, and the copies of deadly requests that come during them.
+/// Runs a fleet with drawn copies of one of several deadly requests and, now and then, the outage of a rack.
 void drawCopies(CrashFleetFixture &fleet, size_t requests)
 {
     std::mt19937_64 &random = fleet.random_;
@@ -120,7 +120,7 @@
             "deadly-" + std::to_string(request));
         fleet.run(stagger, 40, 0);
     }
-    if (random() % 8 == 0) { // a rack
+    if (random() % 8 == 0) { // the outage of a rack
         const size_t first = random() % fleet.engines_.size();
         fleet.crashEngines({ first, (first + 1) % fleet.engines_.size(), (first + 2) % fleet.engines_.size() });
     }
