--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -82,7 +82,7 @@
     }
     call.sendEvents_ += scan.events_;
     call.lastEvent_ = scan.lastEvent_;
-    recordAnswerProgress(state, now, call, outbox);
+    call.answerBegunAt_ = std::min(call.answerBegunAt_, now);
     outbox.events_.push_back({ call.exchange_, scan.bytes_ });
     eraseFromAnswer(state, call, scan.consumed_);
     return true;
@@ -321,6 +321,7 @@
         upstream->connectFailures_ = 0;
         recordReached(now, *upstream);
         recordReportedLoad(state, now, call->head_, *upstream, outbox);
+        recordAnsweringStart(state, now, *call, *upstream, outbox);
     }
     recordAnnouncement(state, now, *call, outbox);
 }
@@ -396,6 +397,9 @@
     } else if (upstream != nullptr) {
         recordReached(now, *upstream);
     }
+    if (upstream != nullptr) {
+        scheduleNextCheck(state, now, *upstream);
+    }
 }
 
 void handleSendEnd(GatewayState &state, TimePoint now, const SendEnded &event, GatewayOutbox &outbox)
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -24,7 +24,7 @@
 
 namespace Burdockfield::Gateway {
 
-/// Call whose connection to an upstream broke or was closed before its answer was under way.
+/// Call whose connection to an upstream broke or was closed before its answer was complete.
 struct BrokenCall
 {
     std::string request_; ///< Id of its request.
@@ -91,6 +91,9 @@
     TimePoint checkStartedAt_{}; ///< When the latest such connection was begun.
     TimePoint reachedAt_{}; ///< When such a connection was last made, or part of an answer last received.
     TimePoint unreachableSince_{ noDeadline }; ///< When it was found to be down or cut off; noDeadline if it was not.
+    TimePoint checksUntil_{}; ///< Until when it is checked after a broken call; in the past if it is not.
+    TimePoint nextCheckAt_{ noDeadline }; ///< When the next of these checks begins; noDeadline if none is scheduled.
+    Milliseconds checkInterval_{ 0 }; ///< Time from the end of a check to the next one.
     TimePoint missingSince_{ noDeadline }; ///< Since when its row is missing after a store outage; else noDeadline.
 };
 
@@ -154,7 +157,6 @@
     std::string upstreamAddress_; ///< IP:PORT of that upstream, which may be removed from the list meanwhile.
     TimePoint sentAt_{}; ///< Time of the latest send.
     TimePoint answerBegunAt_{ noDeadline }; ///< When the first event of the latest send was received, if any.
-    bool answered_ = false; ///< Whether its traits have been recorded as answered.
     TimePoint lastReceivedAt_{}; ///< When the answer last made progress, a stream by a whole event; at first sentAt_.
     TimePoint lastBytesAt_{}; ///< When anything was last received of the answer, also if it is no progress.
     TimePoint endedAt_{}; ///< When the connection of the latest send ended, see CallStage::Verifying.
@@ -312,7 +314,6 @@
     bool firstStart_ = false; ///< Whether the whole system starts for the first time, so that no quota is used yet.
     std::mt19937_64 random_; ///< Source of random choices.
     TimePoint startedAt_{}; ///< When this process started.
-    TimePoint previousTickAt_{}; ///< When the tick before this one ran; what is handled now may be as old as that.
     TimePoint lastPeerDisruptionAt_{}; ///< When a peer last restarted or was unreachable, or this node started.
 
     Configuration configuration_; ///< Configuration in force.
@@ -350,6 +351,7 @@
     std::unordered_map<std::string, Duration> longestDurationByRoute_; ///< Longest recent time to a whole answer.
     std::unordered_map<std::string, Milliseconds> longestWaitByRoute_; ///< Longest wait that callers asked for.
     CrashEvidence crashEvidence_; ///< Crashes of upstreams, and what requests are refused because of them.
+    TimePoint upstreamChecksAt_{ noDeadline }; ///< When upstreams are checked again next, see Upstream::nextCheckAt_.
     CrashNews crashNews_; ///< Part of the evidence that peers may not have yet.
     bool verdictsChanged_ = false; ///< Whether a verdict came into force whose calls in progress have to be ended.
 
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -103,7 +103,8 @@
     cancelOwnSend(state, now, call, outbox);
 }
 
-/// Retries a call of a silent upstream if another has free capacity now; silence alone is no reason to end the call.
+/// Retries a call of a silent upstream if another has free capacity now; silence alone is no reason to end the call. A
+/// call that may crash another upstream stays: a trial that moved would be sent twice.
 void retrySilentCall(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
 {
     if (hasTwoSends(state, call)) {
@@ -111,7 +112,8 @@
         continueWithOtherSend(state, now, id, outbox);
         return;
     }
-    if (!hasCapacityElsewhere(state, now, call) || !consumeRetry(state, call.service_)) {
+    if (isLikelyToCrash(state, call) || !hasCapacityElsewhere(state, now, call)
+        || !consumeRetry(state, call.service_)) {
         pushDeadline(state.deadlines_, std::min(call.deadline_, now + capacityRecheckInterval), id);
         return;
     }
@@ -316,6 +318,7 @@
     runIntake(state, now, inbox, outbox);
     runCallerDisconnects(state, now, inbox, outbox); // after the intake: a caller may leave in the tick of its request
     runAnswers(state, now, inbox, outbox);
+    runUpstreamChecks(state, now, outbox);
     runCrashReview(state, now, outbox);
     runDeadlines(state, now, outbox);
     runSlots(state, now, inbox, outbox);
@@ -324,14 +327,14 @@
     runSlotRequests(state, now, outbox);
     runPeerUpdates(state, now, outbox);
     reportQuotas(state, now, outbox);
-    state.previousTickAt_ = now;
     return outbox;
 }
 
 TimePoint nextGatewayDeadline(const GatewayState &state)
 {
-    return std::min({ nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state),
-        nextDeferredDeadline(state), state.crashEvidence_.reviewAt_, state.slotCheckAt_, nextHedgingDeadline(state) });
+    return std::min(
+        { nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state), nextDeferredDeadline(state),
+            state.crashEvidence_.reviewAt_, state.upstreamChecksAt_, state.slotCheckAt_, nextHedgingDeadline(state) });
 }
 
 } // namespace Burdockfield::Gateway
