Rollouts: counted exposure of new versions, and their stop by evidence or status row

An upstream of a version that its service did not have is held back until the operator's table has been read up to its row. Failures of all gateways are merged and stop a bad version; status rows are followed, not written yet.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -6,6 +6,7 @@
  * If a connection breaks within an event, another upstream can therefore resume after the last complete event.
  */
 #include "gateway_func.h"
+#include "gateway_rollout_func.h"
 
 #include "error_type.h"
 #include "gateway_event_stream_func.h"
@@ -196,6 +197,7 @@
     call.mayHaveRun_ = true;
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         reportOutcome(state, *upstream, now, true);
+        recordVersionOutcome(state, call, *upstream, true, outbox);
     }
     detachFromUpstream(state, call);
     if (call.retryable_ && consumeRetryIfAllowed(state, now, call)) {
@@ -228,6 +230,7 @@
     }
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         reportOutcome(state, *upstream, now, status >= firstServerErrorStatus);
+        recordVersionOutcome(state, call, *upstream, status >= firstServerErrorStatus, outbox);
     }
     detachFromUpstream(state, call);
     if (status < firstServerErrorStatus) {
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -11,6 +11,7 @@
 #include "gateway_slot_type.h"
 #include "metrics_type.h"
 #include "pool_type.h"
+#include "rollout_type.h"
 
 #include <array>
 #include <deque>
@@ -68,6 +69,9 @@
     std::string region_; ///< Region of zone_, or zone_ itself if its region is unknown.
     uint32_t slots_ = 1; ///< Requests that the server runs at once.
     uint64_t startedAtMs_ = 0; ///< Start of the server in Unix milliseconds, 0 if unknown.
+    std::string version_; ///< Version of its software; empty if it has none.
+    uint64_t rowVersion_ = 0; ///< Store's version of the first row seen of this start.
+    bool versionKnown_ = true; ///< See UpstreamRow::versionKnown_.
     bool draining_ = false; ///< Whether its row says that it leaves; it gets no new calls.
     UpstreamAnnouncement announcement_; ///< What it has said itself; no row of the same start takes that back.
 
@@ -135,6 +139,8 @@
     std::vector<Trait> traits_; ///< Hash of path, workspace and body, then the shareable parts of the prompt.
     bool onTrial_ = false; ///< Whether it was admitted to find out whether a condemned trait still crashes upstreams.
     TimePoint arrivedAt_{}; ///< When it arrived.
+    bool countedForExposure_
+        = false; ///< Whether it has been counted, or sent to be counted, see ExposureCount::total_.
     TimePoint deadline_{}; ///< When the final answer is due.
     TimePoint waitUntil_{}; ///< Until when it may wait for an upstream with free capacity.
 
@@ -217,6 +223,7 @@
     TimePoint countsAt_{}; ///< When inFlight_ was last received.
     std::vector<PendingGrant> pendingGrants_; ///< Slots granted to it that inFlight_ does not include.
     uint64_t grantsSent_ = 0; ///< Number of the latest grant.
+    uint64_t newestCountedRequest_ = 0; ///< Highest number of its slot requests that was counted for exposure.
     std::map<std::string, FreeSlots> freeSlots_; ///< Free slots that it has reported as the broker of a region.
     TimePoint freeSlotsAt_{}; ///< When it reported them.
 };
@@ -249,6 +256,9 @@
     bool removed_ = false; ///< Whether the row has been deleted.
     bool missing_
         = false; ///< In a peer's list: whether the row is missing since an outage of the store, see missingSince_.
+    std::string version_; ///< Version of the server's software; empty if it has none.
+    uint64_t rowVersion_ = 0; ///< Store's version of the row; 0 if unknown.
+    bool versionKnown_ = true; ///< False for a row from a peer of a release that does not send versions.
 };
 
 /// How fast the slots of a service become free, as moving averages over half a second.
@@ -265,6 +275,7 @@
 struct Bounds
 {
     double retryRatio_ = 0.2; ///< Retries allowed for each request of a service.
+    double exposureShare_ = 0.1; ///< Share of a service's requests that a version on trial may get.
     double retrySlack_ = 50; ///< Retries allowed in a window in addition to the ratio.
     std::chrono::seconds quotaWindow_{ 8 }; ///< Window over which quotas are enforced.
     double quotaOvershoot_ = 0; ///< Units that may be used beyond a quota in a window, as a share of the quota.
@@ -308,6 +319,11 @@
     std::unordered_map<std::string, UpstreamId> upstreamById_; ///< Index of upstreams_ by id.
     std::unordered_map<std::string, RemovedUpstream> removedUpstreams_; ///< Recently removed upstreams by id.
     uint64_t upstreamsVersion_ = 0; ///< Version of the store's list; 0 when none is known yet.
+    std::map<std::string, Rollout> rollouts_; ///< Newest rollout of each service that has had an order.
+    std::map<std::string, RolloutStatus> rolloutStatuses_; ///< Newest status row by service.
+    std::map<std::string, std::set<std::string>>
+        establishedVersions_; ///< Versions in use by service, see isHeldBack().
+    uint64_t operatorVersion_ = 0; ///< Version of the store up to which all orders are known.
     TimePoint storeUnreachableSince_{ noDeadline }; ///< Start of the store's outage; noDeadline without one.
     TimePoint storeReachableSince_{}; ///< When the store last became reachable again.
 
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -235,6 +235,10 @@
     handlers.isInForce_ = [&daemon](const std::string &text) {
         return text == daemon.state_.configurationText_;
     };
+    handlers.onRollouts_ = [&daemon](RolloutsReceived event) {
+        daemon.inbox_.rollouts_.push_back(std::move(event));
+        scheduleTick(daemon);
+    };
     handlers.onUpstreams_ = [&daemon](UpstreamsReceived event) {
         daemon.inbox_.upstreams_.push_back(std::move(event));
         scheduleTick(daemon);
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -7,6 +7,7 @@
  * becomes free goes to the most urgent of them, wherever it arrived.
  */
 #include "gateway_placement_func.h"
+#include "gateway_rollout_func.h"
 
 #include <algorithm>
 #include <set>
@@ -97,11 +98,15 @@
 }
 
 /// Sends the call of a bid to an upstream, or grants the slot there to the gateway that has the call.
-void placeBid(
-    GatewayState &state, TimePoint now, const Bid &bid, uint64_t promptTokens, UpstreamId target, GatewayOutbox &outbox)
+void placeBid(GatewayState &state, TimePoint now, const Bid &bid, const SlotRequest &request, UpstreamId target,
+    GatewayOutbox &outbox)
 {
+    Call *call = findRow(state.calls_, bid.call_);
+    const bool first
+        = bid.request_ != nullptr ? request.firstMessage_ : !std::exchange(call->countedForExposure_, true);
+    countAssignment(state, *findRow(state.upstreams_, target), request.route_, first);
     ++state.slotFlows_[bid.service_].placed_;
-    addBacklog(state, *findRow(state.upstreams_, target), now, promptTokens);
+    addBacklog(state, *findRow(state.upstreams_, target), now, request.promptTokens_);
     if (bid.request_ != nullptr) {
         grantSlot(state, now, *bid.request_, target, outbox);
         return;
@@ -228,7 +233,7 @@
             ? UpstreamId{}
             : chooseUpstream(state, now, request, bid.request_ != nullptr ? forOthers : assigned);
         if (findRow(state.upstreams_, target) != nullptr) {
-            placeBid(state, now, bid, request.promptTokens_, target, outbox);
+            placeBid(state, now, bid, request, target, outbox);
         } else if (fullHere.insert(key); !passOn(state, now, bid, request, outbox)) {
             fullElsewhere.insert(key);
             keepWaiting(state, now, bid, waitingByService[bid.service_], settled, outbox);
@@ -253,7 +258,8 @@
     forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
         found = found
             || (id != call.upstream_ && upstream.service_ == call.service_
-                && hasFreeSlot(state, now, upstream, call.routeRank_));
+                && hasFreeSlot(state, now, upstream, call.routeRank_)
+                && mayAssign(state, upstream, countedRoute(state, call)));
     });
     return found;
 }
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -126,6 +126,8 @@
     std::vector<PeerCrash> crashes_; ///< Crashes that the sender saw recently; in full updates only.
     std::map<Trait, Milliseconds> answered_; ///< Suspects answered there, with the time since then; full updates only.
     std::map<Trait, PeerVerdict> verdicts_; ///< Verdicts that the sender knows; in full updates only.
+    std::vector<PeerRollout> rollouts_; ///< Rollouts that the sender knows; in full updates only.
+    uint64_t operatorVersion_ = 0; ///< Version up to which they are all orders; in full updates with rollouts only.
     std::vector<std::string> peers_; ///< Addresses of the sender's peers; in some full updates only.
 };
 
@@ -134,6 +136,7 @@
 {
     std::vector<ConfigurationReceived> configurations_; ///< Configurations received.
     std::vector<UpstreamsReceived> upstreams_; ///< Upstream lists and changes received.
+    std::vector<RolloutsReceived> rollouts_; ///< Orders and status rows of rollouts received.
     std::vector<StoreCallOutcome> storeOutcomes_; ///< Outcomes of calls to the store.
     std::vector<std::string> peerAddresses_; ///< Addresses of gateways from the settings or the store.
     std::vector<QuotaLevels> quotaLevels_; ///< Quota levels received from peers.
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -61,6 +61,9 @@
     upstream.region_ = regionOf(state, row.zone_);
     upstream.slots_ = std::max(1U, row.slots_);
     upstream.startedAtMs_ = row.startedAtMs_;
+    upstream.version_ = row.version_;
+    upstream.rowVersion_ = row.rowVersion_;
+    upstream.versionKnown_ = row.versionKnown_;
     upstream.draining_ = row.draining_;
     restoreAnnouncement(state, upstream);
     forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) {
@@ -140,7 +143,8 @@
     Upstream *upstream = findUpstream(state, row.id_);
     const bool replaced = upstream != nullptr
         && (upstream->startedAtMs_ != row.startedAtMs_ || upstream->address_ != row.address_
-            || upstream->service_ != row.service_);
+            || upstream->service_ != row.service_
+            || (row.versionKnown_ && upstream->versionKnown_ && upstream->version_ != row.version_));
     if (replaced) {
         removeUpstream(state, now, row.id_, source, outbox);
         upstream = nullptr;
@@ -149,6 +153,11 @@
         addUpstream(state, row, source, outbox);
         return;
     }
+    if (row.versionKnown_ && !upstream->versionKnown_) {
+        upstream->version_ = row.version_;
+        upstream->rowVersion_ = row.rowVersion_;
+        upstream->versionKnown_ = true;
+    }
     upstream->missingSince_ = noDeadline;
     upstream->slots_ = std::max(1U, row.slots_);
     if (upstream->draining_ != row.draining_) {
@@ -288,7 +297,8 @@
 UpstreamRow makeUpstreamRow(const Upstream &upstream)
 {
     return { upstream.id_, upstream.service_, upstream.address_, upstream.zone_, upstream.slots_, upstream.startedAtMs_,
-        upstream.draining_, false, upstream.missingSince_ != noDeadline };
+        upstream.draining_, false, upstream.missingSince_ != noDeadline, upstream.version_, upstream.rowVersion_,
+        upstream.versionKnown_ };
 }
 
 void runConfiguration(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
--- a/src/gateway_peer_io.cpp
+++ b/src/gateway_peer_io.cpp
@@ -43,6 +43,8 @@
         snapshot.upstreams_->source_ = address;
         daemon.inbox_.quotaLevels_.push_back(std::move(snapshot.quotas_));
         daemon.inbox_.upstreams_.push_back(std::move(*snapshot.upstreams_));
+        snapshot.rollouts_->source_ = address;
+        daemon.inbox_.rollouts_.push_back(std::move(*snapshot.rollouts_));
     }
 }
 
--- a/src/gateway_peer_updates.cpp
+++ b/src/gateway_peer_updates.cpp
@@ -6,6 +6,7 @@
  * standbys get the counts of calls, and at once.
  */
 #include "gateway_func.h"
+#include "gateway_rollout_func.h"
 
 #include <algorithm>
 #include <set>
@@ -140,6 +141,10 @@
         }
         addLeavingUpstreams(state, command.update_);
         addCrashNews(state, now, command.update_);
+        if (!state.rollouts_.empty()) {
+            command.update_.rollouts_ = collectRollouts(state);
+            command.update_.operatorVersion_ = state.operatorVersion_;
+        }
     }
     if (!receivers.others_.empty()) {
         command.addresses_ = std::move(receivers.others_);
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -8,8 +8,10 @@
 #include "compression_func.h"
 #include "digest_func.h"
 #include "gateway_func.h"
+#include "gateway_rollout_func.h"
 #include "http_func.h"
 #include "json_func.h"
+#include "rollout_func.h"
 
 #include <array>
 #include <charconv>
@@ -245,6 +247,74 @@
     });
 }
 
+/// Adds rollouts; outcomes of a route are four counts, as there may be many routes in a datagram.
+void serializeRollouts(const std::vector<PeerRollout> &rollouts, uint64_t operatorVersion, Json::object &object)
+{
+    Json::array items;
+    for (const PeerRollout &rollout : rollouts) {
+        Json::object evidence;
+        for (const auto &[route, outcomes] : rollout.evidence_) {
+            evidence[route] = Json::array{ outcomes.newVersion_.answers_, outcomes.newVersion_.failures_,
+                outcomes.others_.answers_, outcomes.others_.failures_ };
+        }
+        items.push_back(Json::object{ { "service", rollout.order_.service_ }, { "version", rollout.order_.version_ },
+            { "duration_ms", rollout.order_.duration_.count() }, { "order", rollout.order_.rowVersion_ },
+            { "state", std::string(nameOfState(rollout.state_)) }, { "outcomes", std::move(evidence) } });
+    }
+    object["rollouts"] = std::move(items);
+    object["orders_version"] = operatorVersion;
+}
+
+std::error_code parseOutcomes(const Json::value &value, RouteEvidence &outcomes)
+{
+    const Json::array *counts = value.if_array();
+    const std::array<uint64_t *, 4> targets{ &outcomes.newVersion_.answers_, &outcomes.newVersion_.failures_,
+        &outcomes.others_.answers_, &outcomes.others_.failures_ };
+    if (counts == nullptr || counts->size() != targets.size()) {
+        return WireErrc::WrongType;
+    }
+    for (size_t index = 0; index < targets.size(); ++index) {
+        const Json::value &count = (*counts)[index];
+        if (!count.is_int64() || count.as_int64() < 0) {
+            return WireErrc::WrongType;
+        }
+        *targets[index] = static_cast<uint64_t>(count.as_int64());
+    }
+    return {};
+}
+
+std::error_code parseRollout(const Json::value &value, PeerRollout &rollout)
+{
+    JsonReader reader = readObject(value);
+    read(reader, "service", rollout.order_.service_);
+    read(reader, "version", rollout.order_.version_);
+    read(reader, "duration_ms", rollout.order_.duration_);
+    read(reader, "order", rollout.order_.rowVersion_);
+    std::string name;
+    read(reader, "state", name);
+    if (const auto state = parseStateName(name); state) {
+        rollout.state_ = *state;
+    } else {
+        fail(reader, WireErrc::UnknownValue);
+    }
+    const Json::value *outcomes = readValue(reader, "outcomes", Presence::Optional);
+    JsonReader nested = outcomes == nullptr ? JsonReader{} : readObject(*outcomes);
+    for (const auto &item : nested.object_ == nullptr ? Json::object() : *nested.object_) {
+        fail(nested, parseOutcomes(item.value(), rollout.evidence_[std::string(item.key().data(), item.key().size())]));
+    }
+    fail(reader, nested.error_);
+    return reader.error_;
+}
+
+void parseRollouts(JsonReader &reader, std::vector<PeerRollout> &rollouts, uint64_t &operatorVersion)
+{
+    const Json::array *items = readArray(reader, "rollouts", Presence::Optional);
+    for (const Json::value &value : items == nullptr ? Json::array() : *items) {
+        fail(reader, parseRollout(value, rollouts.emplace_back()));
+    }
+    read(reader, "orders_version", operatorVersion, Presence::Optional);
+}
+
 void parseCompressed(JsonReader &reader, std::string_view field, std::string &text)
 {
     std::string encoded;
@@ -260,9 +330,14 @@
 
 Json::object serializeRow(const UpstreamRow &row)
 {
-    return { { "id", row.id_ }, { "service", row.service_ }, { "address", row.address_ }, { "zone", row.zone_ },
-        { "slots", row.slots_ }, { "born_ms", row.startedAtMs_ }, { "draining", row.draining_ },
+    Json::object object{ { "id", row.id_ }, { "service", row.service_ }, { "address", row.address_ },
+        { "zone", row.zone_ }, { "slots", row.slots_ }, { "born_ms", row.startedAtMs_ }, { "draining", row.draining_ },
         { "missing", row.missing_ } };
+    if (row.versionKnown_) {
+        object["version"] = row.version_;
+        object["row_version"] = row.rowVersion_;
+    }
+    return object;
 }
 
 std::error_code parseRow(const Json::value &value, UpstreamRow &row)
@@ -276,6 +351,9 @@
     read(reader, "born_ms", row.startedAtMs_);
     read(reader, "draining", row.draining_);
     read(reader, "missing", row.missing_, Presence::Optional);
+    row.versionKnown_ = readValue(reader, "version", Presence::Optional) != nullptr; // not sent before rollouts
+    read(reader, "version", row.version_, Presence::Optional);
+    read(reader, "row_version", row.rowVersion_, Presence::Optional);
     return reader.error_;
 }
 
@@ -300,6 +378,9 @@
         object["broker_weight"] = update.brokerWeight_;
     }
     serializeUpstreamNews(update, object);
+    if (!update.rollouts_.empty()) {
+        serializeRollouts(update.rollouts_, update.operatorVersion_, object);
+    }
     if (!update.peers_.empty()) {
         object["peers"] = Json::value_from(update.peers_);
     }
@@ -326,6 +407,7 @@
     read(reader, "broker_weight", update.brokerWeight_, Presence::Optional);
     parseCounts(reader, chargedUnitsField, update.chargedUnits_);
     parseUpstreamNews(reader, update);
+    parseRollouts(reader, update.rollouts_, update.operatorVersion_);
     read(reader, "peers", update.peers_, Presence::Optional);
     return reader.error_;
 }
@@ -341,6 +423,9 @@
         return snapshot;
     }
     snapshot.quotas_ = collectQuotaLevels(state);
+    RolloutsReceived &rollouts = snapshot.rollouts_.emplace();
+    rollouts.peerRollouts_ = collectRollouts(state);
+    rollouts.operatorVersion_ = state.operatorVersion_;
     UpstreamsReceived &list = snapshot.upstreams_.emplace();
     list.fullList_ = true;
     list.version_ = state.upstreamsVersion_;
@@ -386,6 +471,9 @@
         object["version"] = snapshot.upstreams_->version_;
         object["upstreams"] = std::move(rows);
         object["quotas"] = serializeCounts(snapshot.quotas_);
+        if (snapshot.rollouts_) {
+            serializeRollouts(snapshot.rollouts_->peerRollouts_, snapshot.rollouts_->operatorVersion_, object);
+        }
     }
     return Json::serialize(object);
 }
@@ -404,6 +492,8 @@
     if (rows == nullptr) {
         return reader.error_;
     }
+    RolloutsReceived &rollouts = snapshot.rollouts_.emplace();
+    parseRollouts(reader, rollouts.peerRollouts_, rollouts.operatorVersion_);
     UpstreamsReceived &list = snapshot.upstreams_.emplace();
     list.fullList_ = true;
     list.fromPeer_ = true;
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -3,6 +3,7 @@
  * @brief System that applies what other gateways tell: call counts, quota usage and versions.
  */
 #include "gateway_func.h"
+#include "gateway_rollout_func.h"
 
 #include <algorithm>
 #include <iterator>
@@ -127,6 +128,7 @@
     }
     if (restarted) {
         peer->chargedUnits_.clear();
+        peer->newestCountedRequest_ = 0;
         peer->usageComplete_ = true; // the process is new, so all that it has charged is recent
         state.lastPeerDisruptionAt_ = now;
     }
@@ -155,6 +157,7 @@
         state.brokersReviewAt_ = std::min(state.brokersReviewAt_, now);
         applyLeavingUpstreams(state, update, outbox);
         applyCrashNews(state, now, update, outbox);
+        applyPeerRollouts(state, update, outbox);
     }
     peer->incarnation_ = update.incarnation_;
     peer->sequence_ = update.sequence_;
--- a/src/gateway_placement.cpp
+++ b/src/gateway_placement.cpp
@@ -8,8 +8,12 @@
  */
 #include "gateway_placement_func.h"
 
+#include "gateway_rollout_func.h"
+
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <limits>
 
 namespace Burdockfield::Gateway {
 
@@ -119,7 +123,8 @@
     uint32_t ties = 0; // of upstreams with equal costs one is drawn
     forEachRow(state.upstreams_, [&](UpstreamId id, const Upstream &upstream) {
         if (upstream.service_ != request.service_ || !regions.contains(upstream.region_)
-            || !hasFreeSlot(state, now, upstream, request.routeRank_) || contains(request.excluded_, upstream.id_)) {
+            || !hasFreeSlot(state, now, upstream, request.routeRank_) || !mayAssign(state, upstream, request.route_)
+            || contains(request.excluded_, upstream.id_)) {
             return;
         }
         const double cost = upstreamCost(state, upstream, request, now);
@@ -138,16 +143,24 @@
     const GatewayState &state, TimePoint now, const std::set<std::string> &regions)
 {
     std::map<std::string, FreeSlots> free;
+    std::map<std::string, FreeSlots> limited; // at versions that may get a limited number of calls
     forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
         if (!regions.contains(upstream.region_)) {
             return;
         }
-        FreeSlots &slots = free[upstream.service_];
+        const uint32_t assignable = assignableCalls(state, upstream);
+        const bool isLimited = assignable < std::numeric_limits<uint32_t>::max();
+        FreeSlots &slots = isLimited ? limited[upstream.service_] : free[upstream.service_];
         for (size_t ranksBelow = 0; isAvailable(upstream, now) && ranksBelow < slots.size(); ++ranksBelow) {
             const double room = capacityFor(state, upstream, ranksBelow) - callsInFlight(upstream);
             slots[ranksBelow] += room > 0 ? static_cast<uint32_t>(std::ceil(room)) : 0;
+            slots[ranksBelow] = std::min(slots[ranksBelow], assignable);
         }
     });
+    for (const auto &[service, slots] : limited) {
+        FreeSlots &sum = free[service];
+        std::transform(slots.begin(), slots.end(), sum.begin(), sum.begin(), std::plus<>());
+    }
     return free;
 }
 
--- a/src/gateway_slot_type.h
+++ b/src/gateway_slot_type.h
@@ -31,6 +31,8 @@
     uint64_t promptTokens_ = 0; ///< Tokens of the prompt, 0 if unknown.
     Milliseconds age_{ 0 }; ///< Time since the call arrived.
     Milliseconds wait_{ 0 }; ///< Time for which the call may still wait.
+    std::string route_; ///< Name of the route, if a version of the service is limited; else empty.
+    bool firstMessage_ = false; ///< Whether this is the first message about the call, which is counted once.
     std::vector<std::string> excluded_; ///< Ids of upstreams that the call can't be sent to.
     std::vector<std::string> tried_; ///< Ids of upstreams that it was sent to before, the last choice.
 };
--- a/src/gateway_slot_wire.cpp
+++ b/src/gateway_slot_wire.cpp
@@ -38,6 +38,8 @@
     add(object, "st", request.resumesStream_);
     add(object, "cr", request.callerRetry_);
     add(object, "t", request.promptTokens_);
+    add(object, "ro", request.route_);
+    add(object, "f", request.firstMessage_);
     add(object, "x", request.excluded_);
     add(object, "tr", request.tried_);
     return object;
@@ -57,6 +59,8 @@
     read(reader, "st", request.resumesStream_, Presence::Optional);
     read(reader, "cr", request.callerRetry_, Presence::Optional);
     read(reader, "t", request.promptTokens_, Presence::Optional);
+    read(reader, "ro", request.route_, Presence::Optional);
+    read(reader, "f", request.firstMessage_, Presence::Optional);
     read(reader, "x", request.excluded_, Presence::Optional);
     read(reader, "tr", request.tried_, Presence::Optional);
     return reader.error_;
--- a/src/gateway_slots.cpp
+++ b/src/gateway_slots.cpp
@@ -9,8 +9,10 @@
  * themselves.
  */
 #include "gateway_placement_func.h"
+#include "gateway_rollout_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Burdockfield::Gateway {
 
@@ -61,7 +63,9 @@
     call.slot_.broker_ = broker;
     call.slot_.askedAt_ = now;
     call.slot_.queued_ = false;
-    messageTo(outbox, broker).requests_.push_back(makeSlotRequest(state, now, call));
+    SlotRequest request = makeSlotRequest(state, now, call);
+    request.firstMessage_ = !request.route_.empty() && !std::exchange(call.countedForExposure_, true);
+    messageTo(outbox, broker).requests_.push_back(std::move(request));
     count(state.metrics_, "slot_requests", "sent");
 }
 
@@ -130,6 +134,20 @@
     }
 }
 
+/**
+ * Decides whether a request counts as one of its service's requests. The numbers of a gateway's requests rise, so that
+ * a message that arrives twice, or at two brokers, counts at most once; one that was overtaken is not counted.
+ */
+void reviewCounting(const SlotMessage &message, Peer *sender, SlotRequest &request)
+{
+    const bool counts = request.firstMessage_ && request.origin_.empty() && sender != nullptr
+        && sender->incarnation_ == message.incarnation_ && request.number_ > sender->newestCountedRequest_;
+    if (counts) {
+        sender->newestCountedRequest_ = request.number_;
+    }
+    request.firstMessage_ = counts;
+}
+
 /// Queues a request, or repeats the reply if it has been granted already.
 void queueRequest(
     GatewayState &state, TimePoint now, const std::string &sender, SlotRequest &request, GatewayOutbox &outbox)
@@ -189,7 +207,7 @@
     }
     const auto upstream = state.upstreamById_.find(reply.upstream_);
     const Upstream *row = upstream == state.upstreamById_.end() ? nullptr : findRow(state.upstreams_, upstream->second);
-    if (row == nullptr || !isAvailable(*row, now)) {
+    if (row == nullptr || !isAvailable(*row, now) || !mayUse(state, *row)) {
         resetRequest(state, *call);
         call->slot_.notBefore_ = now + declineDelay;
         markCountsPending(state);
@@ -211,12 +229,13 @@
     request.routeRank_ = call.routeRank_;
     request.resumesStream_ = call.streamStarted_;
     request.callerRetry_ = call.callerRetry_;
+    request.route_ = countedRoute(state, call);
     request.promptTokens_ = call.request_.promptTokens_.value_or(0);
     request.age_ = std::chrono::duration_cast<Milliseconds>(now - call.arrivedAt_);
     request.wait_ = std::chrono::duration_cast<Milliseconds>(std::max(Duration(0), call.waitUntil_ - now));
     request.tried_ = call.triedInstances_;
     forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
-        if (upstream.service_ == call.service_ && !isAvailable(upstream, now)) {
+        if (upstream.service_ == call.service_ && (!isAvailable(upstream, now) || !mayUse(state, upstream))) {
             request.excluded_.push_back(upstream.id_);
         }
     });
@@ -231,6 +250,7 @@
             peer->freeSlotsAt_ = now;
         }
         for (SlotRequest &request : message.requests_) {
+            reviewCounting(message, findPeer(state, message.address_), request);
             queueRequest(state, now, message.address_, request, outbox);
         }
         for (const SlotReply &reply : message.replies_) {
@@ -284,7 +304,9 @@
 
 void forwardRequest(GatewayState &state, const Peer &broker, const SlotRequest &request, GatewayOutbox &outbox)
 {
-    messageTo(outbox, broker.address_).requests_.push_back(request);
+    SlotRequest forwarded = request;
+    forwarded.firstMessage_ = false; // it may reach the other broker twice
+    messageTo(outbox, broker.address_).requests_.push_back(std::move(forwarded));
     count(state.metrics_, "slot_requests", "forwarded");
 }
 
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -3,6 +3,7 @@
  * @brief Tick of a gateway, deadlines of calls, and functions that several systems share.
  */
 #include "gateway_func.h"
+#include "gateway_rollout_func.h"
 #include "json_func.h"
 #include "table/gateway_refusal_names.h"
 
@@ -75,6 +76,7 @@
     }
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         reportOutcome(state, *upstream, now, true);
+        recordVersionOutcome(state, call, *upstream, true, outbox);
     }
     outbox.decisions_.push_back({ "upstream-silent",
         { { "request", call.request_.id_ }, { "upstream", lastUpstreamId(state, call) },
@@ -248,6 +250,7 @@
     runStop(state, now, inbox, outbox);
     runConfiguration(state, now, inbox, outbox);
     runMembership(state, now, inbox, outbox);
+    runRollouts(state, now, inbox, outbox);
     runPeers(state, now, inbox, outbox);
     runBrokers(state, now, outbox);
     runIntake(state, now, inbox, outbox);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -29,6 +29,7 @@
 constexpr double processorShareBound = 1024; ///< Largest processor of a gateway, in cores.
 constexpr double retryRatioBound = 10; ///< Largest repeat_ratio, in retries per request.
 constexpr double retrySlackBound = 1e6; ///< Largest repeat_slack, in retries per window.
+constexpr double exposureShareBound = 1; ///< Largest exposure_share, as a share of the requests.
 constexpr double quotaOvershootBound = 10; ///< Largest quota_overshoot, as a share of the quota.
 constexpr double quotaSlackBound = 1e12; ///< Largest quota_token_slack, in tokens.
 
@@ -157,7 +158,7 @@
 {
     const auto inner = openMapping(reader, "bounds", false,
         { "repeat_ratio", "repeat_slack", "quota_window", "quota_overshoot", "quota_token_slack", "configuration_delay",
-            "drain_delay", "grace", "row_return" });
+            "drain_delay", "grace", "row_return", "exposure_share" });
     if (!inner) {
         return;
     }
@@ -172,6 +173,7 @@
     readDuration(*inner, "drain_delay", bounds.drainDelay_);
     readDuration(*inner, "grace", bounds.grace_);
     readDuration(*inner, "row_return", bounds.rowReturnTimeout_);
+    readNumber(*inner, "exposure_share", bounds.exposureShare_, exposureShareBound);
 }
 
 void readGateway(const SettingsReader &reader, Settings &settings)
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -10,6 +10,7 @@
 #include "fleet_parts_func.h"
 #include "http_func.h"
 #include "http_server.h"
+#include "rollout_wire.h"
 
 #include <doctest/doctest.h>
 #include <stdexcept>
@@ -67,6 +68,9 @@
                 throw std::runtime_error("no such table");
             }
         };
+        handlers.onRollouts_ = [this](Gateway::RolloutsReceived event) {
+            rollouts_.push_back(std::move(event));
+        };
         handlers.onUpstreams_ = [](const Gateway::UpstreamsReceived & /*event*/) {
         };
         handlers.onReachability_ = [](const Gateway::StoreCallOutcome & /*event*/) {
@@ -128,6 +132,7 @@
     size_t taken_ = 0; ///< Calls that nextCall() has returned.
     std::vector<uint64_t> versions_; ///< Versions of the configurations that the follower has passed on.
     uint64_t failingVersion_ = 0; ///< Version at which the handler throws.
+    std::vector<Gateway::RolloutsReceived> rollouts_; ///< Orders and status rows that the follower has passed on.
     std::string inForce_; ///< Text of the configuration that counts as in force.
 };
 
@@ -178,3 +183,23 @@
     nextCall();
     CHECK(versions_ == std::vector<uint64_t>{ 1, 2, 3 });
 }
+
+// A new version is held back until the operator's table was read up to its row, also by a read without an order.
+TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenTheOperatorsTableIsRead_PassesOnOrdersAndItsVersion")
+{
+    REQUIRE(rollouts_.size() == 1);
+    CHECK(rollouts_[0].orders_.empty());
+    CHECK(rollouts_[0].operatorVersion_ == 1);
+    CHECK(follower_.statuses_.name_.empty());
+    answer(nextCall(),
+        R"({"rows":[{"table":"op","part":"","key":"rollout/s","value":")"
+            + encodeBase64(R"({"service":"s","to":"v2","durationS":12})")
+            + R"(","ver":7},{"table":"op","part":"","key":"rollout/t","value":"e30=","ver":8}],"ver":9})");
+    nextCall();
+    REQUIRE(rollouts_.size() >= 2);
+    REQUIRE(rollouts_[1].orders_.size() == 1);
+    CHECK(rollouts_[1].orders_[0].version_ == "v2");
+    CHECK(rollouts_[1].orders_[0].rowVersion_ == 7);
+    CHECK(rollouts_[1].operatorVersion_ == 9);
+    CHECK(follower_.statuses_.name_ == statusTable);
+}
