--- a/src/gateway_rollouts.cpp
+++ b/src/gateway_rollouts.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-/// Share of bounds.exposure_share used while a version is watched; the other half is left for retries and lost grants.
+/// Share of bounds.exposure_share used while a version is watched; the other half is for the switch at the end.
 constexpr double watchingPart = 0.5;
 
 const Rollout *findRollout(const GatewayState &state, const std::string &service)
--- a/src/gateway_status_wire.cpp
+++ b/src/gateway_status_wire.cpp
@@ -5,7 +5,9 @@
 #include "gateway_status_wire.h"
 
 #include "gateway_func.h"
+#include "gateway_rollout_func.h"
 #include "json_func.h"
+#include "rollout_func.h"
 
 namespace Burdockfield::Gateway {
 
@@ -16,10 +18,11 @@
     return std::chrono::duration_cast<Milliseconds>(now - since).count();
 }
 
-Json::object describe(const Upstream &upstream, TimePoint now)
+Json::object describe(const GatewayState &state, const Upstream &upstream, TimePoint now)
 {
     return { { "id", upstream.id_ }, { "service", upstream.service_ }, { "address", upstream.address_ },
-        { "zone", upstream.zone_ }, { "slots", upstream.slots_ }, { "draining", upstream.draining_ },
+        { "zone", upstream.zone_ }, { "slots", upstream.slots_ }, { "version", upstream.version_ },
+        { "usable_version", mayUse(state, upstream) }, { "draining", upstream.draining_ },
         { "own_in_flight", upstream.ownInFlight_ }, { "peer_in_flight", upstream.peerInFlight_ },
         { "failure_rate", failureRateAt(upstream, now) }, { "avoided", upstream.avoidUntil_ > now },
         { "missing", upstream.missingSince_ != noDeadline }, { "leaving", upstream.announcement_.leaving_ },
@@ -33,13 +36,30 @@
         { "heard_ms_ago", peer.name_.empty() ? Json::value(nullptr) : Json::value(ageMs(peer.lastReceivedAt_, now)) } };
 }
 
+Json::object describe(const Rollout &rollout)
+{
+    Json::array routes;
+    for (const auto &[route, count] : rollout.exposure_) {
+        routes.push_back(
+            Json::object{ { "route", route }, { "assigned_here", count.total_ }, { "exposed_here", count.exposed_ } });
+    }
+    for (const auto &[route, evidence] : rollout.evidence_) {
+        routes.push_back(Json::object{ { "route", route }, { "new_answers", evidence.newVersion_.answers_ },
+            { "new_failures", evidence.newVersion_.failures_ }, { "other_answers", evidence.others_.answers_ },
+            { "other_failures", evidence.others_.failures_ } });
+    }
+    return { { "service", rollout.order_.service_ }, { "version", rollout.order_.version_ },
+        { "order", rollout.order_.rowVersion_ }, { "state", std::string(nameOfState(rollout.state_)) },
+        { "routes", std::move(routes) } };
+}
+
 } // namespace
 
 std::string serializeGatewayStatus(const GatewayState &state, TimePoint now)
 {
     Json::array upstreams;
     forEachRow(state.upstreams_,
-        [&](UpstreamId /*id*/, const Upstream &upstream) { upstreams.push_back(describe(upstream, now)); });
+        [&](UpstreamId /*id*/, const Upstream &upstream) { upstreams.push_back(describe(state, upstream, now)); });
     Json::array peers;
     forEachRow(state.peers_, [&](PeerId /*id*/, const Peer &peer) { peers.push_back(describe(peer, now)); });
     Json::array workspaces;
@@ -47,6 +67,10 @@
         workspaces.push_back(Json::object{ { "name", name }, { "units_left", quota.level_ },
             { "age_ms", ageMs(quota.levelAt_, now) }, { "units_here", quota.ownChargedUnits_ } });
     }
+    Json::array rollouts;
+    for (const auto &[service, rollout] : state.rollouts_) {
+        rollouts.push_back(describe(rollout));
+    }
     const Json::object configuration{ { "version", state.configuration_.version_ },
         { "age_ms", ageMs(state.configurationAppliedAt_, now) } };
     const Json::object status{ { "name", state.name_ }, { "ready", isReady(state) }, { "stopping", state.stopping_ },
@@ -54,7 +78,8 @@
         { "upstreams_version", state.upstreamsVersion_ },
         { "store_reachable", state.storeUnreachableSince_ == noDeadline },
         { "heard_share", reachableGatewayShare(state, now) }, { "upstreams", std::move(upstreams) },
-        { "peers", std::move(peers) }, { "workspaces", std::move(workspaces) } };
+        { "peers", std::move(peers) }, { "workspaces", std::move(workspaces) }, { "rollouts", std::move(rollouts) },
+        { "orders_version", state.operatorVersion_ } };
     return Json::serialize(status);
 }
 
--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -112,19 +112,27 @@
 }
 
 void writeUpstreamRow(const Fleet &fleet, const std::string &upstream, const std::string &state, uint32_t slots,
-    bool remove, uint64_t startedAtMs)
+    bool remove, uint64_t startedAtMs, const std::string &version)
 {
     const std::string service = upstream.substr(0, upstream.find('-'));
     const auto link = fleet.processes_.find(upstream + "-link");
     const std::string &address
         = link == fleet.processes_.end() ? fleet.processes_.at(upstream).address_ : link->second.address_;
-    const Json::object value{ { "service", service }, { "address", address }, { "zone", "zone-1" }, { "slots", slots },
+    Json::object value{ { "service", service }, { "address", address }, { "zone", "zone-1" }, { "slots", slots },
         { "state", state }, { "born", startedAtMs } };
+    if (!version.empty()) {
+        value["version"] = version;
+    }
     writeRow(fleet,
         { { "table", Platform::upstreamTable }, { "key", upstream }, { "value", Json::serialize(value) },
             { "remove", remove } });
 }
 
+void writeRolloutRow(const Fleet &fleet, std::string_view table, const std::string &service, const std::string &value)
+{
+    writeRow(fleet, { { "table", table }, { "key", "rollout/" + service }, { "value", value } });
+}
+
 bool startGatewayFleet(Fleet &fleet, const GatewayFleetSpec &spec)
 {
     constexpr size_t gatewayAddresses = 6;
--- a/tests/gateway_store_process_test.cpp
+++ b/tests/gateway_store_process_test.cpp
@@ -4,6 +4,7 @@
  */
 #include "gateway_base.h"
 #include "gateway_process_fixture.h"
+#include "rollout_wire.h"
 
 using namespace Burdockfield;
 using namespace Burdockfield::Testing;
@@ -129,3 +130,29 @@
         CHECK(call("/read/x", "r" + std::to_string(index)).status_ == 200);
     }
 }
+
+// Real processes have to read the order before they use the version that it names, and follow the status row.
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Rollout_WhenItsRowsAreWritten_IsFollowedByAllGateways")
+{
+    const auto reaches = [&](const std::string &field, const std::string &text) {
+        return waitUntil(
+            [&] {
+                return std::all_of(fleet_.entries_.begin(), fleet_.entries_.end(), [&](const std::string &gateway) {
+                    return readStatusField(fleet_, gateway, field).find(text) != std::string::npos;
+                });
+            },
+            Milliseconds(6000));
+    };
+    writeRolloutRow(fleet_, Platform::operatorTable, "engines", R"({"service":"engines","to":"v2","durationS":12})");
+    writeUpstreamRow(fleet_, "engines-1", "ready", 4, false, 2, "v2");
+    CHECK(reaches("rollouts", R"("state":"watching")"));
+    CHECK(reaches("upstreams", R"("version":"v2","usable_version":true)"));
+    for (int index = 0; index < 10; ++index) { // fewer than the twenty requests from which one call is allowed
+        CHECK(call("/read/x", "r" + std::to_string(index), "gateway-1").status_ == 200);
+    }
+    CHECK(readStatusField(fleet_, "gateway-1", "rollouts").find(R"("new_answers":1)") == std::string::npos);
+    writeRolloutRow(fleet_, Platform::statusTable, "engines", R"({"state":"rolled_back","to":"v2"})");
+    CHECK(reaches("rollouts", R"("state":"rolled-back")"));
+    CHECK(reaches("upstreams", R"("version":"v2","usable_version":false)"));
+    CHECK(call("/read/x", "r-last", "gateway-2").status_ == 200);
+}
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -122,10 +122,10 @@
 /// Sequential test of the failures of a version.
 struct VersionTestFixture
 {
-    /// Draws outcomes until the version is found to be bad. @return the answers until then, or @p most
-    size_t answersUntilBad(double failureRate, size_t most)
+    /// Draws outcomes until the version is found to be bad. @param score of the test, which begins at 0
+    /// @return the answers until then, or @p most
+    size_t answersUntilBad(double failureRate, size_t most, double score = 0)
     {
-        double score = 0;
         std::bernoulli_distribution fails(failureRate);
         for (size_t answers = 1; answers <= most; ++answers) {
             if (addOutcomes(score, { 1, fails(random_) ? 1U : 0U }, { 10000, 200 })) {
@@ -433,6 +433,34 @@
     CHECK(slowest < 150);
 }
 
+TEST_CASE_FIXTURE(VersionTestFixture, "VersionTest_WhenAVersionTurnsBadLate_FindsItAsSoonAsOneThatIsBadAtOnce")
+{
+    size_t slowest = 0;
+    for (int version = 0; version < 1000; ++version) {
+        double score = 0;
+        std::bernoulli_distribution fails(0.02);
+        for (int answer = 0; answer < 400; ++answer) {
+            addOutcomes(score, { 1, fails(random_) ? 1U : 0U }, { 10000, 200 });
+        }
+        slowest = std::max(slowest, answersUntilBad(0.3, 600, score));
+    }
+    MESSAGE("slowest ", slowest, " answers");
+    CHECK(slowest < 150);
+}
+
+// Failures on one route must not be hidden by the answers of all others.
+TEST_CASE_FIXTURE(RolloutFixture, "BadVersion_WhenItFailsOnOneRouteOnly_IsStopped")
+{
+    Rollout rollout;
+    applyOrder(rollout, makeOrder("v2", orderRow));
+    for (int round = 0; round < 30 && rollout.state_ == RolloutState::Watching; ++round) {
+        addEvidence(rollout, "stream", { { 40, 0 }, { 800, 8 } });
+        addEvidence(rollout, "read", { { 1, 1 }, { 20, 0 } });
+    }
+    CHECK(rollout.state_ == RolloutState::Stopped);
+    CHECK(rollout.evidence_["read"].newVersion_.failures_ < 10);
+}
+
 // R1 over drawn deaths, partitions, lost and late messages: the sum over all gateways keeps the share.
 TEST_CASE_FIXTURE(RolloutFleetFixture, "Exposure_WhenGatewaysDieAndMessagesAreLost_StaysBelowTheShare")
 {
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -50,7 +50,9 @@
         handlers.onRequest_ = [this](ExchangeId exchange, const HttpRequest &request) {
             if (request.target_.find("table=op") != std::string::npos) {
                 calls_.push_back({ exchange, request.target_, Clock::now() });
-            } else if (request.target_.find("rows-feed") == std::string::npos) {
+            } else if (request.target_.find("table=servers") != std::string::npos && isFeed(request.target_)) {
+                upstreamPolls_.push_back({ exchange, request.target_, Clock::now() });
+            } else if (!isFeed(request.target_)) {
                 respond(store_, exchange, makeJsonReply(R"({"rows":[],"ver":1})"));
             }
         };
@@ -121,7 +123,12 @@
 
     static bool isPoll(const Call &call)
     {
-        return call.target_.find("rows-feed") != std::string::npos;
+        return isFeed(call.target_);
+    }
+
+    static bool isFeed(const std::string &target)
+    {
+        return target.find("rows-feed") != std::string::npos;
     }
 
     Asio::io_context io_{ 1 };
@@ -129,6 +136,7 @@
     HttpServer store_;
     StoreFollower follower_;
     std::vector<Call> calls_; ///< Calls received, in order.
+    std::vector<Call> upstreamPolls_; ///< Polls of the list of upstreams, which only the test answers.
     size_t taken_ = 0; ///< Calls that nextCall() has returned.
     std::vector<uint64_t> versions_; ///< Versions of the configurations that the follower has passed on.
     uint64_t failingVersion_ = 0; ///< Version at which the handler throws.
@@ -187,11 +195,12 @@
 // A new version is held back until the operator's table was read up to its row, also by a read without an order.
 TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenTheOperatorsTableIsRead_PassesOnOrdersAndItsVersion")
 {
+    const Call poll = nextCall();
     REQUIRE(rollouts_.size() == 1);
     CHECK(rollouts_[0].orders_.empty());
     CHECK(rollouts_[0].operatorVersion_ == 1);
     CHECK(follower_.statuses_.name_.empty());
-    answer(nextCall(),
+    answer(poll,
         R"({"rows":[{"table":"op","part":"","key":"rollout/s","value":")"
             + encodeBase64(R"({"service":"s","to":"v2","durationS":12})")
             + R"(","ver":7},{"table":"op","part":"","key":"rollout/t","value":"e30=","ver":8}],"ver":9})");
@@ -203,3 +212,33 @@
     CHECK(rollouts_[1].operatorVersion_ == 9);
     CHECK(follower_.statuses_.name_ == statusTable);
 }
+
+// Until the next regular poll ends, a new version would get no calls, which may take most of a short rollout.
+TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenANewVersionIsListed_ReadsTheOperatorsTableAtOnce")
+{
+    REQUIRE(isPoll(nextCall())); // stays unanswered
+    REQUIRE(waitUntil(
+        [this] {
+            io_.poll();
+            return !upstreamPolls_.empty();
+        },
+        Milliseconds(5000)));
+    const std::string row = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready",)"
+                            R"("version":"v2"})";
+    answer(upstreamPolls_[0],
+        R"({"rows":[{"table":"servers","part":"","key":"i-1","value":")" + encodeBase64(row)
+            + R"(","ver":50}],"ver":50})");
+    Call read = nextCall();
+    for (int polls = 0; polls < 2 && isPoll(read); ++polls) { // of a slow machine, where a poll times out before
+        read = nextCall();
+    }
+    CHECK_FALSE(isPoll(read));
+    answer(read, makeRows(makeConfiguration(1), 60));
+    REQUIRE(waitUntil(
+        [this] {
+            io_.poll();
+            return rollouts_.size() >= 2;
+        },
+        Milliseconds(5000)));
+    CHECK(rollouts_.back().operatorVersion_ == 60);
+}
