Rollouts: brokers write rolled_back into the status row of a stopped version

The write is conditional on the version of the row that is known, and is repeated each second until the row is received, which also resolves lost replies. active and completed are not written yet.

--- a/src/gateway_command_type.h
+++ b/src/gateway_command_type.h
@@ -92,6 +92,16 @@
     SlotMessage message_; ///< The message.
 };
 
+/**
+ * Writes the status row of a rollout, if the row still has the given version. The row as it is then, or the one that
+ * was written, has to be reported as received; a lost reply is not.
+ */
+struct WriteRolloutStatus
+{
+    RolloutStatus status_; ///< What to write.
+    uint64_t expectedVersion_ = 0; ///< Version that the row has to have; 0 if it must not exist.
+};
+
 /// Commands of one tick.
 struct GatewayOutbox
 {
@@ -107,6 +117,7 @@
     std::vector<SendUpdate> updates_; ///< Updates to send to peers.
     std::vector<SendSlotMessage> slotMessages_; ///< Messages about slots, one for each receiver.
     std::vector<FetchSnapshot> snapshotFetches_; ///< Snapshots to fetch from peers.
+    std::vector<WriteRolloutStatus> rolloutStatuses_; ///< Status rows of rollouts to write.
     std::vector<Decision> decisions_; ///< Records to log.
     bool limitsChanged_ = false; ///< Whether the limits on callers' requests have changed.
     bool stopListening_ = false; ///< Whether to stop accepting connections.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -131,6 +131,9 @@
     for (const FetchSnapshot &command : outbox.snapshotFetches_) {
         fetchSnapshot(daemon, command);
     }
+    for (const WriteRolloutStatus &command : outbox.rolloutStatuses_) {
+        Platform::writeStatus(daemon.follower_, command.status_, command.expectedVersion_);
+    }
     if (outbox.limitsChanged_) {
         applyLimits(daemon);
     }
--- a/src/gateway_rollout_func.h
+++ b/src/gateway_rollout_func.h
@@ -11,6 +11,12 @@
 /// Applies orders and status rows, and finds which versions of each service are in use.
 void runRollouts(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox);
 
+/// Writes the status rows of rollouts that have been stopped, if this gateway is the one to do so.
+void runRolloutStatuses(GatewayState &state, TimePoint now, GatewayOutbox &outbox);
+
+/// @return when a status row has to be written next.
+TimePoint nextRolloutDeadline(const GatewayState &state);
+
 /**
  * @return whether an upstream has a version that its service did not have, and its order may not be known yet. Its row
  * was written after its order, so that the order is known once the operator's table was read up to the row.
--- a/src/gateway_rollouts.cpp
+++ b/src/gateway_rollouts.cpp
@@ -20,6 +20,9 @@
 /// Share of bounds.exposure_share used while a version is watched; the other half is for the switch at the end.
 constexpr double watchingPart = 0.5;
 
+/// Time from writing a status row to the next attempt, in which the reply or the row itself is received.
+constexpr std::chrono::seconds statusWriteInterval{ 1 };
+
 const Rollout *findRollout(const GatewayState &state, const std::string &service)
 {
     const auto found = state.rollouts_.find(service);
@@ -143,6 +146,15 @@
     applyStatus(state, status.service_, outbox);
 }
 
+/**
+ * @return whether this gateway writes status rows: the broker of each region does. Writes are conditional, so that only
+ * the first one takes effect, and none is lost when a broker dies.
+ */
+bool writesStatuses(const GatewayState &state)
+{
+    return assignsSlots(state, state.region_);
+}
+
 /**
  * Finds the versions in use: those of rows up to which the operator's table was read. If all rows of a service are
  * newer, as after a crash of all its upstreams, the versions that it had before stay in use.
@@ -186,6 +198,39 @@
     }
 }
 
+void runRolloutStatuses(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
+{
+    if (!writesStatuses(state)) {
+        return;
+    }
+    for (auto &[service, rollout] : state.rollouts_) {
+        if (rollout.state_ != RolloutState::Stopped || now < rollout.statusWriteAt_) {
+            continue;
+        }
+        rollout.statusWriteAt_ = now + statusWriteInterval;
+        const auto known = state.rolloutStatuses_.find(service);
+        const uint64_t expected = known == state.rolloutStatuses_.end() ? 0 : known->second.rowVersion_;
+        outbox.rolloutStatuses_.push_back(
+            { { service, rollout.order_.version_, RolloutState::RolledBack, 0 }, expected });
+        outbox.decisions_.push_back({ "rollout-status-write",
+            { { "service", service }, { "version", rollout.order_.version_ },
+                { "order", std::to_string(rollout.order_.rowVersion_) },
+                { "state", std::string(nameOfState(RolloutState::RolledBack)) },
+                { "expected", std::to_string(expected) } } });
+    }
+}
+
+TimePoint nextRolloutDeadline(const GatewayState &state)
+{
+    TimePoint next = noDeadline;
+    for (const auto &[service, rollout] : state.rollouts_) {
+        if (rollout.state_ == RolloutState::Stopped && writesStatuses(state)) {
+            next = std::min(next, rollout.statusWriteAt_);
+        }
+    }
+    return next;
+}
+
 bool isHeldBack(const GatewayState &state, const Upstream &upstream)
 {
     if (upstream.version_.empty() || upstream.rowVersion_ <= state.operatorVersion_) {
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -261,6 +261,7 @@
     runSlots(state, now, inbox, outbox);
     runDispatch(state, now, outbox);
     runSlotRequests(state, now, outbox);
+    runRolloutStatuses(state, now, outbox);
     runPeerUpdates(state, now, outbox);
     reportQuotas(state, now, outbox);
     state.previousTickAt_ = now;
@@ -270,7 +271,7 @@
 TimePoint nextGatewayDeadline(const GatewayState &state)
 {
     return std::min({ nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state),
-        nextDeferredDeadline(state), state.crashEvidence_.reviewAt_, state.slotCheckAt_ });
+        nextDeferredDeadline(state), state.crashEvidence_.reviewAt_, state.slotCheckAt_, nextRolloutDeadline(state) });
 }
 
 } // namespace Burdockfield::Gateway
--- a/src/rollout_type.h
+++ b/src/rollout_type.h
@@ -88,6 +88,7 @@
     RolloutEvidence ownEvidence_; ///< Outcomes of this gateway's sends.
     std::map<std::string, PeerEvidence> peerEvidence_; ///< Newest reports of peers by address.
     RolloutEvidence evidence_; ///< Outcomes of all gateways.
+    TimePoint statusWriteAt_{}; ///< When this gateway may write the status row next, if that is due.
     std::map<std::string, double> failureScores_; ///< Sequential test of the new version by route, see addOutcomes().
 };
 
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -353,6 +353,39 @@
     CHECK(call(200)["new"] > 0);
 }
 
+// The operator stops the upstreams of a bad version only once the status row says so; replies may be lost.
+TEST_CASE_FIXTURE(RolloutFixture, "StoppedVersion_WhenItsStatusIsNotWritten_IsWrittenAgainUntilTheRowIsKnown")
+{
+    receive(makeOrders({ makeOrder("v2", orderRow) }, newRow));
+    receiveStatus(RolloutState::Completed, "v1", orderRow - 1);
+    CHECK(tick().rolloutStatuses_.empty());
+    CHECK(nextRolloutDeadline(state_) == noDeadline);
+    advanceState(state_.rollouts_["engines"], RolloutState::Stopped);
+    CHECK(nextRolloutDeadline(state_) <= now_);
+    const GatewayOutbox first = tick();
+    REQUIRE(first.rolloutStatuses_.size() == 1);
+    CHECK(first.rolloutStatuses_[0].status_.state_ == RolloutState::RolledBack);
+    CHECK(first.rolloutStatuses_[0].status_.version_ == "v2");
+    CHECK(first.rolloutStatuses_[0].expectedVersion_ == orderRow - 1);
+    CHECK(tick().rolloutStatuses_.empty());
+    CHECK(nextRolloutDeadline(state_) > now_);
+    CHECK(tickAfter(std::chrono::seconds(1)).rolloutStatuses_.size() == 1);
+    receiveStatus(RolloutState::RolledBack, "v2", newRow + 1);
+    CHECK(state_.rollouts_["engines"].state_ == RolloutState::RolledBack);
+    CHECK(tickAfter(std::chrono::seconds(1)).rolloutStatuses_.empty());
+    CHECK(nextRolloutDeadline(state_) == noDeadline);
+}
+
+// Brokers write at the same time; a status of an earlier order must be replaced, a newer one must not.
+TEST_CASE_FIXTURE(RolloutWireFixture, "StatusTransaction_WhenMade_HasTheExpectedVersion")
+{
+    const StoreTransaction transaction = makeStatusTransaction({ "s", "v2", RolloutState::RolledBack, 0 }, 9);
+    REQUIRE(transaction.checks_.size() == 1);
+    CHECK(transaction.checks_[0].key_ == StoreKey{ "status", "rollout/s" });
+    CHECK(transaction.checks_[0].version_ == 9);
+    CHECK(transaction.rowWrites_.at(0).value_ == R"({"state":"rolled_back","to":"v2"})");
+}
+
 TEST_CASE_FIXTURE(RolloutFixture, "OldVersion_WhenTheRolloutIsCompleted_GetsNoCall")
 {
     receive(makeOrders({ makeOrder("v2", orderRow) }, newRow));
