--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -90,9 +90,10 @@
 {
     text_ = "role: gateway\nname: g\nregion: r\nzone: z\nlisten: 127.0.0.1:1\nready: 127.0.0.1:2\npeer: 127.0.0.1:3\n"
             "metrics: 127.0.0.1:4\nplatform: 127.0.0.1:5\n"
-            "bounds: { configuration_delay: 4000ms, drain_delay: 3s, grace: 5s }\n";
+            "bounds: { configuration_delay: 4000ms, drain_delay: 3s, grace: 5s, exposure_share: 0.2 }\n";
     REQUIRE_FALSE(parse().error_);
     CHECK(settings_.gateway_.bounds_.configurationDelay_ == Milliseconds(4000));
     CHECK(settings_.gateway_.bounds_.drainDelay_ == Milliseconds(3000));
     CHECK(settings_.gateway_.bounds_.grace_ == Milliseconds(5000));
+    CHECK(settings_.gateway_.bounds_.exposureShare_ == 0.2);
 }
