--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -6,6 +6,7 @@
  * If a connection breaks within an event, another upstream can therefore resume after the last complete event.
  */
 #include "gateway_hedging_func.h"
+#include "gateway_rollout_func.h"
 
 #include "error_type.h"
 #include "gateway_event_stream_func.h"
@@ -210,6 +211,7 @@
     call.mayHaveRun_ = true;
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         reportOutcome(state, *upstream, now, true);
+        recordVersionOutcome(state, call, *upstream, true, outbox);
     }
     detachFromUpstream(state, call);
     if (continueWithOtherSend(state, now, id, outbox)) {
@@ -247,6 +249,7 @@
     cancelHedge(state, now, call, outbox);
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         reportOutcome(state, *upstream, now, status >= firstServerErrorStatus);
+        recordVersionOutcome(state, call, *upstream, status >= firstServerErrorStatus, outbox);
     }
     detachFromUpstream(state, call);
     if (status < firstServerErrorStatus) {
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -131,6 +131,9 @@
     for (const FetchSnapshot &command : outbox.snapshotFetches_) {
         fetchSnapshot(daemon, command);
     }
+    for (const WriteRolloutStatus &command : outbox.rolloutStatuses_) {
+        Platform::writeStatus(daemon.follower_, command.status_, command.expectedVersion_);
+    }
     if (outbox.limitsChanged_) {
         applyLimits(daemon);
     }
@@ -237,6 +240,10 @@
     handlers.isInForce_ = [&daemon](const std::string &text) {
         return text == daemon.state_.configurationText_;
     };
+    handlers.onRollouts_ = [&daemon](RolloutsReceived event) {
+        daemon.inbox_.rollouts_.push_back(std::move(event));
+        scheduleTick(daemon);
+    };
     handlers.onUpstreams_ = [&daemon](UpstreamsReceived event) {
         daemon.inbox_.upstreams_.push_back(std::move(event));
         scheduleTick(daemon);
@@ -262,7 +269,7 @@
     const auto memory = static_cast<double>(daemon.settings_.gateway_.memoryBytes_);
     daemon.state_.bounds_.bodyBytes_ = static_cast<size_t>(memory * bodyMemoryShare);
     daemon.state_.bounds_.answerBytes_ = static_cast<size_t>(memory * answerMemoryShare);
-    setBudgetMemory(*daemon.budget_, daemon.settings_.gateway_.memoryBytes_);
+    setBudgetMemory(*daemon.budget_, daemon.settings_.gateway_.memoryBytes_, daemon.settings_.gateway_.descriptors_);
     daemon.follower_.updateDelay_
         = std::min(daemon.state_.bounds_.configurationDelay_, daemon.state_.bounds_.drainDelay_);
 }
@@ -279,6 +286,7 @@
         || settings.platformAddress_ != daemon.settings_.platformAddress_;
     daemon.settings_.gateway_.bounds_ = settings.gateway_.bounds_;
     daemon.settings_.gateway_.memoryBytes_ = settings.gateway_.memoryBytes_;
+    daemon.settings_.gateway_.descriptors_ = settings.gateway_.descriptors_;
     applyBounds(daemon);
     logLine(LogLevel::Info, "reloaded", { { "cause", cause }, { "restart_needed", restartNeeded ? "yes" : "no" } });
 }
--- a/src/gateway_headroom.cpp
+++ b/src/gateway_headroom.cpp
@@ -2,11 +2,11 @@
  * @file gateway_headroom.cpp
  * @brief Forecast of the slots that urgent calls will need, for which less urgent ones leave room.
  *
- * Answers the load pattern of an engine fleet that is full nearly all the time with calls that hold their slots for very
- * different times: a slot that is given to a long, less urgent call is lost to many short, urgent ones. Such a call is
- * admitted only while the free slots of all engines together exceed what the more urgent ranks are forecast to need,
- * beyond the slots they hold already, in the time for which it would hold its slot. Pooling keeps the headroom small:
- * the spread of the sum is much less than the sum of the spreads at each engine.
+ * Answers the load pattern of an engine fleet that is full nearly all the time with calls that hold their slots for
+ * very different times: a slot that is given to a long, less urgent call is lost to many short, urgent ones. Such a
+ * call is admitted only while the free slots of all engines together exceed what the more urgent ranks are forecast to
+ * need, beyond the slots they hold already, in the time for which it would hold its slot. Pooling keeps the headroom
+ * small: the spread of the sum is much less than the sum of the spreads at each engine.
  */
 #include "gateway_headroom_func.h"
 
@@ -35,7 +35,8 @@
 /// @return the arrivals forecast for a time ahead, in calls per second; a falling trend is not followed.
 double forecastRate(const RankDemand &demand, FractionalSeconds ahead)
 {
-    const double trend = (demand.perSecond_ - demand.perSecondBefore_) / (longAveragingTime - shortAveragingTime).count();
+    const double trend
+        = (demand.perSecond_ - demand.perSecondBefore_) / (longAveragingTime - shortAveragingTime).count();
     // An average lags behind a trend by its averaging time.
     const double growth = trend * (shortAveragingTime + std::min(ahead, longestTrend)).count();
     return std::min(demand.perSecond_ + std::max(0.0, growth), demand.perSecond_ * mostGrowth);
@@ -105,9 +106,8 @@
 
 bool hasForecast(const ServiceHeadroom &headroom, TimePoint now)
 {
-    const bool holdsKnown = std::all_of(headroom.ranks_.begin(), headroom.ranks_.end(), [](const RankDemand &demand) {
-        return demand.holdTime_.count() > 0 || demand.perSecond_ < fewestPerSecond;
-    });
+    const bool holdsKnown = std::all_of(headroom.ranks_.begin(), headroom.ranks_.end(),
+        [](const RankDemand &demand) { return demand.holdTime_.count() > 0 || demand.perSecond_ < fewestPerSecond; });
     return holdsKnown && headroom.updatedAt_ - headroom.startedAt_ >= learningTime
         && now - headroom.updatedAt_ <= longestPause;
 }
--- a/src/gateway_hedging.cpp
+++ b/src/gateway_hedging.cpp
@@ -9,6 +9,7 @@
 #include "gateway_hedging_func.h"
 
 #include "gateway_placement_func.h"
+#include "gateway_rollout_func.h"
 #include "json_func.h"
 #include "table/hedge_refusal_names.h"
 
@@ -148,6 +149,7 @@
         return;
     }
     ++state.slotFlows_[call.service_].placed_;
+    countAssignment(state, *upstream, request.route_, false);
     addBacklog(state, *upstream, now, request.promptTokens_);
     sendHedge(
         state, now, insertHedge(state, id, call), target, upstream->ownInFlight_ + upstream->peerInFlight_ + 1, outbox);
--- a/src/gateway_slot_type.h
+++ b/src/gateway_slot_type.h
@@ -32,6 +32,8 @@
     uint64_t memoryTokens_ = 0; ///< Tokens of an engine's memory that it may take; 0 if the service has no limit.
     Milliseconds age_{ 0 }; ///< Time since the call arrived.
     Milliseconds wait_{ 0 }; ///< Time for which the call may still wait.
+    std::string route_; ///< Name of the route, if a version of the service is limited; else empty.
+    bool firstMessage_ = false; ///< Whether this is the first message about the call, which is counted once.
     std::vector<std::string> excluded_; ///< Ids of upstreams that the call can't be sent to.
     std::vector<std::string> tried_; ///< Ids of upstreams that it was sent to before, the last choice.
 };
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -3,6 +3,7 @@
  * @brief Tick of a gateway, deadlines of calls, and functions that several systems share.
  */
 #include "gateway_hedging_func.h"
+#include "gateway_rollout_func.h"
 #include "json_func.h"
 #include "table/gateway_refusal_names.h"
 
@@ -97,6 +98,7 @@
 {
     if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr) {
         reportOutcome(state, *upstream, now, true);
+        recordVersionOutcome(state, call, *upstream, true, outbox);
     }
     logSilence(state, now, call, outbox);
     call.mayHaveRun_ = true;
@@ -313,6 +315,7 @@
     runStop(state, now, inbox, outbox);
     runConfiguration(state, now, inbox, outbox);
     runMembership(state, now, inbox, outbox);
+    runRollouts(state, now, inbox, outbox);
     runPeers(state, now, inbox, outbox);
     runBrokers(state, now, outbox);
     runIntake(state, now, inbox, outbox);
@@ -325,6 +328,7 @@
     runDispatch(state, now, outbox);
     runHedging(state, now, outbox); // after the dispatch: calls that wait get free slots first
     runSlotRequests(state, now, outbox);
+    runRolloutStatuses(state, now, outbox);
     runPeerUpdates(state, now, outbox);
     reportQuotas(state, now, outbox);
     return outbox;
@@ -332,9 +336,9 @@
 
 TimePoint nextGatewayDeadline(const GatewayState &state)
 {
-    return std::min(
-        { nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state), nextDeferredDeadline(state),
-            state.crashEvidence_.reviewAt_, state.upstreamChecksAt_, state.slotCheckAt_, nextHedgingDeadline(state) });
+    return std::min({ nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state),
+        nextDeferredDeadline(state), state.crashEvidence_.reviewAt_, state.upstreamChecksAt_, state.slotCheckAt_,
+        nextHedgingDeadline(state), nextRolloutDeadline(state) });
 }
 
 } // namespace Burdockfield::Gateway
--- a/src/http_server_budget.cpp
+++ b/src/http_server_budget.cpp
@@ -8,6 +8,7 @@
 #include "http_server_input.h"
 #include "log_func.h"
 
+#include <algorithm>
 #include <sys/resource.h>
 
 namespace Burdockfield {
@@ -87,9 +88,10 @@
     setBudgetMemory(*this, defaultServerMemory);
 }
 
-void setBudgetMemory(ServerBudget &budget, size_t memoryBytes)
+void setBudgetMemory(ServerBudget &budget, size_t memoryBytes, size_t descriptors)
 {
-    budget.table_.limits_ = makeBudgetLimits(memoryBytes, descriptorLimit());
+    const size_t most = descriptorLimit();
+    budget.table_.limits_ = makeBudgetLimits(memoryBytes, descriptors == 0 ? most : std::min(most, descriptors));
 }
 
 void enforceLimits(const std::shared_ptr<ServerBudget> &budget)
--- a/src/http_server_budget.h
+++ b/src/http_server_budget.h
@@ -33,8 +33,12 @@
     std::function<void(const BudgetDecision &)> onDecision_; ///< Records a refusal or a close; may be empty.
 };
 
-/// Sets the limits for the memory of the process and its current limit of descriptors.
-void setBudgetMemory(ServerBudget &budget, size_t memoryBytes);
+/**
+ * Sets the limits for the memory of the process and its descriptors.
+ * @param descriptors most descriptors that the process may open; 0, or more than the system allows, for the system's
+ * limit
+ */
+void setBudgetMemory(ServerBudget &budget, size_t memoryBytes, size_t descriptors = 0);
 
 /// Runs a check as soon as the handlers that are ready have run, if limits are exceeded.
 void enforceLimits(const std::shared_ptr<ServerBudget> &budget);
--- a/src/memory_budget.cpp
+++ b/src/memory_budget.cpp
@@ -20,8 +20,9 @@
 /// Longest request that is always granted, twice a prompt of 3,000 tokens; as headers, these are bounded by the total.
 constexpr size_t smallRequestBytes = 32U << 10U;
 constexpr size_t progressStep = 4U << 10U; ///< Bytes that count as progress; a link of 10 Mbit/s carries them in 4 ms.
-/// Time without progress after which a body is refused, half of the time that a whole request may take.
-constexpr Milliseconds stallTimeout{ 5000 };
+/// Time without progress after which a body is refused: the platform's idle timeout. A body may not stand still for
+/// longer than a connection; the read timeout of the whole request mostly ends it before.
+constexpr Milliseconds stallTimeout{ 15000 };
 constexpr Milliseconds maxPause{ 1000 }; ///< Longest wait for memory; callers' deadlines begin at 1.2 s.
 /// Time without progress after which others that wait for memory take precedence: above a round trip and a lost packet.
 constexpr Milliseconds precedenceDelay{ 300 };
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -25,10 +25,13 @@
 constexpr uint64_t queueLimitBound = 1000000; ///< Largest queue_limit, in requests.
 constexpr size_t headerBytesBound = 1U << 20U; ///< Largest limit of a request's header.
 constexpr size_t bodyBytesBound = 32U << 20U; ///< Largest limit of a request's body.
+constexpr uint64_t fewestDescriptors = 64; ///< With fewer a gateway can't reach its upstreams, the store and its peers.
+constexpr uint64_t descriptorsBound = 1U << 30U; ///< Largest number of descriptors of a process.
 constexpr size_t memoryBytesBound = size_t{ 1 } << 40U; ///< Largest memory of a process.
 constexpr double processorShareBound = 1024; ///< Largest processor of a gateway, in cores.
 constexpr double retryRatioBound = 10; ///< Largest repeat_ratio, in retries per request.
 constexpr double retrySlackBound = 1e6; ///< Largest repeat_slack, in retries per window.
+constexpr double exposureShareBound = 1; ///< Largest exposure_share, as a share of the requests.
 constexpr double quotaOvershootBound = 10; ///< Largest quota_overshoot, as a share of the quota.
 constexpr double hedgingShareBound = 0.2; ///< Largest hedging.share: the retries that the users allow, see P7.
 constexpr double quotaSlackBound = 1e12; ///< Largest quota_token_slack, in tokens.
@@ -158,7 +161,7 @@
 {
     const auto inner = openMapping(reader, "bounds", false,
         { "repeat_ratio", "repeat_slack", "quota_window", "quota_overshoot", "quota_token_slack", "configuration_delay",
-            "drain_delay", "grace", "row_return" });
+            "drain_delay", "grace", "row_return", "exposure_share" });
     if (!inner) {
         return;
     }
@@ -173,6 +176,7 @@
     readDuration(*inner, "drain_delay", bounds.drainDelay_);
     readDuration(*inner, "grace", bounds.grace_);
     readDuration(*inner, "row_return", bounds.rowReturnTimeout_);
+    readNumber(*inner, "exposure_share", bounds.exposureShare_, exposureShareBound);
 }
 
 void readHedging(const SettingsReader &reader, Gateway::Bounds &bounds)
@@ -186,11 +190,12 @@
 {
     checkKeys(reader,
         { "role", "name", "region", "zone", "listen", "ready", "peer", "metrics", "platform", "log", "seed", "seeds",
-            "zones", "memory", "processor", "first_start", "bounds", "hedging" });
+            "zones", "memory", "descriptors", "processor", "first_start", "bounds", "hedging" });
     readAddress(reader, "ready", settings.gateway_.readyAddress_);
     readAddress(reader, "peer", settings.gateway_.peerAddress_);
     readAddress(reader, "metrics", settings.gateway_.metrics_);
     readSize(reader, "memory", settings.gateway_.memoryBytes_, memoryBytesBound);
+    readCount(reader, "descriptors", settings.gateway_.descriptors_, fewestDescriptors, descriptorsBound);
     readNumber(reader, "processor", settings.gateway_.processorShare_, processorShareBound);
     readFlag(reader, "first_start", settings.gateway_.firstStart_);
     readAddresses(reader, "seeds", settings.seeds_);
