--- a/tests/gateway_crash_test.cpp
+++ b/tests/gateway_crash_test.cpp
@@ -100,8 +100,9 @@
         }
         fleet.run(schedule.interval_, schedule.sound_, 0);
     }
-    for (const auto &[body, record] : fleet.deadlyRequests_) {
-        CAPTURE(body);
+    for (const auto &request : fleet.deadlyRequests_) {
+        const auto &record = request.second;
+        CAPTURE(request.first);
         CHECK(record.crashes_.size() >= 3);
         CHECK(countLateSends(record) <= allowedRuns);
     }
@@ -405,8 +406,9 @@
         for (const TimePoint end = now_ + std::chrono::seconds(90); now_ < end;) {
             drawCopies(*this, requests);
         }
-        for (const auto &[body, record] : deadlyRequests_) {
-            CAPTURE(body);
+        for (const auto &request : deadlyRequests_) {
+            const auto &record = request.second;
+            CAPTURE(request.first);
             CHECK(countLateSends(record) <= allowedRuns);
         }
     }
--- a/tests/gateway_memory_test.cpp
+++ b/tests/gateway_memory_test.cpp
@@ -15,6 +15,7 @@
 struct EngineMemoryFixture : GatewayFixture
 {
     static constexpr uint64_t capacity = 10000;
+    static constexpr const char *peer = "10.0.0.2:7000";
 
     EngineMemoryFixture()
     {
@@ -62,7 +63,6 @@
         return countFreeSlots(state_, now_, { "region-1" }).at("engines")[0];
     }
 
-    const std::string peer = "10.0.0.2:7000";
     uint64_t exchange_ = 0; ///< Last exchange.
 };
 
