Observability: log and count answers that no call was waiting for

An answer on an idle connection, one with another request's id, and bytes behind an answer were dropped in silence, and the lines of a call didn't name its connection. When a call that must run once ran twice, the logs could not tell a copy of an earlier refusal on the same connection from an upstream that refuses and runs all the same.

New event `extra-answer`, one line at most for each connection (such a connection carries no further call), and the metric `extra_answers`. `send-failed` and `answered` name the connection and the calls that it had carried; `send-failed` also whether the request had been written. No decision changes.

--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr size_t maxRelatedLines = 20; ///< Only the latest before the end of the request are shown.
+constexpr std::string_view extraAnswerEvent = "extra-answer"; ///< Event of an answer that no call was waiting for.
 constexpr size_t dateTimeLength = 19; ///< Of YYYY-MM-DDThh:mm:ss; the last 8 characters are the time of day.
 
 std::string toText(const Json::value &value)
@@ -92,6 +93,14 @@
     return cause;
 }
 
+/// @return whether the line is about an answer that was dropped and bears the id of the request, or came beside its
+/// own.
+bool isExtraAnswerOf(const LogLine &line, const std::string &request)
+{
+    return line.event_ == extraAnswerEvent
+        && (findField(line, "request") == request || findField(line, "received") == request);
+}
+
 /**
  * Finds events that are not about a single request but may have affected this one.
  * @return whether the line was written by the end of the request and names one of its upstreams or, if it names no
@@ -141,7 +150,7 @@
     std::set<std::string> nodes;
     std::set<std::string> upstreams;
     for (const LogLine &line : lines) {
-        if (findField(line, "request") == request) {
+        if (findField(line, "request") == request && line.event_ != extraAnswerEvent) {
             explanation.lines_.push_back(line);
             nodes.insert(line.node_);
             upstreams.insert(findField(line, "upstream"));
@@ -152,10 +161,13 @@
     }
     std::stable_sort(explanation.lines_.begin(), explanation.lines_.end(), isEarlier);
     explanation.cause_ = determineCause(explanation.lines_);
-    const std::string &until = explanation.lines_.back().time_;
+    const std::string until = explanation.lines_.back().time_;
     std::copy_if(lines.begin(), lines.end(), std::back_inserter(explanation.relatedLines_),
         [&](const LogLine &line) { return isRelated(line, nodes, upstreams, until); });
     std::stable_sort(explanation.relatedLines_.begin(), explanation.relatedLines_.end(), isEarlier);
+    std::copy_if(lines.begin(), lines.end(), std::back_inserter(explanation.lines_),
+        [&request](const LogLine &line) { return isExtraAnswerOf(line, request); });
+    std::stable_sort(explanation.lines_.begin(), explanation.lines_.end(), isEarlier);
     if (explanation.relatedLines_.size() > maxRelatedLines) {
         explanation.relatedLines_.erase(
             explanation.relatedLines_.begin(), explanation.relatedLines_.end() - maxRelatedLines);
--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -41,6 +41,8 @@
             { "outcome", outcome }, { "status", std::to_string(status) },
             { "attempts", std::to_string(call.attempts_) }, { "events", std::to_string(call.events_) },
             { "upstream", call.triedInstances_.empty() ? std::string() : call.triedInstances_.back() },
+            { "connection", std::to_string(call.use_.number_) },
+            { "calls_before", std::to_string(call.use_.callsBefore_) },
             { "took_ms", millisecondsText(now - call.arrivedAt_) } } });
     count(state.metrics_, "calls_ended", outcome);
     observe(state.metrics_, "call_seconds", call.routeName_, now - call.arrivedAt_);
@@ -124,7 +126,10 @@
             { "error", error ? error.message() : std::string("answer-refused") }, { "status", status },
             { "not_run", isReportedNotRun(call) ? "yes" : "no" },
             { "attempt", std::to_string(call.attempts_ - (firstOfTwo ? 1 : 0)) },
-            { "events", std::to_string(call.events_) }, { "after_ms", millisecondsText(now - call.sentAt_) } },
+            { "events", std::to_string(call.events_) }, { "after_ms", millisecondsText(now - call.sentAt_) },
+            { "connection", std::to_string(call.use_.number_) },
+            { "calls_before", std::to_string(call.use_.callsBefore_) },
+            { "written", call.use_.requestWritten_ ? "yes" : "no" } },
         true });
 }
 
@@ -412,6 +417,7 @@
     if (call == nullptr) {
         return;
     }
+    call->use_ = event.use_;
     const bool notRun = !event.error_ && isReportedNotRun(*call);
     const bool failed = event.error_ || notRun || !call->head_.authentic_
         || (call->retryable_ && call->head_.reply_.status_ >= firstServerErrorStatus);
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -10,6 +10,7 @@
 #include "gateway_configuration_type.h"
 #include "gateway_hedging_type.h"
 #include "gateway_slot_type.h"
+#include "link_use_type.h"
 #include "metrics_type.h"
 #include "pool_type.h"
 #include "rollout_type.h"
@@ -161,6 +162,7 @@
     uint64_t send_ = 0; ///< Number of the latest send; every send to an upstream has its own.
     UpstreamId upstream_; ///< Upstream of the latest send.
     std::string upstreamAddress_; ///< IP:PORT of that upstream, which may be removed from the list meanwhile.
+    LinkUse use_; ///< Connection of the latest send that ended; number 0 while none has, or if it was broken off.
     TimePoint sentAt_{}; ///< Time of the latest send.
     TimePoint answerBegunAt_{ noDeadline }; ///< When the first event of the latest send was received, if any.
     TimePoint lastReceivedAt_{}; ///< When the answer last made progress, a stream by a whole event; at first sentAt_.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -9,8 +9,10 @@
 
 #include "address_func.h"
 #include "error_type.h"
+#include "json_func.h"
 #include "log_func.h"
 #include "settings_func.h"
+#include "table/extra_answer_names.h"
 
 #include "call_wire.h"
 
@@ -25,6 +27,7 @@
 constexpr Milliseconds longDelay{ 200 }; ///< Delay of the event loop from which it is logged.
 constexpr Milliseconds exitDelay{ 60 }; ///< Time for the last answers to be transmitted before exit.
 constexpr size_t maxReplyBytes = 8U << 20U; ///< 8 MiB: longest reply of the store or a peer.
+constexpr size_t maxLoggedIdLength = 128; ///< Most bytes of an upstream's id of a request that are logged.
 constexpr double bodyMemoryShare = 0.25; ///< Share of the memory setting that request bodies may take.
 constexpr double answerMemoryShare = 0.2; ///< Share of the memory setting that buffered answers may take.
 
@@ -32,6 +35,7 @@
 {
     LinkCall call;
     call.send_ = command.send_;
+    call.requestId_ = command.request_.id_;
     call.address_ = std::move(command.address_);
     call.head_ = Platform::makeUpstreamRequest(command.request_, command.parameters_);
     call.body_ = command.request_.body_;
@@ -207,6 +211,20 @@
     return handlers;
 }
 
+void recordExtraAnswer(GatewayDaemon &daemon, const ExtraAnswer &answer)
+{
+    const std::string place(nameOf(answer.place_, extraAnswerNames));
+    const std::string received = Platform::receivedRequestId(answer.head_);
+    const AnswerHead head = Platform::parseAnswerHead(answer.head_, received);
+    count(daemon.state_.metrics_, "extra_answers", place);
+    logLine(LogLevel::Warning, "extra-answer",
+        { { "address", answer.address_ }, { "connection", std::to_string(answer.use_.number_) },
+            { "calls_before", std::to_string(answer.use_.callsBefore_) }, { "place", place },
+            { "request", answer.requestId_ }, { "received", received.substr(0, maxLoggedIdLength) },
+            { "status", std::to_string(answer.head_.status_) },
+            { "not_run", head.notRun_ || head.wrongInstance_ ? "yes" : "no" } });
+}
+
 LinkHandlers linkHandlers(GatewayDaemon &daemon)
 {
     LinkHandlers handlers;
@@ -220,10 +238,13 @@
         daemon.inbox_.bytes_.push_back({ send, std::move(bytes) });
         scheduleTick(daemon);
     };
-    handlers.onEnd_ = [&daemon](uint64_t send, std::error_code error) {
-        daemon.inbox_.ends_.push_back({ send, error });
+    handlers.onEnd_ = [&daemon](uint64_t send, std::error_code error, const LinkUse &use) {
+        daemon.inbox_.ends_.push_back({ send, error, use });
         scheduleTick(daemon);
     };
+    handlers.onExtraAnswer_ = [&daemon](const ExtraAnswer &answer) {
+        recordExtraAnswer(daemon, answer);
+    };
     return handlers;
 }
 
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -217,6 +217,7 @@
     call.send_ = state.nextSend_++;
     call.upstream_ = target;
     call.upstreamAddress_ = upstream.address_;
+    call.use_ = {};
     call.sentAt_ = now;
     call.lastReceivedAt_ = now;
     call.lastBytesAt_ = {};
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -47,6 +47,7 @@
 {
     uint64_t send_ = 0; ///< Number of the send.
     std::error_code error_; ///< Success when the complete answer was received, else a TransportErrc.
+    LinkUse use_{}; ///< Connection that carried it.
 };
 
 /// The check of an upstream ended.
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace Burdockfield {
 
@@ -26,6 +27,7 @@
 constexpr Milliseconds checkSettleTime{ 25 };
 constexpr int maxCheckConnections = 4; ///< Connections tried in one check, see startCheck().
 constexpr size_t readBytes = 16U << 10U; ///< Most bytes read at once.
+constexpr size_t peekedBytes = 2U << 10U; ///< Most bytes of an extra answer looked at on an idle connection.
 constexpr uint32_t responseHeaderLimit = 32U << 10U; ///< Bytes of the longest response header.
 /// Most bytes buffered while the rest of a header, a chunk's header or trailers is missing.
 constexpr size_t maxUnparsedBytes = responseHeaderLimit;
@@ -55,11 +57,54 @@
     }
 }
 
+/// @return the use of a connection by its current call, if it has one.
+LinkUse useOf(const LinkConnection &connection)
+{
+    return { connection.number_, connection.calls_ - std::min<size_t>(1, connection.calls_),
+        connection.requestWritten_ };
+}
+
+HttpReply makeHead(LinkParser &parser)
+{
+    HttpReply reply;
+    const auto &message = parser.get();
+    reply.status_ = static_cast<int>(message.result_int());
+    reply.headers_ = copyFields(message);
+    return reply;
+}
+
+/// @return the header of an answer at the start of some bytes; status 0 if they are none.
+HttpReply parseHead(Asio::const_buffer bytes)
+{
+    LinkParser parser;
+    parser.header_limit(responseHeaderLimit);
+    boost::system::error_code error;
+    parser.put(bytes, error);
+    return parser.is_header_done() ? makeHead(parser) : HttpReply{};
+}
+
+void reportExtraAnswer(UpstreamLink &link, LinkConnection &connection, ExtraAnswerPlace place, HttpReply head)
+{
+    if (std::exchange(connection.extraReported_, true) || !link.handlers_.onExtraAnswer_) {
+        return;
+    }
+    LinkUse use = useOf(connection);
+    if (place == ExtraAnswerPlace::Idle) {
+        use.callsBefore_ = connection.calls_;
+    }
+    link.handlers_.onExtraAnswer_(
+        { place, connection.call_.address_, connection.call_.requestId_, use, std::move(head) });
+}
+
 /// Ends the current call; keeps the connection only if it received nothing but the call's response.
 void endCall(UpstreamLink &link, const LinkPointer &connection, std::error_code error)
 {
     const uint64_t send = connection->call_.send_;
     link.busy_.erase(send);
+    const LinkUse use = useOf(*connection);
+    if (!error && connection->buffer_.size() > 0) {
+        reportExtraAnswer(link, *connection, ExtraAnswerPlace::BehindAnswer, parseHead(connection->buffer_.cdata()));
+    }
     connection->call_.send_ = 0;
     connection->call_.body_.reset();
     if (connection->requestWritten_) {
@@ -75,7 +120,7 @@
     } else {
         closeConnection(connection);
     }
-    link.handlers_.onEnd_(send, error);
+    link.handlers_.onEnd_(send, error, use);
 }
 
 void resetParser(LinkConnection &connection)
@@ -88,15 +133,6 @@
     connection.discarding_ = false;
 }
 
-HttpReply makeHead(LinkConnection &connection)
-{
-    HttpReply reply;
-    const auto &message = connection.parser_->get();
-    reply.status_ = static_cast<int>(message.result_int());
-    reply.headers_ = copyFields(message);
-    return reply;
-}
-
 void recordKeepAlive(LinkConnection &connection, const HttpReply &head)
 {
     constexpr std::string_view parameter = "timeout=";
@@ -118,11 +154,14 @@
     }
     if (!connection.headHandled_) {
         connection.headHandled_ = true;
-        HttpReply head = makeHead(connection);
+        HttpReply head = makeHead(*connection.parser_);
         recordKeepAlive(connection, head);
         connection.discarding_ = head.status_ < firstFinalStatus || connection.call_.isMismatched_(head);
         if (connection.discarding_) {
             connection.reusable_ = false;
+            if (head.status_ >= firstFinalStatus) {
+                reportExtraAnswer(link, connection, ExtraAnswerPlace::BeforeAnswer, std::move(head));
+            }
         } else {
             link.handlers_.onHead_(connection.call_.send_, std::move(head));
         }
@@ -197,6 +236,7 @@
     }
     connection->buffer_.commit(length);
     if (connection->call_.send_ == 0) { // bytes that belong to no call
+        reportExtraAnswer(link, *connection, ExtraAnswerPlace::Idle, parseHead(connection->buffer_.cdata()));
         removeIdleConnection(link, connection);
         closeConnection(connection);
         return;
@@ -245,6 +285,7 @@
 {
     resetParser(*connection);
     connection->overheadBytes_ = 0;
+    ++connection->calls_;
     writeRequest(link, connection);
 }
 
@@ -272,7 +313,7 @@
 void connect(UpstreamLink &link, const LinkPointer &connection, const ConnectHandler &onConnect)
 {
     const auto endpoint = parseEndpoint(connection->call_.address_);
-    ++link.connectionsOpened_;
+    connection->number_ = ++link.connectionsOpened_;
     if (!endpoint) {
         Asio::post(
             link.io_, [connection, onConnect] { finishConnect(connection, Asio::error::invalid_argument, onConnect); });
@@ -315,11 +356,14 @@
 }
 
 /// @return whether the upstream has neither closed the connection nor sent anything on it since its last call.
-bool isQuiet(LinkConnection &connection)
+bool isQuiet(UpstreamLink &link, LinkConnection &connection)
 {
-    std::array<char, 1> byte{};
+    std::array<char, peekedBytes> bytes{};
     boost::system::error_code error;
-    connection.socket_.receive(Asio::buffer(byte), Asio::socket_base::message_peek, error);
+    const size_t length = connection.socket_.receive(Asio::buffer(bytes), Asio::socket_base::message_peek, error);
+    if (!error && length > 0) {
+        reportExtraAnswer(link, connection, ExtraAnswerPlace::Idle, parseHead(Asio::buffer(bytes.data(), length)));
+    }
     return error == Asio::error::would_block;
 }
 
@@ -338,7 +382,7 @@
          newest = std::find_if(idle.rbegin(), idle.rend(), usable)) {
         LinkPointer connection = *newest;
         idle.erase(std::next(newest).base());
-        if (isQuiet(*connection)) {
+        if (isQuiet(link, *connection)) {
             return connection;
         }
         closeConnection(connection);
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "http_type.h"
+#include "link_use_type.h"
 #include "time_type.h"
 
 #include <boost/asio/io_context.hpp>
@@ -33,6 +34,7 @@
 struct LinkCall
 {
     uint64_t send_ = 0; ///< Number of the send, passed to the callbacks; 0 means no call.
+    std::string requestId_; ///< Id of the request.
     std::string address_; ///< IP:PORT.
     HttpRequest head_; ///< Request without its body.
     std::shared_ptr<const std::string> body_;
@@ -43,14 +45,26 @@
     std::function<bool(const HttpReply &)> isMismatched_;
 };
 
+/// Answer, or other bytes, that no call was waiting for.
+struct ExtraAnswer
+{
+    ExtraAnswerPlace place_ = ExtraAnswerPlace::Idle; ///< When it came.
+    std::string address_; ///< IP:PORT of the upstream.
+    std::string requestId_; ///< Id of the current request, or the last one if the connection was idle.
+    LinkUse use_; ///< The connection; the calls before include the last one if it was idle.
+    HttpReply head_; ///< Status and headers; status 0 if the bytes received so far are no header of an answer.
+};
+
 /// Callbacks of a link, with the number of the send. onEnd_ is called once for each call that is not cancelled, the
 /// others any number of times.
 struct LinkHandlers
 {
     std::function<void(uint64_t, HttpReply)> onHead_; ///< The header was received; the body is empty.
     std::function<void(uint64_t, std::string)> onBytes_; ///< Bytes of the body were received.
-    std::function<void(uint64_t, std::error_code)>
+    std::function<void(uint64_t, std::error_code, const LinkUse &)>
         onEnd_; ///< Success at the end of the response, else a TransportErrc.
+    /// An extra answer was dropped; called at most once for each connection, which is not used again. May be empty.
+    std::function<void(const ExtraAnswer &)> onExtraAnswer_;
 };
 
 /// Body of a response that takes no more memory than the bytes received, whatever length the header announces.
@@ -88,6 +102,9 @@
     boost::optional<LinkParser> parser_; ///< Parser of the current response.
     boost::optional<LinkMessage> message_; ///< Current request.
     LinkCall call_; ///< Current call, or the last one if send_ is 0.
+    uint64_t number_ = 0; ///< Number of the connection, see LinkUse.
+    size_t calls_ = 0; ///< Calls that it has carried, the current one included.
+    bool extraReported_ = false; ///< Whether an extra answer has been reported.
     bool connected_ = false;
     bool requestWritten_ = false; ///< Whether the current request has been written completely.
     bool headHandled_ = false; ///< Whether the header of the current response has been handled.
--- a/tests/explain_test.cpp
+++ b/tests/explain_test.cpp
@@ -34,6 +34,8 @@
 {"time":"2026-01-01T00:00:05.1Z","node":"n1","event":"send-failed","request":"r3","upstream":"u2","attempt":"2","error":"answer-refused","status":"500","after_ms":"61"}
 {"time":"2026-01-01T00:00:05.1Z","node":"n1","event":"answered","request":"r3","outcome":"upstream-error","status":"500","attempts":"2","upstream":"u2"}
 {"time":"2026-01-01T00:00:06.1Z","node":"n1","event":"caller-left","request":"r4","after_ms":"2581","attempts":"1","events":"11","upstream":"u1","silent_ms":"1988"}
+{"time":"2026-01-01T00:00:07.2Z","node":"n1","event":"extra-answer","address":"10.0.0.1:80","connection":"7","calls_before":"2","place":"before-answer","request":"r6","received":"r5","status":"503","not_run":"yes"}
+{"time":"2026-01-01T00:00:07.0Z","node":"n1","event":"answered","request":"r5","outcome":"ok","status":"200","attempts":"2","upstream":"u1","took_ms":"9"}
 )";
 };
 
@@ -75,6 +77,14 @@
         == "the caller closed its connection after 2581 ms; upstream u1 had been silent for 1988 ms");
 }
 
+TEST_CASE_FIXTURE(ExplainFixture, "Explanation_WhenACopyOfItsAnswerCameLater_ShowsItAndKeepsTheCause")
+{
+    const Explanation explanation = explain("r5");
+    REQUIRE(explanation.lines_.size() == 2);
+    CHECK(explanation.lines_[1].event_ == "extra-answer");
+    CHECK(explanation.cause_ == "u1 answered completely after 9 ms");
+}
+
 TEST_CASE_FIXTURE(ExplainFixture, "Explanation_WhenNoLineNamesTheRequest_HasNoCause")
 {
     CHECK(explain("r9").cause_.empty());
--- a/tests/http_request_test.cpp
+++ b/tests/http_request_test.cpp
@@ -37,7 +37,7 @@
         };
         handlers.onBytes_ = [](uint64_t /*send*/, const std::string & /*bytes*/) {
         };
-        handlers.onEnd_ = [this](uint64_t /*send*/, std::error_code error) {
+        handlers.onEnd_ = [this](uint64_t /*send*/, std::error_code error, const LinkUse & /*use*/) {
             end_ = error;
         };
         return handlers;
--- a/tests/upstream_link_reuse_test.cpp
+++ b/tests/upstream_link_reuse_test.cpp
@@ -6,8 +6,10 @@
 #include "address_func.h"
 #include "error_type.h"
 #include "fleet_parts_func.h"
+#include "http_func.h"
 #include "upstream_link.h"
 
+#include <array>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -17,6 +19,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 using namespace Burdockfield;
 using namespace Burdockfield::Testing;
@@ -43,25 +46,36 @@
         handlers.onBytes_ = [this](uint64_t send, const std::string &bytes) {
             bodies_[send] += bytes;
         };
-        handlers.onEnd_ = [this](uint64_t send, std::error_code error) {
+        handlers.onEnd_ = [this](uint64_t send, std::error_code error, const LinkUse &use) {
             ends_[send] = error;
+            uses_[send] = use;
             if (onEnd_) {
                 std::exchange(onEnd_, nullptr)();
             }
         };
+        handlers.onExtraAnswer_ = [this](const ExtraAnswer &answer) {
+            extraAnswers_.push_back(answer);
+        };
         return handlers;
     }
 
     void start(uint64_t send)
+    {
+        start(send, "request-" + std::to_string(send));
+    }
+
+    void start(uint64_t send, const std::string &id)
     {
         LinkCall call;
         call.send_ = send;
+        call.requestId_ = id;
         call.address_ = address_;
         call.head_.method_ = "POST";
         call.head_.target_ = "/x";
         call.body_ = std::make_shared<const std::string>("body");
-        call.isMismatched_ = [](const HttpReply & /*head*/) {
-            return false;
+        call.isMismatched_ = [id](const HttpReply &head) {
+            const std::string_view echoed = findHeader(head.headers_, "Request-Id");
+            return !echoed.empty() && echoed != id;
         };
         startCall(link_, std::move(call));
     }
@@ -89,6 +103,55 @@
         Asio::write(socket, Asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + body));
     }
 
+    static std::string refusalOf(const std::string &id)
+    {
+        return "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id
+            + "\r\nNot-Executed: 1\r\nContent-Length: 7\r\n\r\nrefused";
+    }
+
+    static void refuse(Asio::ip::tcp::socket &socket, const std::string &id)
+    {
+        Asio::write(socket, Asio::buffer(refusalOf(id)));
+    }
+
+    /// Runs the link until an upstream has received the next request on a connection.
+    void receiveRequest(Asio::ip::tcp::socket &socket)
+    {
+        std::string text;
+        socket.non_blocking(true);
+        runUntil([&socket, &text] {
+            std::array<char, 512> bytes{};
+            boost::system::error_code error;
+            text.append(bytes.data(), socket.read_some(Asio::buffer(bytes), error));
+            return text.ends_with("\r\n\r\nbody");
+        });
+    }
+
+    /// Lets a first call be refused and leaves its connection idle.
+    Asio::ip::tcp::socket refuseFirstCall()
+    {
+        start(1);
+        Asio::ip::tcp::socket socket = acceptRequest();
+        receiveRequest(socket);
+        refuse(socket, "request-1");
+        runUntil([this] { return ends_.contains(1); });
+        CHECK(link_.idle_[address_].size() == 1);
+        return socket;
+    }
+
+    /// Checks that one extra answer was reported, and that it is a refusal of the first call.
+    void checkRefusalReported(ExtraAnswerPlace place, size_t callsBefore)
+    {
+        REQUIRE(extraAnswers_.size() == 1);
+        const ExtraAnswer &answer = extraAnswers_[0];
+        CHECK(answer.place_ == place);
+        CHECK(answer.address_ == address_);
+        CHECK(answer.use_.number_ == 1);
+        CHECK(answer.use_.callsBefore_ == callsBefore);
+        CHECK(answer.head_.status_ == 503);
+        CHECK(findHeader(answer.head_.headers_, "Request-Id") == "request-1");
+    }
+
     /// Ends a first call and leaves its connection idle.
     Asio::ip::tcp::socket completeFirstCall()
     {
@@ -132,6 +195,8 @@
     Asio::ip::tcp::acceptor acceptor_;
     UpstreamLink link_;
     std::map<uint64_t, std::error_code> ends_; ///< How calls ended, by number of the send.
+    std::map<uint64_t, LinkUse> uses_; ///< Connections of ended calls, by number of the send.
+    std::vector<ExtraAnswer> extraAnswers_; ///< Extra answers reported.
     std::map<uint64_t, std::string> bodies_; ///< Bodies of the answers, by number of the send.
     std::function<void()> onEnd_; ///< What the next end of a call does, if set.
 };
@@ -194,6 +259,64 @@
     CHECK(link_.connectionsOpened_ == 1);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenAConnectionIsUsedAgain_TellsItsNumberAndTheCallsBefore")
+{
+    Asio::ip::tcp::socket socket = completeFirstCall();
+    start(2);
+    io_.poll();
+    answer(socket, "second");
+    runUntil([this] { return ends_.contains(2); });
+    CHECK(uses_[1].number_ == 1);
+    CHECK(uses_[1].callsBefore_ == 0);
+    CHECK(uses_[2].number_ == 1);
+    CHECK(uses_[2].callsBefore_ == 1);
+    CHECK(uses_[2].requestWritten_);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenACopyOfARefusalComesOnAnIdleConnection_ReportsIt")
+{
+    Asio::ip::tcp::socket socket = refuseFirstCall();
+    refuse(socket, "request-1");
+    runUntil([this] { return !extraAnswers_.empty(); });
+    checkRefusalReported(ExtraAnswerPlace::Idle, 1);
+    CHECK(extraAnswers_[0].requestId_ == "request-1");
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenACopyOfARefusalCameUnnoticed_ReportsItAtTheNextCall")
+{
+    Asio::ip::tcp::socket socket = refuseFirstCall();
+    refuse(socket, "request-1");
+    stayBusy();
+    start(2);
+    checkSecondCallSucceedsOnNewConnection();
+    checkRefusalReported(ExtraAnswerPlace::Idle, 1);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenACopyOfARefusalFollowsIt_ReportsItAndClosesTheConnection")
+{
+    start(1);
+    Asio::ip::tcp::socket socket = acceptRequest();
+    Asio::write(socket, Asio::buffer(refusalOf("request-1") + refusalOf("request-1")));
+    runUntil([this] { return ends_.contains(1); });
+    checkRefusalReported(ExtraAnswerPlace::BehindAnswer, 0);
+    CHECK(link_.idle_[address_].empty());
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenCopiesForAnotherRequestComeBeforeTheAnswer_ReportsTheFirst")
+{
+    Asio::ip::tcp::socket socket = refuseFirstCall();
+    start(2);
+    receiveRequest(socket);
+    refuse(socket, "request-1");
+    refuse(socket, "request-1");
+    answer(socket, "second");
+    runUntil([this] { return ends_.contains(2); });
+    CHECK(bodies_[2] == "second");
+    checkRefusalReported(ExtraAnswerPlace::BeforeAnswer, 1);
+    CHECK(extraAnswers_[0].requestId_ == "request-2");
+    CHECK(link_.idle_[address_].empty());
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenACallIsCancelledWhileItStarts_NeverSendsIt")
 {
     Asio::ip::tcp::socket socket = completeFirstCall();
--- a/tests/upstream_link_test.cpp
+++ b/tests/upstream_link_test.cpp
@@ -53,7 +53,7 @@
         handlers.onBytes_ = [this](uint64_t /*send*/, const std::string &bytes) {
             received_ += bytes.size();
         };
-        handlers.onEnd_ = [this](uint64_t /*send*/, std::error_code error) {
+        handlers.onEnd_ = [this](uint64_t /*send*/, std::error_code error, const LinkUse & /*use*/) {
             end_ = error;
         };
         return handlers;
