Tests: a copied refusal makes a call that must run once run twice

A stand-in upstream on a raw socket refuses its first requests and writes each refusal once more where the next answer on the same connection is due.

--- /dev/null
+++ b/tests/copying_upstream.h
@@ -0,0 +1,122 @@
+/**
+ * @file copying_upstream.h
+ * @brief Upstream that refuses its first requests and writes each refusal once more, where the next answer is due.
+ */
+#pragma once
+
+#include "address_func.h"
+#include "fleet_parts_func.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace Burdockfield::Testing {
+
+/// Connection that a copying upstream has accepted.
+struct CopyingConnection
+{
+    explicit CopyingConnection(boost::asio::ip::tcp::socket socket)
+        : socket_(std::move(socket))
+    {
+    }
+
+    boost::asio::ip::tcp::socket socket_;
+    boost::beast::flat_buffer buffer_;
+    boost::beast::http::request<boost::beast::http::string_body> request_; ///< Current request.
+    std::string refusal_; ///< Refusal to write once more, or empty.
+    std::string output_; ///< Bytes being written.
+};
+
+/// Runs in a thread of its own. Its answers to requests that ran follow the copy of the connection's last refusal.
+struct CopyingUpstream
+{
+    /// @param refusalHead status and headers of refusals, besides Request-Id and the length
+    /// @param refusals how many requests it refuses; it runs all further ones
+    CopyingUpstream(std::string refusalHead, int refusals)
+        : refusalHead_(std::move(refusalHead))
+        , refusalsLeft_(refusals)
+    {
+        accept();
+        thread_ = std::thread([this] { io_.run(); });
+    }
+
+    CopyingUpstream(const CopyingUpstream &) = delete;
+    CopyingUpstream &operator=(const CopyingUpstream &) = delete;
+
+    ~CopyingUpstream()
+    {
+        io_.stop();
+        thread_.join();
+    }
+
+    /// @return how often it has run a request.
+    int runsOf(const std::string &id)
+    {
+        const std::lock_guard lock(mutex_);
+        return runs_[id];
+    }
+
+    void accept()
+    {
+        acceptor_.async_accept([this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
+            if (!error) {
+                read(std::make_shared<CopyingConnection>(std::move(socket)));
+            }
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<CopyingConnection> &connection)
+    {
+        connection->request_ = {};
+        boost::beast::http::async_read(connection->socket_, connection->buffer_, connection->request_,
+            [this, connection](const boost::system::error_code &error, size_t) {
+                if (!error) {
+                    answer(connection);
+                }
+            });
+    }
+
+    void answer(const std::shared_ptr<CopyingConnection> &connection)
+    {
+        const std::string id(connection->request_["Request-Id"]);
+        const std::string tail = "Request-Id: " + id + "\r\nKeep-Alive: timeout=30\r\nContent-Length: 4\r\n\r\n";
+        if (refusalsLeft_ > 0) {
+            --refusalsLeft_;
+            connection->refusal_ = refusalHead_ + tail + "none";
+            connection->output_ = connection->refusal_;
+        } else {
+            const std::lock_guard lock(mutex_);
+            ++runs_[id];
+            connection->output_ = std::exchange(connection->refusal_, {})
+                + "HTTP/1.1 200 OK\r\nResponse-Signature: 1\r\n" + tail + "done";
+        }
+        boost::asio::async_write(connection->socket_, boost::asio::buffer(connection->output_),
+            [this, connection](const boost::system::error_code &error, size_t) {
+                if (!error) {
+                    read(connection);
+                }
+            });
+    }
+
+    std::string address_ = takeAddresses(1)[0]; ///< Where it listens.
+    boost::asio::io_context io_{ 1 };
+    boost::asio::ip::tcp::acceptor acceptor_{ io_, *parseEndpoint(address_) };
+    std::string refusalHead_;
+    int refusalsLeft_; ///< Requests that it still refuses; used by its thread only.
+    std::mutex mutex_; ///< Guards runs_.
+    std::map<std::string, int> runs_; ///< Runs by id of the request.
+    std::thread thread_;
+};
+
+} // namespace Burdockfield::Testing
--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -58,11 +58,11 @@
     }
 }
 
-Json::object makeRoute(const std::string &name, const std::string &kind, const std::string &service)
+Json::object makeRoute(const std::string &name, const std::string &kind, const std::string &service, uint32_t attempts)
 {
     return { { "name", name }, { "host", gatewayHost }, { "pathPrefix", "/" + name + "/" }, { "kind", kind },
         { "timeoutMs", 4000 }, { "targetLatencyMs", 1000 }, { "priority", 0 }, { "service", service },
-        { "attempts", 3 }, { "allowAnonymous", false }, { "resumable", true }, { "gapTargetMs", 200 } };
+        { "attempts", attempts }, { "allowAnonymous", false }, { "resumable", true }, { "gapTargetMs", 200 } };
 }
 
 /// @return whether the value of a key in a gateway's status contains all of @p names.
@@ -91,12 +91,12 @@
 } // namespace
 
 void writeConfiguration(const Fleet &fleet, uint64_t version, const std::vector<std::string> &keys,
-    const Gateway::CallerLimits &limits, uint32_t unusedRoutes)
+    const Gateway::CallerLimits &limits, uint32_t unusedRoutes, uint32_t attempts)
 {
-    Json::array routes{ makeRoute("stream", "streaming", "engines"), makeRoute("read", "idempotent", "engines"),
-        makeRoute("once", "non_idempotent", "desk") };
+    Json::array routes{ makeRoute("stream", "streaming", "engines", attempts),
+        makeRoute("read", "idempotent", "engines", attempts), makeRoute("once", "non_idempotent", "desk", attempts) };
     for (uint32_t index = 0; index < unusedRoutes; ++index) {
-        routes.push_back(makeRoute("unused-" + std::to_string(index), "idempotent", "engines"));
+        routes.push_back(makeRoute("unused-" + std::to_string(index), "idempotent", "engines", attempts));
     }
     const Json::array services{ Json::object{ { "name", "engines" }, { "engine", Json::object() } },
         Json::object{ { "name", "desk" } } };
@@ -163,7 +163,7 @@
     for (const std::string &upstream : fleet.upstreams_) {
         writeUpstreamRow(fleet, upstream, "ready", spec.slots_);
     }
-    writeConfiguration(fleet, 1, { "key-1" });
+    writeConfiguration(fleet, 1, { "key-1" }, {}, 0, spec.attempts_);
     return waitUntil([&] {
         return std::all_of(fleet.entries_.begin(), fleet.entries_.end(),
             [&](const std::string &gateway) { return isGatewayReady(fleet, gateway) && hasFullView(fleet, gateway); });
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -24,6 +24,7 @@
     uint32_t desks_ = 1; ///< Count of upstreams of the service "desk", which is not a model engine.
     uint32_t slots_ = 4; ///< Requests that each upstream runs at once.
     uint64_t seed_ = 1; ///< Gateways seed their random numbers with this plus their index.
+    uint32_t attempts_ = 3; ///< Attempts that each route allows.
     bool linked_ = false; ///< Whether gateways reach each upstream through a link.
     std::string settings_; ///< Further lines of the gateways' settings.
 };
@@ -47,9 +48,10 @@
  * Writes the operator's configuration into the store.
  * @param keys API keys of the only workspace
  * @param unusedRoutes further routes, which make the configuration large
+ * @param attempts attempts that each route allows
  */
 void writeConfiguration(const Fleet &fleet, uint64_t version, const std::vector<std::string> &keys,
-    const Gateway::CallerLimits &limits = {}, uint32_t unusedRoutes = 0);
+    const Gateway::CallerLimits &limits = {}, uint32_t unusedRoutes = 0, uint32_t attempts = 3);
 
 /// Writes an upstream's row into the store, or removes the row. @param startedAtMs the start that the row is about
 void writeUpstreamRow(const Fleet &fleet, const std::string &upstream, const std::string &state, uint32_t slots,
--- a/tests/upstream_link_reuse_test.cpp
+++ b/tests/upstream_link_reuse_test.cpp
@@ -317,6 +317,69 @@
     CHECK(link_.idle_[address_].empty());
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenARefusalIsCopied_DoesNotTakeTheCopyForTheNextAnswerToItsRequest")
+{
+    Asio::ip::tcp::socket socket = refuseFirstCall();
+    start(2, "request-1");
+    io_.poll();
+    refuse(socket, "request-1");
+    checkSecondCallSucceedsOnNewConnection();
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenARequestReturnsAfterOthers_DoesNotUseItsConnectionAgain")
+{
+    Asio::ip::tcp::socket socket = refuseFirstCall();
+    for (uint64_t send = 3; send < 6; ++send) {
+        start(send);
+        receiveRequest(socket);
+        answer(socket, "other");
+        runUntil([this, send] { return ends_.contains(send); });
+    }
+    CHECK(link_.connectionsOpened_ == 1);
+    start(2, "request-1");
+    checkSecondCallSucceedsOnNewConnection();
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenARequestReturns_UsesAnIdleConnectionThatHasNotCarriedIt")
+{
+    start(1);
+    Asio::ip::tcp::socket first = acceptRequest();
+    start(2);
+    Asio::ip::tcp::socket second = acceptRequest();
+    receiveRequest(first);
+    receiveRequest(second);
+    answer(second, "second");
+    runUntil([this] { return ends_.contains(2); });
+    refuse(first, "request-1"); // its connection is the newest idle one
+    runUntil([this] { return ends_.contains(1); });
+    start(3, "request-1");
+    io_.poll();
+    refuse(first, "request-1");
+    receiveRequest(second);
+    answer(second, "third");
+    runUntil([this] { return ends_.contains(3); });
+    CHECK(bodies_[3] == "third");
+    CHECK(uses_[3].number_ == 2);
+    CHECK(link_.connectionsOpened_ == 2);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenTwoCallsWithOneIdEnd_UsesNeitherConnectionForAThird")
+{
+    start(1, "request-1");
+    Asio::ip::tcp::socket first = acceptRequest();
+    start(2, "request-1");
+    Asio::ip::tcp::socket second = acceptRequest();
+    refuse(first, "request-1");
+    answer(second, "second");
+    runUntil([this] { return ends_.contains(1) && ends_.contains(2); });
+    start(3, "request-1");
+    Asio::ip::tcp::socket third = acceptRequest();
+    answer(third, "third");
+    runUntil([this] { return ends_.contains(3); });
+    CHECK(bodies_[3] == "third");
+    CHECK(uses_[3].callsBefore_ == 0);
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenACallIsCancelledWhileItStarts_NeverSendsIt")
 {
     Asio::ip::tcp::socket socket = completeFirstCall();
