Never send a request on a connection that has carried its id

Callers saw a call that must run once run twice, or got 503, not run, for one that had run.

Cause: a refusal (Not-Executed, or 421) counts when it names the request. A copy of it, written where a later answer is due, names it as well when the request is under way again on that connection. The flag newConnection_ kept a call away from kept connections only if it returned to the same instance. Connections are kept by address, and ids belong to callers: after a 421 the call went to the same address under the next instance's id and took the connection of the 421, and so did another call with the same id. The copy ended the call as not run, and it was sent once more. Class of fault: the rule was checked where calls are placed, about instances and sends, but the fact that it rests on is one of a connection.

Each connection of the link now remembers the hashes of the ids that it has carried, and a call never takes one that has carried its id. On any connection an id then belongs to one request, so that an answer with another id is a copy or foreign and one with this id is its own, whatever sent the earlier request: a retry, a return after 421, a second send, or another call. The list is never shortened; a connection that has carried 1024 calls is replaced.

newConnection_ and wasSentTo() were a special case of it and are removed. A call that returns to an upstream may use an idle connection that has not carried it.

--- a/src/gateway_command_type.h
+++ b/src/gateway_command_type.h
@@ -21,7 +21,6 @@
     CallRequest request_; ///< The caller's request.
     SendParameters parameters_; ///< What the gateway adds to it.
     bool retryable_ = false; ///< Whether it may run again at another upstream.
-    bool newConnection_ = false; ///< Whether to open a connection, as the upstream has answered this request before.
     uint32_t connectionShare_ = 0; ///< Connections to the upstream that this gateway may hold; 0 for no limit.
 };
 
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -40,7 +40,6 @@
     call.head_ = Platform::makeUpstreamRequest(command.request_, command.parameters_);
     call.body_ = command.request_.body_;
     call.retryable_ = command.retryable_;
-    call.newConnection_ = command.newConnection_;
     if (command.connectionShare_ > 0) {
         call.idleLimit_ = std::min<size_t>(call.idleLimit_, command.connectionShare_ / 2);
     }
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -18,12 +18,6 @@
 
 namespace {
 
-bool wasSentTo(const Call &call, const Upstream &upstream)
-{
-    return std::find(call.triedInstances_.begin(), call.triedInstances_.end(), upstream.id_)
-        != call.triedInstances_.end();
-}
-
 /// @return how many of an upstream's connections this gateway may use, or 0 for no limit.
 uint32_t connectionShareOf(const GatewayState &state, const std::string &service)
 {
@@ -195,7 +189,6 @@
     command.parameters_.wait_ = std::chrono::duration_cast<Milliseconds>(call.deadline_ - now);
     command.parameters_.resumeAfter_ = call.lastEvent_;
     command.retryable_ = call.retryable_;
-    command.newConnection_ = wasSentTo(call, upstream);
     command.connectionShare_ = connectionShareOf(state, call.service_);
     return command;
 }
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -5,6 +5,7 @@
 #include "upstream_link.h"
 
 #include "address_func.h"
+#include "digest_func.h"
 #include "error_type.h"
 #include "http_fields_func.h"
 #include "http_func.h"
@@ -57,10 +58,15 @@
     }
 }
 
+uint32_t hashId(const std::string &requestId)
+{
+    return static_cast<uint32_t>(fastHash(requestId));
+}
+
 /// @return the use of a connection by its current call, if it has one.
 LinkUse useOf(const LinkConnection &connection)
 {
-    return { connection.number_, connection.calls_ - std::min<size_t>(1, connection.calls_),
+    return { connection.number_, connection.carriedIds_.size() - std::min<size_t>(1, connection.carriedIds_.size()),
         connection.requestWritten_ };
 }
 
@@ -90,7 +96,7 @@
     }
     LinkUse use = useOf(connection);
     if (place == ExtraAnswerPlace::Idle) {
-        use.callsBefore_ = connection.calls_;
+        use.callsBefore_ = connection.carriedIds_.size();
     }
     link.handlers_.onExtraAnswer_(
         { place, connection.call_.address_, connection.call_.requestId_, use, std::move(head) });
@@ -111,8 +117,8 @@
         connection->message_.reset();
     }
     connection->parser_.reset();
-    const bool clean
-        = !error && connection->reusable_ && connection->requestWritten_ && connection->buffer_.size() == 0;
+    const bool clean = !error && connection->reusable_ && connection->requestWritten_ && connection->buffer_.size() == 0
+        && connection->carriedIds_.size() < maxCallsPerConnection;
     auto &idle = link.idle_[connection->call_.address_];
     if (clean && idle.size() < connection->call_.idleLimit_) {
         connection->idleSince_ = Clock::now();
@@ -285,7 +291,7 @@
 {
     resetParser(*connection);
     connection->overheadBytes_ = 0;
-    ++connection->calls_;
+    connection->carriedIds_.push_back(hashId(connection->call_.requestId_));
     writeRequest(link, connection);
 }
 
@@ -367,6 +373,12 @@
     return error == Asio::error::would_block;
 }
 
+bool hasCarried(const LinkConnection &connection, uint32_t id)
+{
+    const auto &carried = connection.carriedIds_;
+    return std::find(carried.begin(), carried.end(), id) != carried.end();
+}
+
 LinkPointer takeIdleConnection(UpstreamLink &link, const LinkCall &call)
 {
     const auto found = link.idle_.find(call.address_);
@@ -375,8 +387,9 @@
     }
     auto &idle = found->second;
     const TimePoint now = Clock::now();
-    const auto usable = [&call, now](const LinkPointer &connection) {
-        return isUsable(*connection, call.retryable_, now);
+    const uint32_t id = hashId(call.requestId_);
+    const auto usable = [&call, id, now](const LinkPointer &connection) {
+        return isUsable(*connection, call.retryable_, now) && !hasCarried(*connection, id);
     };
     for (auto newest = std::find_if(idle.rbegin(), idle.rend(), usable); newest != idle.rend();
          newest = std::find_if(idle.rbegin(), idle.rend(), usable)) {
@@ -424,7 +437,7 @@
 
 void startPostedCall(UpstreamLink &link, LinkCall call)
 {
-    const LinkPointer connection = call.newConnection_ ? nullptr : takeIdleConnection(link, call);
+    const LinkPointer connection = takeIdleConnection(link, call);
     if (connection == nullptr) {
         openConnection(link, std::move(call));
         return;
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -3,7 +3,9 @@
  * @brief Persistent connections of a gateway to upstreams.
  *
  * Every byte received on a connection has to belong to the response of its current call; a connection that receives
- * anything else is not used again. Call these functions only from the thread of the link's io_context.
+ * anything else is not used again. An upstream may send a response once more, where a later one is due; the request's
+ * id tells them apart, and therefore no connection carries two requests with one id. Call these functions only from the
+ * thread of the link's io_context.
  */
 #pragma once
 
@@ -30,16 +32,18 @@
 namespace Asio = boost::asio;
 namespace Beast = boost::beast;
 
+/// Most calls that a connection carries. It remembers the ids of all of them, in 4 bytes each.
+constexpr size_t maxCallsPerConnection = 1024;
+
 /// Call to an upstream.
 struct LinkCall
 {
     uint64_t send_ = 0; ///< Number of the send, passed to the callbacks; 0 means no call.
-    std::string requestId_; ///< Id of the request.
+    std::string requestId_; ///< Id of the request; it never uses a connection that has carried one with the same id.
     std::string address_; ///< IP:PORT.
     HttpRequest head_; ///< Request without its body.
     std::shared_ptr<const std::string> body_;
     size_t idleLimit_ = 8; ///< Most idle connections kept to the upstream.
-    bool newConnection_ = false; ///< Whether the call must not use an idle connection.
     bool retryable_ = false; ///< Whether the call may use a connection that the upstream might be closing.
     /// Tells by the header whether a response belongs to another call.
     std::function<bool(const HttpReply &)> isMismatched_;
@@ -103,7 +107,9 @@
     boost::optional<LinkMessage> message_; ///< Current request.
     LinkCall call_; ///< Current call, or the last one if send_ is 0.
     uint64_t number_ = 0; ///< Number of the connection, see LinkUse.
-    size_t calls_ = 0; ///< Calls that it has carried, the current one included.
+    /// Hashes of the ids of the requests that it has carried, in order, the current one included. Two ids with the same
+    /// hash cost no more than a new connection.
+    std::vector<uint32_t> carriedIds_;
     bool extraReported_ = false; ///< Whether an extra answer has been reported.
     bool connected_ = false;
     bool requestWritten_ = false; ///< Whether the current request has been written completely.
--- a/tests/upstream_link_reuse_test.cpp
+++ b/tests/upstream_link_reuse_test.cpp
@@ -10,6 +10,7 @@
 #include "upstream_link.h"
 
 #include <array>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -191,6 +192,7 @@
     }
 
     Asio::io_context io_{ 1 };
+    Asio::executor_work_guard<Asio::io_context::executor_type> work_{ io_.get_executor() };
     std::string address_;
     Asio::ip::tcp::acceptor acceptor_;
     UpstreamLink link_;
@@ -380,6 +382,29 @@
     CHECK(uses_[3].callsBefore_ == 0);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenAConnectionHasCarriedTheMostCalls_UsesANewOne")
+{
+    start(1);
+    Asio::ip::tcp::socket socket = acceptRequest();
+    receiveRequest(socket);
+    answer(socket, "done");
+    runUntil([this] { return ends_.contains(1); });
+    for (uint64_t send = 2; send <= maxCallsPerConnection; ++send) {
+        start(send);
+        receiveRequest(socket);
+        answer(socket, "done");
+        runUntil([this, send] { return ends_.contains(send); });
+    }
+    CHECK(link_.connectionsOpened_ == 1);
+    CHECK(uses_[maxCallsPerConnection].callsBefore_ == maxCallsPerConnection - 1);
+    CHECK(link_.idle_[address_].empty());
+    start(maxCallsPerConnection + 1);
+    Asio::ip::tcp::socket next = acceptRequest();
+    answer(next, "next");
+    runUntil([this] { return ends_.contains(maxCallsPerConnection + 1); });
+    CHECK(link_.connectionsOpened_ == 2);
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenACallIsCancelledWhileItStarts_NeverSendsIt")
 {
     Asio::ip::tcp::socket socket = completeFirstCall();
