Tests: an extra answer stands in the gateway's log and metrics

The link's tests show that extra answers are reported; this one that the gateway writes the line with the id under way and the id received, counts it, and names connections in the lines of calls.

--- a/tests/gateway_refusal_process_test.cpp
+++ b/tests/gateway_refusal_process_test.cpp
@@ -6,7 +6,11 @@
 #include "gateway_fleet.h"
 #include "process_fixture.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <fstream>
+#include <string>
+#include <vector>
 
 using namespace Burdockfield;
 using namespace Burdockfield::Testing;
@@ -38,6 +42,24 @@
         }));
     }
 
+    /// @return the first line of the gateway's log that has all texts, or an empty text.
+    std::string awaitLine(const std::vector<std::string> &texts)
+    {
+        std::string found;
+        waitUntil(
+            [&] {
+                std::ifstream log(fleet_.folder_ + "/gateway-1.log");
+                for (std::string line; found.empty() && std::getline(log, line);) {
+                    const bool matches = std::all_of(texts.begin(), texts.end(),
+                        [&line](const std::string &text) { return line.find(text) != std::string::npos; });
+                    found = matches ? line : std::string();
+                }
+                return !found.empty();
+            },
+            Milliseconds(3000));
+        return found;
+    }
+
     HttpReply call(const std::string &id)
     {
         return callGateway(fleet_, "gateway-1", { id, "/once/x", "body", "key-1", Milliseconds(4000), {} });
@@ -111,3 +133,22 @@
     CHECK(reply.body_ == "done");
     CHECK(upstream.runsOf("r2") == 1);
 }
+
+TEST_CASE_FIXTURE(GatewayRefusalFixture, "ExtraAnswer_WhenARefusalOfAnotherCallIsCopied_IsLoggedWithBothIds")
+{
+    start(1);
+    CopyingUpstream upstream(unavailable, 1);
+    list("desk-1", upstream);
+    call("r1");
+    call("r2");
+    CHECK_FALSE(awaitLine({ R"("event":"send-failed")", R"("request":"r1")", R"("connection":"1")",
+                              R"("calls_before":"0")", R"("written":"yes")" })
+                    .empty());
+    CHECK_FALSE(awaitLine({ R"("event":"extra-answer")", R"("address":")" + upstream.address_, R"("connection":"1")",
+                              R"("calls_before":"1")", R"("place":"before-answer")", R"("request":"r2")",
+                              R"("received":"r1")", R"("status":"503")", R"("not_run":"yes")" })
+                    .empty());
+    CHECK_FALSE(awaitLine({ R"("event":"answered")", R"("request":"r2")", R"("connection":"1")" }).empty());
+    const std::string metrics = callNode(fleet_.processes_.at("gateway-1").control_, "GET", "/metrics").body_;
+    CHECK(metrics.find("burdockfield_extra_answers{kind=\"before-answer\"} 1\n") != std::string::npos);
+}
