--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -3,11 +3,14 @@
  * @brief Persistent connections of a gateway to upstreams.
  *
  * Every byte received on a connection has to belong to the response of its current call; a connection that receives
- * anything else is not used again. Call these functions only from the thread of the link's io_context.
+ * anything else is not used again. An upstream may send a response once more, where a later one is due; the request's
+ * id tells them apart, and therefore no connection carries two requests with one id. Call these functions only from the
+ * thread of the link's io_context.
  */
 #pragma once
 
 #include "http_type.h"
+#include "link_use_type.h"
 #include "time_type.h"
 
 #include <boost/asio/io_context.hpp>
@@ -29,28 +32,43 @@
 namespace Asio = boost::asio;
 namespace Beast = boost::beast;
 
+/// Most calls that a connection carries. It remembers the ids of all of them, in 4 bytes each.
+constexpr size_t maxCallsPerConnection = 1024;
+
 /// Call to an upstream.
 struct LinkCall
 {
     uint64_t send_ = 0; ///< Number of the send, passed to the callbacks; 0 means no call.
+    std::string requestId_; ///< Id of the request; it never uses a connection that has carried one with the same id.
     std::string address_; ///< IP:PORT.
     HttpRequest head_; ///< Request without its body.
     std::shared_ptr<const std::string> body_;
     size_t idleLimit_ = 8; ///< Most idle connections kept to the upstream.
-    bool newConnection_ = false; ///< Whether the call must not use an idle connection.
     bool retryable_ = false; ///< Whether the call may use a connection that the upstream might be closing.
     /// Tells by the header whether a response belongs to another call.
     std::function<bool(const HttpReply &)> isMismatched_;
 };
 
+/// Answer, or other bytes, that no call was waiting for.
+struct ExtraAnswer
+{
+    ExtraAnswerPlace place_ = ExtraAnswerPlace::Idle; ///< When it came.
+    std::string address_; ///< IP:PORT of the upstream.
+    std::string requestId_; ///< Id of the current request, or the last one if the connection was idle.
+    LinkUse use_; ///< The connection; the calls before include the last one if it was idle.
+    HttpReply head_; ///< Status and headers; status 0 if the bytes received so far are no header of an answer.
+};
+
 /// Callbacks of a link, with the number of the send. onEnd_ is called once for each call that is not cancelled, the
 /// others any number of times.
 struct LinkHandlers
 {
     std::function<void(uint64_t, HttpReply)> onHead_; ///< The header was received; the body is empty.
     std::function<void(uint64_t, std::string)> onBytes_; ///< Bytes of the body were received.
-    std::function<void(uint64_t, std::error_code)>
+    std::function<void(uint64_t, std::error_code, const LinkUse &)>
         onEnd_; ///< Success at the end of the response, else a TransportErrc.
+    /// An extra answer was dropped; called at most once for each connection, which is not used again. May be empty.
+    std::function<void(const ExtraAnswer &)> onExtraAnswer_;
 };
 
 /// Body of a response that takes no more memory than the bytes received, whatever length the header announces.
@@ -88,6 +106,11 @@
     boost::optional<LinkParser> parser_; ///< Parser of the current response.
     boost::optional<LinkMessage> message_; ///< Current request.
     LinkCall call_; ///< Current call, or the last one if send_ is 0.
+    uint64_t number_ = 0; ///< Number of the connection, see LinkUse.
+    /// Hashes of the ids of the requests that it has carried, in order, the current one included. Two ids with the same
+    /// hash cost no more than a new connection.
+    std::vector<uint32_t> carriedIds_;
+    bool extraReported_ = false; ///< Whether an extra answer has been reported.
     bool connected_ = false;
     bool requestWritten_ = false; ///< Whether the current request has been written completely.
     bool headHandled_ = false; ///< Whether the header of the current response has been handled.
