Stand-in and soak: refusals, late copies and answers without end

An answer too many may be the copy of a refusal, which bears the id of a request that is under way again on the same connection. Nothing of ours sent one, and neither the stand-in nor the soak had answers without end beside other faults.

- burdockfield-standin answer-faults: a relay in front of an upstream, seeded, that refuses shares of requests with 503 or, as another instance, with 421, sends copies of refusals (of the same request if there was one) and of ordinary answers where the next answer is due, and answers without end in the head, a chunk header, the body or the trailers.
Checked: one run of all sends of an id and of a task, none if all were refused, the id that an answer names, bytes after an answer, and the resident memory of gateways against their setting (88 MiB for even seeds).
The checks of runs and ids have tests.
- The soak's gateways draw their own seeds, so that a restart has a new incarnation as on the platform.

--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -16,13 +16,21 @@
 namespace {
 
 constexpr const char *platform = "platform";
-constexpr size_t addressesPerUpstream = 3; ///< Of the upstream, its link and the link's control.
+constexpr size_t addressesPerUpstream = 5; ///< Of the upstream, its link, its answer faults and the controls of both.
 
 std::string readyAddress(const Fleet &fleet, const std::string &gateway)
 {
     return fleet.processes_.at(gateway + "-ready").address_;
 }
 
+void renameProcess(Fleet &fleet, const std::string &from, const std::string &to)
+{
+    auto process = fleet.processes_.extract(from);
+    process.key() = to;
+    process.mapped().name_ = to;
+    fleet.processes_.insert(std::move(process));
+}
+
 /// Adds a gateway. Its readiness address is kept under a process entry without a command, which is never started.
 void addGateway(Fleet &fleet, const std::string &name, uint64_t seed, const std::vector<std::string> &addresses,
     const std::string &furtherSettings)
@@ -30,10 +38,7 @@
     const std::string &listen = addresses[0];
     const std::string &store = addresses[4];
     addLink(fleet, platform, store, addresses[5]);
-    auto link = fleet.processes_.extract(std::string(platform) + "-link");
-    link.key() = name + "-store";
-    link.mapped().name_ = name + "-store";
-    fleet.processes_.insert(std::move(link));
+    renameProcess(fleet, std::string(platform) + "-link", name + "-store");
     const std::string settings = "role: gateway\nname: " + name + "\nregion: region-1\nzone: zone-1\nlisten: " + listen
         + "\nready: " + addresses[1] + "\npeer: " + addresses[2] + "\nmetrics: " + addresses[3] + "\nplatform: " + store
         + "\nseed: " + std::to_string(seed)
@@ -44,13 +49,35 @@
     fleet.entries_.push_back(name);
 }
 
-void addUpstreams(Fleet &fleet, const std::string &service, uint32_t count, bool linked,
+/// Adds the answer faults of an upstream, and the link before them.
+void addAnswerFaults(
+    Fleet &fleet, const std::string &upstream, uint64_t seed, const std::vector<std::string> &addresses)
+{
+    FleetProcess process;
+    process.name_ = upstream + "-faults";
+    process.address_ = addresses[3];
+    process.control_ = addresses[4];
+    process.command_ = fleet.processes_.at(upstream).command_;
+    process.command_.resize(1); // the stand-ins' program
+    process.command_.insert(process.command_.end(),
+        { "answer-faults", "--instance", upstream, "--seed", std::to_string(seed), "--target", addresses[0], "--listen",
+            process.address_, "--control", process.control_ });
+    const std::string name = process.name_;
+    fleet.processes_[name] = std::move(process);
+    addLink(fleet, name, addresses[1], addresses[2]);
+    renameProcess(fleet, name + "-link", upstream + "-link");
+}
+
+void addUpstreams(Fleet &fleet, const std::string &service, uint32_t count, const GatewayFleetSpec &spec,
     const std::vector<std::string> &addresses, size_t &next)
 {
     for (uint32_t index = 1; index <= count; ++index) {
         const std::string name = service + "-" + std::to_string(index);
         addStandin(fleet, name, addresses[next], { "upstream", "--instance", name });
-        if (linked) {
+        const auto first = addresses.begin() + static_cast<ptrdiff_t>(next);
+        if (spec.answerFaultsSeed_ != 0) {
+            addAnswerFaults(fleet, name, spec.answerFaultsSeed_ + next, { first, first + addressesPerUpstream });
+        } else if (spec.linked_) {
             addLink(fleet, name, addresses[next + 1], addresses[next + 2]);
         }
         next += addressesPerUpstream;
@@ -143,12 +170,12 @@
         + gatewayAddresses * static_cast<size_t>(spec.gateways_));
     size_t next = 0;
     addStandin(fleet, platform, addresses[next++], { "platform" });
-    addUpstreams(fleet, "engines", spec.engines_, spec.linked_, addresses, next);
-    addUpstreams(fleet, "desk", spec.desks_, spec.linked_, addresses, next);
+    addUpstreams(fleet, "engines", spec.engines_, spec, addresses, next);
+    addUpstreams(fleet, "desk", spec.desks_, spec, addresses, next);
     for (uint32_t index = 1; index <= spec.gateways_; ++index) {
         const auto first = addresses.begin() + static_cast<ptrdiff_t>(next);
-        addGateway(fleet, "gateway-" + std::to_string(index), spec.seed_ + index, { first, first + gatewayAddresses },
-            spec.settings_);
+        addGateway(fleet, "gateway-" + std::to_string(index), spec.seed_ == 0 ? 0 : spec.seed_ + index,
+            { first, first + gatewayAddresses }, spec.settings_);
         next += gatewayAddresses;
     }
     for (auto &[name, process] : fleet.processes_) {
@@ -175,6 +202,11 @@
     callNode(fleet.processes_.at(upstream + "-link").control_, "POST", command);
 }
 
+void controlAnswerFaults(const Fleet &fleet, const std::string &upstream, const std::string &shares)
+{
+    callNode(fleet.processes_.at(upstream + "-faults").control_, "POST", "/", shares);
+}
+
 void controlStoreLink(const Fleet &fleet, const std::string &gateway, const std::string &command)
 {
     callNode(fleet.processes_.at(gateway + "-store").control_, "POST", command);
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -23,9 +23,10 @@
     uint32_t engines_ = 2; ///< Count of upstreams of the service "engines".
     uint32_t desks_ = 1; ///< Count of upstreams of the service "desk", which is not a model engine.
     uint32_t slots_ = 4; ///< Requests that each upstream runs at once.
-    uint64_t seed_ = 1; ///< Gateways seed their random numbers with this plus their index.
+    uint64_t seed_ = 1; ///< Gateways seed their random numbers with this plus their index; 0 for new ones each start.
     bool linked_ = false; ///< Whether gateways reach each upstream through a link.
     std::string settings_; ///< Further lines of the gateways' settings.
+    uint64_t answerFaultsSeed_ = 0; ///< If not 0, upstreams are reached through links and through runAnswerFaults().
 };
 
 /// Request that callGateway() makes.
@@ -61,6 +62,9 @@
 /// Sends a command, such as /cut, to the link in front of an upstream, see runLink(); only if the fleet is linked.
 void controlUpstreamLink(const Fleet &fleet, const std::string &upstream, const std::string &command);
 
+/// Sets the shares of an upstream's requests that its answer faults befall, see runAnswerFaults().
+void controlAnswerFaults(const Fleet &fleet, const std::string &upstream, const std::string &shares);
+
 /// Sends a command, such as /cut, to the link between a gateway and the store, see runLink().
 void controlStoreLink(const Fleet &fleet, const std::string &gateway, const std::string &command);
 
--- a/tests/soak_callers.cpp
+++ b/tests/soak_callers.cpp
@@ -30,6 +30,8 @@
 constexpr Milliseconds endStep{ 50 }; ///< Pause between two looks at whether the soak has ended.
 constexpr Milliseconds slowestStart{ 6000 }; ///< Time over which slow senders begin.
 constexpr Milliseconds promptness{ 50 }; ///< Slow senders within the header timeout send the end this much before it.
+constexpr uint32_t mostRepeats = 3; ///< Times that a caller comes back after a refusal.
+constexpr Milliseconds longestRepeatPause{ 30 }; ///< Longest pause before it does.
 constexpr double reusableShare = 0.8; ///< Share of the idle timeout for which a connection may be reused.
 
 /// Caller that keeps its connection for as long as the gateway does.
@@ -80,7 +82,9 @@
     static constexpr std::array<const char *, 3> targets{ "/stream/x", "/read/x", "/once/x" };
     SoakCall call;
     call.id_ = caller.name_ + "-" + std::to_string(caller.number_++);
-    call.target_ = targets[caller.random_() % targets.size()] + std::to_string(caller.random_() % 1000);
+    call.task_ = call.id_;
+    call.target_
+        = targets[caller.random_() % targets.size()] + std::to_string(caller.random_() % 1000) + "-" + call.id_;
     return call;
 }
 
@@ -99,7 +103,8 @@
 }
 
 /// Sends the last part of a request and notes the answer. @param entitled whether the caller kept to the limits
-void finishCall(
+/// @return whether the request was refused
+bool finishCall(
     Soak &soak, SoakCaller &caller, SoakCall call, const std::string &text, bool entitled, Asio::yield_context yield)
 {
     boost::system::error_code error;
@@ -120,7 +125,9 @@
     if (gatewayRan) {
         call.gateway_ = soak.fleet_.entries_[caller.gateway_] + "/" + std::to_string(caller.stops_);
     }
+    call.excess_ = call.whole_ ? caller.buffer_.size() : 0;
     if (parser.is_header_done()) {
+        call.answeredId_ = std::string(parser.get()["Request-Id"]);
         call.instance_ = std::string(parser.get()["Instance-Id"]);
         call.leaving_ = parser.get().count("Server-Leaving") > 0;
     }
@@ -131,17 +138,44 @@
     if (!call.whole_ || !parser.get().keep_alive()) {
         caller.stream_.reset();
     }
+    const bool refused = isRefused(call);
     const std::lock_guard lock(soak.mutex_);
     soak.report_.calls_.push_back(std::move(call));
+    return refused;
+}
+
+/**
+ * Draws how a caller comes back after a refusal: on the same connection or at another gateway, mostly with a new id.
+ * @return false if it does not
+ */
+bool prepareRepeat(const Soak &soak, SoakCaller &caller, uint32_t repeats, SoakCall &call)
+{
+    constexpr uint64_t ways = 8;
+    const uint64_t way = caller.random_() % ways;
+    if (!soak.spec_.answerFaults_ || soak.ended_ || repeats == mostRepeats || way == 0) {
+        return false;
+    }
+    if (way >= 4) {
+        caller.stream_.reset();
+        caller.gateway_ = (caller.gateway_ + 1 + caller.random_() % (soak.spec_.gateways_ - 1)) % soak.spec_.gateways_;
+    }
+    const bool sameId = way == 1 || way == 4;
+    if (!sameId) {
+        call.id_ = call.task_ + "." + std::to_string(repeats + 1);
+    }
+    return true;
 }
 
 void runBusy(Soak &soak, SoakCaller &caller, Asio::yield_context yield)
 {
     while (!soak.ended_) {
         SoakCall call = makeCall(caller);
-        const std::string text = serializeRequest(call, keyName(soak.key_));
-        if (connect(soak, caller, yield)) {
-            finishCall(soak, caller, std::move(call), text, true, yield);
+        for (uint32_t repeats = 0; connect(soak, caller, yield); ++repeats) {
+            const std::string text = serializeRequest(call, callerKey(soak));
+            if (!finishCall(soak, caller, call, text, true, yield) || !prepareRepeat(soak, caller, repeats, call)) {
+                break;
+            }
+            sleepFor(draw(caller, Milliseconds(0), longestRepeatPause), yield);
         }
         sleepFor(callerPause, yield);
     }
@@ -158,7 +192,7 @@
         const TimePoint begun = Clock::now();
         sleepFor(draw(caller, Milliseconds(0), longestIdleTimeout + reconnectPause), yield);
         SoakCall call = makeCall(caller);
-        const std::string text = serializeRequest(call, keyName(soak.key_));
+        const std::string text = serializeRequest(call, callerKey(soak));
         // Any timeout that was configured may be in force.
         const bool entitled = Clock::now() - begun < shortestIdleTimeout * reusableShare;
         finishCall(soak, caller, std::move(call), text, entitled, yield);
@@ -176,7 +210,7 @@
             continue;
         }
         SoakCall call = makeCall(caller);
-        const std::string text = serializeRequest(call, keyName(soak.key_));
+        const std::string text = serializeRequest(call, callerKey(soak));
         const size_t cut = 1 + caller.random_() % (text.size() - 1);
         const TimePoint begun = Clock::now();
         boost::system::error_code error;
@@ -197,6 +231,11 @@
     return "key-" + std::to_string(number);
 }
 
+std::string callerKey(const Soak &soak)
+{
+    return keyName(soak.spec_.answerFaults_ ? 1 : soak.key_.load());
+}
+
 void runCaller(Soak &soak, uint32_t index)
 {
     Asio::io_context io; // outlives the caller's connection
--- a/tests/soak_faults.cpp
+++ b/tests/soak_faults.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <fstream>
 #include <map>
+#include <set>
 
 namespace Burdockfield::Testing {
 
@@ -68,6 +69,7 @@
 bool beginStop(Soak &soak, uint32_t gateway)
 {
     const bool listening = answersAtAll(soak.fleet_, gatewayName(gateway));
+    checkMemory(soak);
     ++soak.stops_[gateway];
     signalProcess(soak.fleet_, gatewayName(gateway), SIGTERM);
     return listening;
@@ -100,6 +102,7 @@
     if (how == "pause") {
         pauseFor(soak, gateway, Milliseconds(200 + soak.random_() % 1500));
     } else if (how == "kill") {
+        checkMemory(soak);
         checkRunning(soak);
         ++soak.stops_[gateway];
         signalProcess(soak.fleet_, gatewayName(gateway), SIGKILL);
@@ -147,13 +150,19 @@
             + "\"}");
 }
 
+/// @return the keys of a configuration: that of callers, the one in force and the one that comes next.
+std::vector<std::string> keysUpTo(const Soak &soak, uint64_t next)
+{
+    const std::set<std::string> keys{ callerKey(soak), keyName(soak.key_), keyName(next) };
+    return { keys.begin(), keys.end() };
+}
+
 void changeConfiguration(Soak &soak)
 {
     ++soak.version_;
     const uint64_t next = soak.key_ + 1;
     note(soak, "configuration " + std::to_string(soak.version_) + " with " + keyName(next));
-    writeConfiguration(
-        soak.fleet_, soak.version_, { keyName(soak.key_), keyName(next) }, soak.limits_, soak.unusedRoutes_);
+    writeConfiguration(soak.fleet_, soak.version_, keysUpTo(soak, next), soak.limits_, soak.unusedRoutes_);
     soak.key_ = next;
 }
 
@@ -171,7 +180,7 @@
     const auto range = static_cast<uint64_t>((longestIdleTimeout - shortestIdleTimeout).count());
     soak.limits_.idleTimeout_ = shortestIdleTimeout + Milliseconds(soak.random_() % (range + 1));
     note(soak, "idle timeout " + std::to_string(soak.limits_.idleTimeout_.count()) + " ms");
-    writeConfiguration(soak.fleet_, soak.version_, { keyName(soak.key_) }, soak.limits_, soak.unusedRoutes_);
+    writeConfiguration(soak.fleet_, soak.version_, keysUpTo(soak, soak.key_), soak.limits_, soak.unusedRoutes_);
 }
 
 /// Lets an upstream say that it leaves. The first one of each service stays.
@@ -202,6 +211,67 @@
     }
 }
 
+/// @return a share in text.
+std::string drawShare(Soak &soak, double most, double least = 0)
+{
+    return std::to_string(std::uniform_real_distribution<double>(least, most)(soak.random_));
+}
+
+void setAnswerFaults(Soak &soak, const std::string &upstream, const std::string &shares)
+{
+    note(soak, "answer faults " + shares + " of " + upstream);
+    controlAnswerFaults(soak.fleet_, upstream, shares);
+}
+
+/// Lets all upstreams that may not be called twice refuse requests, and send copies of refusals and answers.
+void spoilDesks(Soak &soak)
+{
+    for (const std::string &upstream : soak.fleet_.upstreams_) {
+        if (upstream.starts_with("desk")) {
+            setAnswerFaults(soak, upstream,
+                R"({"refused":)" + drawShare(soak, 0.7) + R"(,"refusal_copies":)" + drawShare(soak, 1, 0.3)
+                    + R"(,"replaced":)" + drawShare(soak, 0.2) + "}");
+        }
+    }
+}
+
+/// Lets an upstream answer in all faulty manners, or in none.
+void spoilAnswers(Soak &soak)
+{
+    const std::string upstream = drawUpstream(soak);
+    if (soak.random_() % 4 == 0) {
+        setAnswerFaults(soak, upstream, "{}");
+        return;
+    }
+    setAnswerFaults(soak, upstream,
+        R"({"refused":)" + drawShare(soak, 0.5) + R"(,"refusal_copies":)" + drawShare(soak, 1, 0.3) + R"(,"replaced":)"
+            + drawShare(soak, 0.3) + R"(,"answer_copies":)" + drawShare(soak, 0.3) + R"(,"endless":)"
+            + drawShare(soak, 0.1) + "}");
+}
+
+/// Lets an upstream answer without end, in the midst of refusals.
+void floodAnswers(Soak &soak)
+{
+    setAnswerFaults(soak, drawUpstream(soak),
+        R"({"endless":)" + drawShare(soak, 0.4) + R"(,"refused":)" + drawShare(soak, 0.3) + R"(,"refusal_copies":)"
+            + drawShare(soak, 1) + "}");
+}
+
+/// Replaces an upstream by another instance at the same address for a time.
+void replaceInstance(Soak &soak)
+{
+    const std::string upstream = drawUpstream(soak);
+    note(soak, "replace " + upstream);
+    std::vector<std::string> &command = soak.fleet_.processes_.at(upstream).command_;
+    const auto instance = std::find(command.begin(), command.end(), "--instance") + 1;
+    for (const std::string &name : { upstream + "-replaced", upstream }) {
+        signalProcess(soak.fleet_, upstream, SIGKILL);
+        *instance = name;
+        startProcess(soak.fleet_, upstream);
+        std::this_thread::sleep_for(Milliseconds(soak.random_() % 1000));
+    }
+}
+
 using Strike = void (*)(Soak &);
 
 /// Faults outside of gateways.
@@ -265,13 +335,18 @@
 {
     static constexpr std::array<Strike, 3> announcementStrikes{ announceLeaving, announcePause, resizeConfiguration };
     static constexpr std::array<Strike, 3> timeoutStrikes{ changeTimeouts, stopUnderPauses, pauseAll };
-    if (soak.spec_.announcements_ && soak.random_() % 3 == 0) {
+    static constexpr std::array<Strike, 5> answerStrikes{ spoilDesks, spoilDesks, spoilAnswers, floodAnswers,
+        replaceInstance };
+    if (soak.spec_.answerFaults_ && soak.random_() % 2 == 0) {
+        answerStrikes[soak.random_() % answerStrikes.size()](soak);
+    } else if (soak.spec_.announcements_ && soak.random_() % 3 == 0) {
         announcementStrikes[soak.random_() % announcementStrikes.size()](soak);
     } else if (soak.spec_.quietCallers_ > 0 && soak.random_() % 3 == 0) {
         timeoutStrikes[soak.random_() % timeoutStrikes.size()](soak);
     } else {
         strikeBasic(soak);
     }
+    checkMemory(soak);
     checkRunning(soak);
     if (soak.random_() % 3 != 0) { // every third fault is followed by the next at once
         std::this_thread::sleep_for(Milliseconds(50 + soak.random_() % 400));
@@ -286,6 +361,9 @@
     for (const std::string &upstream : soak.fleet_.upstreams_) {
         controlStandin(soak.fleet_, upstream, R"({"mode":"good","pause_ms":0})");
         controlUpstreamLink(soak.fleet_, upstream, "/mend");
+        if (soak.spec_.answerFaults_) {
+            controlAnswerFaults(soak.fleet_, upstream, "{}");
+        }
         writeUpstreamRow(soak.fleet_, upstream, "ready", 4);
     }
     for (const std::string &gateway : soak.fleet_.entries_) {
@@ -293,6 +371,29 @@
     }
 }
 
+void checkMemory(Soak &soak)
+{
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__) // they need memory of their own
+    constexpr std::string_view peakField = "VmHWM:"; // in KiB, see proc(5)
+    for (const std::string &gateway : soak.fleet_.entries_) {
+        std::ifstream status("/proc/" + std::to_string(soak.fleet_.processes_.at(gateway).pid_) + "/status");
+        for (std::string line; std::getline(status, line);) {
+            if (!line.starts_with(peakField)) {
+                continue;
+            }
+            const uint64_t peakMib = std::stoull(line.substr(peakField.size())) >> 10U;
+            const bool higher
+                = peakMib > std::exchange(soak.report_.peakMib_, std::max(soak.report_.peakMib_, peakMib));
+            if (higher && peakMib >= soak.memoryMib_) {
+                addBreach(soak,
+                    { "a gateway keeps to its memory", gateway,
+                        std::to_string(peakMib) + " of " + std::to_string(soak.memoryMib_) + " MiB" });
+            }
+        }
+    }
+#endif
+}
+
 void checkRunning(Soak &soak)
 {
     for (auto &[name, process] : soak.fleet_.processes_) {
--- a/tests/soak_fixture.cpp
+++ b/tests/soak_fixture.cpp
@@ -7,12 +7,15 @@
 #include "platform_upstream_base.h"
 
 #include <map>
+#include <set>
 
 namespace Burdockfield::Testing {
 
 namespace {
 
 constexpr Milliseconds recovery{ 6000 }; ///< Time in which all has to work again after the last fault.
+constexpr uint64_t defaultMemoryMib = 128; ///< Memory of a gateway.
+constexpr uint64_t leastMemoryMib = 88; ///< Memory of a gateway on the smallest machine.
 constexpr int calmCalls = 30; ///< Calls after the faults, which all have to be served.
 
 /// After recovery every gateway serves by the newest configuration, and no longer by a key that was taken away.
@@ -37,13 +40,60 @@
     }
 }
 
-bool promisesNotRun(int status)
+uint64_t chooseMemory(const SoakSpec &spec)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    const bool least = spec.answerFaults_ && spec.seed_ % 2 == 0;
+    return spec.memoryMib_ > 0 ? spec.memoryMib_ : least ? leastMemoryMib : defaultMemoryMib;
+}
+
+/// Sends of one id.
+struct SendsOfId
+{
+    size_t all_ = 0; ///< Sends.
+    size_t refused_ = 0; ///< Those that were refused.
+};
+
+/// Checks how often requests ran, by their ids and by their tasks.
+void judgeRuns(
+    const std::vector<SoakCall> &calls, const std::map<std::string, size_t> &runs, std::vector<SoakBreach> &breaches)
+{
+    const auto runsOf = [&runs](const std::string &id) {
+        const auto found = runs.find(id);
+        return found == runs.end() ? 0 : found->second;
+    };
+    std::map<std::string, SendsOfId> sends;
+    std::map<std::string, std::set<std::string>> ids;
+    for (const SoakCall &call : calls) {
+        ++sends[call.id_].all_;
+        sends[call.id_].refused_ += isRefused(call) ? 1 : 0;
+        ids[call.task_].insert(call.id_);
+    }
+    for (const SoakCall &call : calls) {
+        const auto [all, refused] = std::exchange(sends[call.id_], {});
+        const size_t ran = runsOf(call.id_);
+        if (all > 0 && all == refused && ran > 0) {
+            breaches.push_back({ "told not run, it was not run", call.id_, std::to_string(ran) });
+        }
+        if (all > 0 && call.target_.starts_with("/once/") && ran > 1) {
+            breaches.push_back({ "non-idempotent runs at most once", call.id_, std::to_string(ran) });
+        }
+        size_t ranForTask = 0;
+        for (const std::string &id : std::exchange(ids[call.task_], {})) {
+            ranForTask += runsOf(id);
+        }
+        if (call.target_.starts_with("/once/") && ranForTask > std::max<size_t>(ran, 1)) {
+            breaches.push_back({ "a refused task runs at most once", call.task_, std::to_string(ranForTask) });
+        }
+    }
 }
 
 } // namespace
 
+bool isRefused(const SoakCall &call)
+{
+    return call.whole_ && (call.status_ == 408 || call.status_ == 421 || call.status_ == 429 || call.status_ == 503);
+}
+
 std::vector<SoakBreach> judgeLeaving(const std::vector<SoakCall> &calls)
 {
     std::map<std::pair<std::string, std::string>, TimePoint> toldAt;
@@ -81,11 +131,11 @@
         if (call.status_ == 200 && !call.whole_ && !expected.starts_with(call.body_)) {
             breaches.push_back({ "what comes of an answer is its beginning", call.id_, call.body_ });
         }
-        if (call.whole_ && promisesNotRun(call.status_) && ran > 0) {
-            breaches.push_back({ "told not run, it was not run", call.id_, std::to_string(ran) });
+        if (call.whole_ && !call.answeredId_.empty() && call.answeredId_ != call.id_) {
+            breaches.push_back({ "a whole answer is the request's own", call.id_, call.answeredId_ });
         }
-        if (call.target_.starts_with("/once/") && ran > 1) {
-            breaches.push_back({ "non-idempotent runs at most once", call.id_, std::to_string(ran) });
+        if (call.excess_ > 0) {
+            breaches.push_back({ "a request gets one answer", call.id_, std::to_string(call.excess_) + " bytes more" });
         }
         if (!call.dropped_.empty()) {
             breaches.push_back({ "a request ends with an answer", call.id_, call.dropped_ });
@@ -94,6 +144,7 @@
             breaches.push_back({ "an answer comes from an upstream", call.id_, call.body_ });
         }
     }
+    judgeRuns(calls, runs, breaches);
     return breaches;
 }
 
@@ -102,7 +153,9 @@
     Soak soak;
     soak.spec_ = spec;
     soak.random_.seed(spec.seed_);
-    GatewayFleetSpec fleet{ spec.gateways_, spec.engines_, spec.desks_, 4, spec.seed_, true };
+    soak.memoryMib_ = chooseMemory(spec);
+    GatewayFleetSpec fleet{ spec.gateways_, spec.engines_, spec.desks_, 4, 0, true,
+        "memory: " + std::to_string(soak.memoryMib_) + "MiB\n", spec.answerFaults_ ? spec.seed_ + 1 : 0 };
     if (!startGatewayFleet(soak.fleet_, fleet)) {
         soak.report_.breaches_.push_back({ "the fleet starts", soak.fleet_.folder_, "not ready" });
         stopFleet(soak.fleet_);
@@ -130,6 +183,7 @@
         caller.join();
     }
     checkRecovery(soak);
+    checkMemory(soak);
     checkRunning(soak);
     checkLogs(soak);
     std::vector<SoakBreach> breaches = judgeCalls(soak.report_.calls_, readLedgers(soak.fleet_));
--- a/tests/soak_fixture.h
+++ b/tests/soak_fixture.h
@@ -26,18 +26,25 @@
                                 ///< timeouts are short and gateways are paused while they stop.
     bool announcements_ = false; ///< Whether upstreams leave and ask for pauses by their answers, and configurations
                                  ///< grow large.
+    bool answerFaults_ = false; ///< Whether upstreams refuse, copy refusals and answers, and answer without end, and
+                                ///< callers come back after a refusal.
+    uint64_t memoryMib_ = 0; ///< Memory of each gateway in MiB; 0 for the default, or with answer faults and an even
+                             ///< seed for that of the smallest machine.
 };
 
 /// What a caller saw of one call.
 struct SoakCall
 {
-    std::string id_; ///< Name of the request.
+    std::string id_; ///< Id of the request, kept by a few of those that come back after a refusal.
+    std::string task_; ///< Id that the request had before any refusal.
     std::string target_; ///< Path.
     int status_ = 0; ///< Status; 0 when none came.
     bool whole_ = false; ///< Whether the answer came to its end.
     std::string body_; ///< What came of the body.
     std::string dropped_; ///< How its connection ended without an answer, if its gateway had to give one.
     std::string gateway_; ///< Gateway and its start, if it ran all the while; else empty.
+    std::string answeredId_; ///< Id that the answer names, if any.
+    size_t excess_ = 0; ///< Bytes that came after the whole answer.
     std::string instance_; ///< Upstream that made the answer.
     bool leaving_ = false; ///< Whether that upstream said that it leaves.
     TimePoint sentAt_{}; ///< When the request was sent.
@@ -58,6 +65,7 @@
     std::vector<SoakCall> calls_; ///< Calls under faults.
     std::vector<std::string> faults_; ///< What was done, in order.
     std::vector<SoakBreach> breaches_; ///< Promises that were broken.
+    uint64_t peakMib_ = 0; ///< Greatest resident memory of a gateway, in MiB.
 };
 
 /// Runs a soak with a fleet of its own, and ends all that it started.
@@ -66,7 +74,14 @@
 /// Checks that no gateway uses an upstream after it has passed on that the upstream leaves. @return the breaches
 std::vector<SoakBreach> judgeLeaving(const std::vector<SoakCall> &calls);
 
-/// Checks what callers saw against what upstreams ran. @return the breaches
+/// @return whether an answer states that the request has not run and never will.
+bool isRefused(const SoakCall &call);
+
+/**
+ * Checks what callers saw against what upstreams ran. Callers come back only after a refusal, so that of all sends of
+ * an id or a task one at most may run.
+ * @return the breaches
+ */
 std::vector<SoakBreach> judgeCalls(const std::vector<SoakCall> &calls, const std::vector<LedgerLine> &ledger);
 
 } // namespace Burdockfield::Testing
--- a/tests/soak_main.cpp
+++ b/tests/soak_main.cpp
@@ -24,6 +24,9 @@
         "Connections to each gateway that idle or send slowly, under short timeouts");
     app.add_flag("--announcements", spec.announcements_,
         "Upstreams leave and ask for pauses by their answers; configurations grow large");
+    app.add_flag("--answer-faults", spec.answerFaults_,
+        "Upstreams refuse, send copies of refusals and answers late, and answer without end; callers come back");
+    app.add_option("--memory-mib", spec.memoryMib_, "Memory of each gateway in MiB; 0 for the seed's");
     CLI11_PARSE(app, argc, argv);
     spec.length_ = std::chrono::seconds(seconds);
     size_t breaches = 0;
@@ -34,7 +37,8 @@
             served += call.status_ == 200 && call.whole_ ? 1 : 0;
         }
         std::cout << "seed " << spec.seed_ << ": " << report.calls_.size() << " calls, " << served << " served, "
-                  << report.faults_.size() << " faults, " << report.breaches_.size() << " breaches" << std::endl;
+                  << report.faults_.size() << " faults, " << report.breaches_.size() << " breaches, peak "
+                  << report.peakMib_ << " MiB" << std::endl;
         for (const SoakBreach &breach : report.breaches_) {
             std::cout << "  " << breach.promise_ << ": " << breach.request_ << ": " << breach.seen_ << std::endl;
         }
--- a/tests/soak_parts_func.h
+++ b/tests/soak_parts_func.h
@@ -32,12 +32,16 @@
     std::vector<TimePoint> started_; ///< When each gateway was started.
     uint64_t version_ = 1; ///< Version of the configuration.
     Gateway::CallerLimits limits_; ///< Limits of the configuration.
+    uint64_t memoryMib_ = 0; ///< Memory of each gateway in MiB.
     uint32_t unusedRoutes_ = 0; ///< Routes of the configuration that only make it larger.
 };
 
 /// @return the API key with a number.
 std::string keyName(uint64_t number);
 
+/// @return the API key that callers use. With answer faults the first one stays, as it is known without the store.
+std::string callerKey(const Soak &soak);
+
 /// Makes calls without pause, on a connection that is kept for as long as the gateway does, until the soak ends.
 void runCaller(Soak &soak, uint32_t index);
 
@@ -50,6 +54,9 @@
 /// Ends all faults.
 void heal(Soak &soak);
 
+/// Reports gateways whose resident memory has exceeded their setting.
+void checkMemory(Soak &soak);
+
 /// Reports processes that have ended without being told to, and starts them again.
 void checkRunning(Soak &soak);
 
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -4,6 +4,8 @@
  */
 #include "soak_fixture.h"
 
+#include "platform_upstream_base.h"
+
 #include <doctest/doctest.h>
 
 using namespace Burdockfield;
@@ -34,6 +36,39 @@
     }
 };
 
+/// Calls of one caller that may not be repeated, and what ran of them.
+struct RunsCheckFixture
+{
+    void addCall(const std::string &id, int status)
+    {
+        SoakCall call;
+        call.id_ = id;
+        call.task_ = "c0-1";
+        call.target_ = "/once/x1";
+        call.status_ = status;
+        call.whole_ = true;
+        call.body_ = status == 200 ? Standin::echoBody(call.target_, "body") : "";
+        call.answeredId_ = id;
+        calls_.push_back(std::move(call));
+    }
+
+    void addRun(const std::string &id)
+    {
+        ledger_.push_back({ "desk-1", "started", id, "", 0, 0 });
+    }
+
+    /// @return the only promise that the check finds broken, or an empty text if there is none.
+    std::string findBreach() const
+    {
+        const std::vector<SoakBreach> breaches = judgeCalls(calls_, ledger_);
+        CHECK(breaches.size() <= 1);
+        return breaches.empty() ? "" : breaches[0].promise_;
+    }
+
+    std::vector<SoakCall> calls_; ///< What the caller saw.
+    std::vector<LedgerLine> ledger_; ///< What upstreams ran.
+};
+
 } // namespace
 
 // SIGTERM came to a process that had not begun to listen and ended it with status 143; nothing was taken. The check now
@@ -68,6 +103,52 @@
     run(spec);
 }
 
+// Upstreams refuse, send copies of refusals and answers late, and answer without end; callers come back.
+TEST_CASE_FIXTURE(SoakTestFixture, "Promises_WhenRefusalsAreCopiedLateAndCallersComeBack_Hold")
+{
+    SoakSpec spec;
+    spec.seed_ = 20261206;
+    spec.length_ = std::chrono::seconds(8);
+    spec.answerFaults_ = true;
+    run(spec);
+}
+
+TEST_CASE_FIXTURE(RunsCheckFixture, "RunsCheck_WhenARefusedRequestIsServedUnderTheSameId_AllowsOneRun")
+{
+    addCall("c0-1", 503);
+    addCall("c0-1", 200);
+    addRun("c0-1");
+    CHECK(findBreach().empty());
+    addRun("c0-1");
+    CHECK(findBreach() == "non-idempotent runs at most once");
+}
+
+TEST_CASE_FIXTURE(RunsCheckFixture, "RunsCheck_WhenEverySendWasRefused_AllowsNoRun")
+{
+    addCall("c0-1", 503);
+    addCall("c0-1", 421);
+    CHECK(findBreach().empty());
+    addRun("c0-1");
+    CHECK(findBreach() == "told not run, it was not run");
+}
+
+TEST_CASE_FIXTURE(RunsCheckFixture, "RunsCheck_WhenTwoIdsOfATaskRan_FindsIt")
+{
+    addCall("c0-1", 502);
+    addCall("c0-1.1", 200);
+    addRun("c0-1");
+    addRun("c0-1.1");
+    CHECK(findBreach() == "a refused task runs at most once");
+}
+
+TEST_CASE_FIXTURE(RunsCheckFixture, "AnswerCheck_WhenItNamesAnotherRequest_FindsIt")
+{
+    addCall("c0-1", 200);
+    addRun("c0-1");
+    calls_[0].answeredId_ = "c0-0";
+    CHECK(findBreach() == "a whole answer is the request's own");
+}
+
 TEST_CASE_FIXTURE(SoakTestFixture, "LeavingCheck_WhenAnUpstreamIsUsedAfterItSaidThatItLeaves_FindsIt")
 {
     const TimePoint start{ std::chrono::hours(1) };
--- /dev/null
+++ b/tests/standins/platform_upstream_faults.h
@@ -0,0 +1,41 @@
+/**
+ * @file platform_upstream_faults.h
+ * @brief Stand-in for the faults of upstreams' answers: a relay in front of an upstream that refuses, copies and
+ * floods.
+ */
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Burdockfield::Standin {
+
+/// Where a faulty upstream listens and leads.
+struct AnswerFaultPlace
+{
+    std::string listen_; ///< IP:PORT that it takes connections on.
+    std::string target_; ///< IP:PORT of the upstream.
+    std::string control_; ///< IP:PORT of its HTTP control.
+    std::string name_; ///< Instance that its own answers name.
+    uint64_t seed_ = 1; ///< Seed of its draws.
+};
+
+/// Shares of the requests that each fault befalls.
+struct AnswerFaultShares
+{
+    double refused_ = 0; ///< Refused with 503 and not run.
+    double replaced_ = 0; ///< Refused with 421 by another instance, and not run.
+    double refusalCopies_ = 0; ///< Run, but a copy of an earlier refusal on the connection comes first.
+    double answerCopies_ = 0; ///< Run, but a copy of an earlier answer on the connection comes first.
+    double endless_ = 0; ///< Run and answered with a head, chunk header, body or trailers that don't end.
+};
+
+/**
+ * Runs the relay until it is told to stop. A POST to its control sets the shares, by the names `refused`, `replaced`,
+ * `refusal_copies`, `answer_copies` and `endless`; those left out become zero. A copy of the refusal of the same
+ * request is preferred to that of another. Each fault is a line of its standard output.
+ * @return exit status of the process
+ */
+int runAnswerFaults(const AnswerFaultPlace &place);
+
+} // namespace Burdockfield::Standin
--- a/tests/standins/standin_main.cpp
+++ b/tests/standins/standin_main.cpp
@@ -7,6 +7,7 @@
 #include "log_func.h"
 #include "platform_base.h"
 #include "platform_upstream_base.h"
+#include "platform_upstream_faults.h"
 #include "service_base.h"
 #include "termination_func.h"
 
@@ -71,6 +72,13 @@
     linkCommand->add_option("--listen", link.listen_, "IP:PORT")->required();
     linkCommand->add_option("--target", link.target_, "IP:PORT that connections are relayed to")->required();
     linkCommand->add_option("--control", link.control_, "IP:PORT of the control")->required();
+    AnswerFaultPlace faulty;
+    CLI::App *faultsCommand = app.add_subcommand("answer-faults", "Faults of an upstream's answers");
+    faultsCommand->add_option("--listen", faulty.listen_, "IP:PORT")->required();
+    faultsCommand->add_option("--target", faulty.target_, "IP:PORT of the upstream")->required();
+    faultsCommand->add_option("--control", faulty.control_, "IP:PORT of the control")->required();
+    faultsCommand->add_option("--instance", faulty.name_, "Name of the instance");
+    faultsCommand->add_option("--seed", faulty.seed_, "Seed of the draws");
     serviceCommand->add_option("--duration-ms", durationMs, "Time that a call takes");
     CLI11_PARSE(app, argc, argv);
     service.duration_ = Milliseconds(durationMs);
@@ -86,6 +94,9 @@
     if (linkCommand->parsed()) {
         return runLink(link);
     }
+    if (faultsCommand->parsed()) {
+        return runAnswerFaults(faulty);
+    }
     if (failingCommand->parsed()) {
         runFailingDaemon();
     }
