--- a/tests/soak_faults.cpp
+++ b/tests/soak_faults.cpp
@@ -245,7 +245,7 @@
     }
     setAnswerFaults(soak, upstream,
         R"({"refused":)" + drawShare(soak, 0.5) + R"(,"refusal_copies":)" + drawShare(soak, 1, 0.3) + R"(,"replaced":)"
-            + drawShare(soak, 0.3) + R"(,"answer_copies":)" + drawShare(soak, 0.3) + R"(,"endless":)"
+            + drawShare(soak, 0.3) + R"(,"answer_copies":)" + drawShare(soak, 0.5) + R"(,"endless":)"
             + drawShare(soak, 0.1) + "}");
 }
 
@@ -321,6 +321,19 @@
     }
 }
 
+/// Lets all upstreams answer without end for a while, and causes another fault meanwhile.
+void floodAll(Soak &soak)
+{
+    for (const std::string &upstream : soak.fleet_.upstreams_) {
+        setAnswerFaults(soak, upstream, R"({"endless":)" + drawShare(soak, 1) + "}");
+    }
+    otherStrikes[soak.random_() % otherStrikes.size()](soak);
+    std::this_thread::sleep_for(Milliseconds(200 + soak.random_() % 1000));
+    for (const std::string &upstream : soak.fleet_.upstreams_) {
+        setAnswerFaults(soak, upstream, "{}");
+    }
+}
+
 /// Draws one of the faults of a soak without short timeouts; the schedules of earlier seeds depend on their order.
 void strikeBasic(Soak &soak)
 {
@@ -335,7 +348,7 @@
 {
     static constexpr std::array<Strike, 3> announcementStrikes{ announceLeaving, announcePause, resizeConfiguration };
     static constexpr std::array<Strike, 3> timeoutStrikes{ changeTimeouts, stopUnderPauses, pauseAll };
-    static constexpr std::array<Strike, 5> answerStrikes{ spoilDesks, spoilDesks, spoilAnswers, floodAnswers,
+    static constexpr std::array<Strike, 6> answerStrikes{ spoilDesks, spoilDesks, spoilAnswers, floodAnswers, floodAll,
         replaceInstance };
     if (soak.spec_.answerFaults_ && soak.random_() % 2 == 0) {
         answerStrikes[soak.random_() % answerStrikes.size()](soak);
--- a/tests/standins/platform_upstream_faults.cpp
+++ b/tests/standins/platform_upstream_faults.cpp
@@ -129,15 +129,15 @@
 /// @return the answer too many that comes where the answer to the latest request is due, or an empty text.
 std::string drawCopy(AnswerFaults &faults, const FaultyConnection &connection)
 {
+    if (!connection.lastAnswer_.empty() && draw(faults, faults.shares_.answerCopies_)) {
+        logFault(faults, connection, "copy of an answer");
+        return connection.lastAnswer_;
+    }
     if (!connection.lastRefusal_.empty() && draw(faults, faults.shares_.refusalCopies_)) {
         const auto own = connection.refusals_.find(connection.request_);
         logFault(faults, connection, own == connection.refusals_.end() ? "copy of a refusal" : "copy of its refusal");
         return own == connection.refusals_.end() ? connection.lastRefusal_ : own->second;
     }
-    if (!connection.lastAnswer_.empty() && draw(faults, faults.shares_.answerCopies_)) {
-        logFault(faults, connection, "copy of an answer");
-        return connection.lastAnswer_;
-    }
     return {};
 }
 
