--- a/tests/soak_faults.cpp
+++ b/tests/soak_faults.cpp
@@ -321,7 +321,7 @@
     }
 }
 
-/// Lets all upstreams answer without end for a while, and causes another fault meanwhile.
+/// Lets all upstreams answer without end for a while, and causes another fault meanwhile; then some refuse again.
 void floodAll(Soak &soak)
 {
     for (const std::string &upstream : soak.fleet_.upstreams_) {
@@ -332,6 +332,7 @@
     for (const std::string &upstream : soak.fleet_.upstreams_) {
         setAnswerFaults(soak, upstream, "{}");
     }
+    spoilDesks(soak);
 }
 
 /// Draws one of the faults of a soak without short timeouts; the schedules of earlier seeds depend on their order.
