--- a/tests/soak_fixture.cpp
+++ b/tests/soak_fixture.cpp
@@ -156,8 +156,14 @@
     soak.spec_ = spec;
     soak.random_.seed(spec.seed_);
     soak.memoryMib_ = chooseMemory(spec);
-    GatewayFleetSpec fleet{ spec.gateways_, spec.engines_, spec.desks_, 4, 0, true,
-        "memory: " + std::to_string(soak.memoryMib_) + "MiB\n", spec.answerFaults_ ? spec.seed_ + 1 : 0 };
+    GatewayFleetSpec fleet;
+    fleet.gateways_ = spec.gateways_;
+    fleet.engines_ = spec.engines_;
+    fleet.desks_ = spec.desks_;
+    fleet.seed_ = 0;
+    fleet.linked_ = true;
+    fleet.settings_ = "memory: " + std::to_string(soak.memoryMib_) + "MiB\n";
+    fleet.answerFaultsSeed_ = spec.answerFaults_ ? spec.seed_ + 1 : 0;
     if (!startGatewayFleet(soak.fleet_, fleet)) {
         soak.report_.breaches_.push_back({ "the fleet starts", soak.fleet_.folder_, "not ready" });
         stopFleet(soak.fleet_);
