Upstreams' heads: limit the fields, and the bytes of a head that arrives in parts

Callers lost their requests when an upstream sent heads of very short fields: the gateway ran out of memory. A parsed field takes some 80 bytes and its copy 64 more, whatever its length, and Boost.Beast's header limit holds only for what has not been parsed yet, while a head is parsed in parts. One connection could so hold 2.4 MB, 400 of them 1 GB.

A response has at most 256 fields now, and a head 32 KiB in all; the parser's copy of the fields is freed once the head has been handled. Link_WhenAHeadHasVeryManyFields_EndsTheCall failed before.

--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace Burdockfield {
 
@@ -27,6 +28,8 @@
 constexpr int maxCheckConnections = 4; ///< Connections tried in one check, see startCheck().
 constexpr size_t readBytes = 16U << 10U; ///< Most bytes read at once.
 constexpr uint32_t responseHeaderLimit = 32U << 10U; ///< Bytes of the longest response header.
+/// Most fields of a response's header or trailers. A short field takes many times its length once it is parsed.
+constexpr ptrdiff_t maxResponseFields = 256;
 /// Most bytes buffered while the rest of a header, a chunk's header or trailers is missing.
 constexpr size_t maxUnparsedBytes = responseHeaderLimit;
 /// Most bytes of a call, beyond those of its answer's body, that are headers, chunk headers and discarded responses.
@@ -86,6 +89,7 @@
     connection.parser_->eager(true);
     connection.headHandled_ = false;
     connection.discarding_ = false;
+    connection.headBytes_ = 0;
 }
 
 HttpReply makeHead(LinkConnection &connection)
@@ -126,6 +130,7 @@
         } else {
             link.handlers_.onHead_(connection.call_.send_, std::move(head));
         }
+        connection.parser_->get().clear(); // the parser itself does not need the fields any more
     }
     std::string bytes = std::move(connection.parser_->get().body());
     connection.parser_->get().body().clear();
@@ -136,6 +141,18 @@
     }
 }
 
+/// @return whether the header or the trailers of the current response are too long. The limit of the parser holds only
+/// for what it has not parsed yet, and it parses a header in parts.
+bool exceedsFieldLimits(LinkConnection &connection, size_t parsed)
+{
+    if (!connection.parser_->is_header_done()) {
+        connection.headBytes_ += parsed;
+    }
+    const auto &fields = connection.parser_->get();
+    return connection.headBytes_ > responseHeaderLimit
+        || std::distance(fields.begin(), fields.end()) > maxResponseFields;
+}
+
 /// Parses the received bytes; ends the call when its response is complete or exceeds a limit.
 void parse(UpstreamLink &link, const LinkPointer &connection)
 {
@@ -144,7 +161,7 @@
         const size_t parsed = connection->parser_->put(connection->buffer_.data(), error);
         connection->buffer_.consume(parsed);
         connection->overheadBytes_ += parsed;
-        if (error && error != Http::error::need_more) {
+        if ((error && error != Http::error::need_more) || exceedsFieldLimits(*connection, parsed)) {
             endCall(link, connection, TransportErrc::Malformed);
             return;
         }
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -92,6 +92,7 @@
     bool requestWritten_ = false; ///< Whether the current request has been written completely.
     bool headHandled_ = false; ///< Whether the header of the current response has been handled.
     bool discarding_ = false; ///< Whether the current response is interim (1xx) or belongs to another call.
+    size_t headBytes_ = 0; ///< Bytes parsed of the current response while its header was incomplete.
     size_t overheadBytes_ = 0; ///< Bytes parsed for the current call beyond twice those of its answer's body.
     bool reusable_ = true; ///< Whether the connection may carry another call.
     bool closed_ = false; ///< Whether closed by this side; pending operations do nothing then.
--- a/tests/upstream_link_test.cpp
+++ b/tests/upstream_link_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr size_t maxHeaderBytes = 64U << 10U; ///< Bytes without a body after which a connection has to be closed.
+constexpr size_t maxFieldBytes = 16U << 10U; ///< Bytes of very short fields after which it has to be closed.
 constexpr size_t maxForeignBytes = 512U << 10U; ///< Bytes of foreign responses after which it has to be closed.
 const std::string okHead = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n";
 const std::string chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n";
@@ -95,6 +96,47 @@
     checkFloodEnds("Name: value\r\n", maxHeaderBytes);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAHeadOfShortFieldsNeverEnds_EndsTheCall")
+{
+    send("HTTP/1.1 200 OK\r\n");
+    checkFloodEnds("a:\r\n", maxFieldBytes);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAHeadHasVeryManyFields_EndsTheCall")
+{
+    std::string head = okHead;
+    for (int field = 0; field < 2000; ++field) {
+        head += "a:\r\n";
+    }
+    send(head + "\r\n");
+    runUntil([this] { return end_.has_value(); });
+    CHECK(end_ == make_error_code(TransportErrc::Malformed));
+    CHECK(heads_ == 0);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAHeadHasManyFieldsAndArrivesInParts_ReceivesTheAnswer")
+{
+    std::string head = okHead + "Content-Length: 2\r\n";
+    for (int field = 0; field < 200; ++field) {
+        head += "Name-" + std::to_string(field) + ": " + std::string(100, 'a') + "\r\n";
+    }
+    for (size_t at = 0; at < head.size(); at += 1000) {
+        send(head.substr(at, 1000));
+        runFor(Milliseconds(1));
+    }
+    send("\r\nok");
+    runUntil([this] { return end_.has_value(); });
+    CHECK_FALSE(*end_);
+    CHECK(heads_ == 1);
+    CHECK(received_ == 2);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenTrailersHaveVeryManyFields_EndsTheCall")
+{
+    send(chunkedHead + "1\r\na\r\n0\r\n");
+    checkFloodEnds("a:\r\n", maxFieldBytes);
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenBlankLinesNeverEnd_EndsTheCall")
 {
     checkFloodEnds("\r\n", maxHeaderBytes);
