Buffered answers: give up the send that costs most, hedged ones included

When buffered answers exceeded their limit, the longest answer of the calls' own sends was given up. Answers of hedged sends were counted but never chosen: callers lost the answers of others, and when no own send had any byte left, a null row ended the gateway (LOST for all its callers). A long answer that made progress was given up before one that had stalled.

The choice is now over all sends in flight, by bytes times the time without progress, as in the memory budget, until the limit holds.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -338,17 +338,29 @@
     return isStreamed(call) ? maxEventBytes : maxAnswerBytes;
 }
 
-CallId findLongestAnswer(GatewayState &state)
+/// Answer of a send as far as it is buffered.
+struct BufferedAnswer
 {
-    CallId longest;
-    size_t length = 0;
-    forEachRow(state.calls_, [&](CallId id, const Call &call) {
-        if (call.body_.size() > length) {
-            longest = id;
-            length = call.body_.size();
+    uint64_t send_ = 0; ///< Number of the send; 0 for none.
+    size_t bytes_ = 0; ///< Bytes buffered.
+    double cost_ = 0; ///< The same times the seconds without progress.
+};
+
+/// @return the answer that takes the most memory for the longest time without progress, with send_ 0 if there is none.
+BufferedAnswer findCostliestAnswer(const GatewayState &state, TimePoint now)
+{
+    BufferedAnswer costliest;
+    const auto consider = [&costliest, now](uint64_t send, const std::string &body, TimePoint progressAt) {
+        const double cost = static_cast<double>(body.size()) * FractionalSeconds(now - progressAt).count();
+        if (std::pair(cost, body.size()) > std::pair(costliest.cost_, costliest.bytes_)) {
+            costliest = { send, body.size(), cost };
         }
-    });
-    return longest;
+    };
+    forEachRow(state.calls_,
+        [&consider](CallId /*id*/, const Call &call) { consider(call.send_, call.body_, call.lastReceivedAt_); });
+    forEachRow(state.hedges_,
+        [&consider](HedgeId /*id*/, const Hedge &hedge) { consider(hedge.send_, hedge.body_, hedge.lastReceivedAt_); });
+    return costliest;
 }
 
 /// Ends a send whose answer is malformed or too long.
@@ -360,6 +372,21 @@
     handleFailure(state, now, id, call, false, outbox);
 }
 
+/// Ends sends until all buffered answers together are within their limit.
+void limitAnswers(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
+{
+    while (state.answerBytes_ > state.bounds_.answerBytes_) {
+        const uint64_t send = findCostliestAnswer(state, now).send_;
+        takeUpSend(state, send); // the end of either send decides on the call
+        const CallId id = findCallBySend(state, send);
+        Call *call = findRow(state.calls_, id);
+        if (call == nullptr) {
+            return;
+        }
+        breakOffSend(state, now, id, *call, outbox);
+    }
+}
+
 void handleBytes(GatewayState &state, TimePoint now, BytesReceived &event, GatewayOutbox &outbox)
 {
     const CallId id = findCallBySend(state, event.send_);
@@ -381,9 +408,8 @@
     const bool valid = !streamed || forwardEvents(state, now, *call, scanned, outbox);
     if (!valid || call->body_.size() > bufferLimit(*call)) {
         breakOffSend(state, now, id, *call, outbox);
-    } else if (state.answerBytes_ > state.bounds_.answerBytes_) {
-        const CallId longest = findLongestAnswer(state);
-        breakOffSend(state, now, longest, *findRow(state.calls_, longest), outbox);
+    } else {
+        limitAnswers(state, now, outbox);
     }
 }
 
--- a/tests/gateway_endless_answer_test.cpp
+++ b/tests/gateway_endless_answer_test.cpp
@@ -174,6 +174,24 @@
     CHECK(state_.answerBytes_ == 0);
 }
 
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answers_WhenTheyTakeTooMuchMemoryTogether_KeepsALongOneThatMakesProgress")
+{
+    state_.bounds_.answerBytes_ = 10 * pieceBytes;
+    const uint64_t steady = receiveCall("once", 1).sends_.at(0).send_;
+    const uint64_t stalled = receiveCall("read", 2).sends_.at(0).send_;
+    receiveHead(steady, makeHead(200));
+    receiveHead(stalled, makeHead(200));
+    receiveBytes(stalled, std::string(4 * pieceBytes, 'a'));
+    for (int piece = 0; piece < 6; ++piece) {
+        now_ += Milliseconds(50);
+        CHECK(receiveBytes(steady, std::string(pieceBytes, 'a')).cancels_.empty());
+    }
+    const GatewayOutbox outbox = receiveBytes(steady, std::string(pieceBytes, 'a'));
+    CHECK(outbox.cancels_ == std::vector<uint64_t>{ stalled });
+    CHECK(outbox.sends_.size() == 1);
+    CHECK(endSend(steady, {}).answers_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answers_WhenSendsFailOrCallersLeave_TakeNoMemory")
 {
     const uint64_t broken = receiveCall("read", 1).sends_.at(0).send_;
--- a/tests/gateway_hedging_test.cpp
+++ b/tests/gateway_hedging_test.cpp
@@ -643,3 +643,37 @@
     MESSAGE("hedged sends: " << hedges);
     CHECK(hedges > static_cast<double>(schedules)); // guards against schedules that hedge nothing
 }
+
+TEST_CASE_FIXTURE(HedgingFixture, "HedgedAnswer_WhenItTakesTheMemoryOfOthers_IsGivenUpAndTheFirstSendGoesOn")
+{
+    constexpr size_t pieceBytes = 16U << 10U;
+    state_.bounds_.answerBytes_ = 10 * pieceBytes;
+    const SendCall hedge = makeHedgedCall();
+    const uint64_t other = receiveCall("once", 2).sends_.at(0).send_;
+    GatewayInbox heads;
+    heads.heads_.push_back({ hedge.send_, makeHead(200) });
+    heads.heads_.push_back({ other, makeHead(200) });
+    tick(std::move(heads));
+    receiveBytes(hedge.send_, std::string(9 * pieceBytes, 'a'));
+    const GatewayOutbox outbox = receiveBytes(other, std::string(2 * pieceBytes, 'a'));
+    CHECK(outbox.cancels_ == std::vector<uint64_t>{ hedge.send_ });
+    CHECK(outbox.refusals_.empty());
+    CHECK(endSend(other, {}).answers_.size() == 1);
+    CHECK(receiveAnswer(first_.send_, makeHead(200), "first").answers_.size() == 1);
+    CHECK(hasNoTraces());
+}
+
+TEST_CASE_FIXTURE(HedgingFixture, "HedgedAnswers_WhenTheyTakeAllMemoryAndAStreamGoesOn_AreGivenUp")
+{
+    constexpr size_t pieceBytes = 16U << 10U;
+    const SendCall hedge = makeHedgedCall();
+    const uint64_t stream = receiveCall("stream", 2).sends_.at(0).send_;
+    GatewayInbox head;
+    head.heads_.push_back({ hedge.send_, makeHead(200) });
+    tick(std::move(head));
+    receiveBytes(hedge.send_, std::string(9 * pieceBytes, 'a'));
+    state_.bounds_.answerBytes_ = 8 * pieceBytes; // the memory is reloaded
+    const GatewayOutbox outbox = receiveStreamBytes(stream, "id: 1\ndata: a\n\n");
+    CHECK(outbox.cancels_ == std::vector<uint64_t>{ hedge.send_ });
+    CHECK(outbox.events_.size() == 1);
+}
