Answers that trickle: no progress before 4 KiB

A signed answer that is not streamed and arrives a byte now and then kept its call until the deadline, also where the call may be repeated and another upstream had a free slot: every byte counted as progress. 4 KiB count now, as for requests' bodies, so that such a call moves like one of a silent upstream. Calls that may not be repeated keep waiting: an upstream's silence is no reason to end an answer sooner.

Failed before: Answer_WhenItTricklesInAndTheCallMayBeRepeated_IsFetchedElsewhere.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -21,6 +21,8 @@
 constexpr size_t maxAnswerBytes = 16U << 20U; ///< 16 MiB: longest answer that is buffered; below any memory limit.
 constexpr size_t maxEventBytes = 256U << 10U; ///< Longest event of a stream.
 constexpr size_t maxUnusedBytes = 64U << 10U; ///< Longest body of an answer that is not forwarded.
+/// Bytes of an answer that count as progress; a link of 10 Mbit/s carries them in 4 ms.
+constexpr size_t answerProgressStep = 4U << 10U;
 constexpr uint32_t maxConnectFailures = 4; ///< Failures to connect after which a call is refused.
 constexpr Milliseconds initialBackoff{ 250 }; ///< Time for which an upstream is not used after a failure to connect.
 constexpr Milliseconds maxBackoff{ 4000 }; ///< Longest such time, after several failures in a row.
@@ -402,7 +404,7 @@
     const bool streamed = isForwardable(*call) && isStreamed(*call);
     call->body_ += event.bytes_;
     state.answerBytes_ += event.bytes_.size();
-    if (isForwardable(*call) && !streamed) {
+    if (isForwardable(*call) && !streamed && scanned / answerProgressStep != call->body_.size() / answerProgressStep) {
         call->lastReceivedAt_ = now;
     }
     const bool valid = !streamed || forwardEvents(state, now, *call, scanned, outbox);
--- a/tests/gateway_endless_answer_test.cpp
+++ b/tests/gateway_endless_answer_test.cpp
@@ -118,6 +118,45 @@
     CHECK(outbox.refusals_[0].reason_ == RefusalReason::Expired);
 }
 
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answer_WhenItTricklesInAndTheCallMayBeRepeated_IsFetchedElsewhere")
+{
+    const SendCall first = receiveCall("read", 1).sends_.at(0);
+    receiveHead(first.send_, makeHead(200));
+    const GatewayOutbox outbox = trickle(first.send_, Milliseconds(2000));
+    REQUIRE(outbox.sends_.size() == 1);
+    CHECK(outbox.sends_[0].parameters_.instance_ != first.parameters_.instance_);
+    CHECK(outbox.refusals_.empty());
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answer_WhenItTricklesInAndNoOtherUpstreamHasAFreeSlot_IsKept")
+{
+    const SendCall first = receiveCall("read", 1).sends_.at(0);
+    receiveHead(first.send_, makeHead(200));
+    const char *other = first.parameters_.instance_ == "engine-1" ? "engine-2" : "engine-1";
+    receivePeerCounts("10.0.0.9:7000", { { other, 5 } });
+    for (int step = 0; step < 40; ++step) {
+        now_ += Milliseconds(50);
+        receivePeerCounts("10.0.0.9:7000", { { other, 5 } });
+        CHECK(receiveBytes(first.send_, "a").cancels_.empty());
+    }
+    const GatewayOutbox end = endSend(first.send_, {});
+    REQUIRE(end.answers_.size() == 1);
+    CHECK(end.answers_[0].reply_.body_ == std::string(40, 'a'));
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answer_WhenItIsLongAndItsLinkIsSlow_IsKept")
+{
+    constexpr size_t stepBytes = 4U << 10U; // a step of 800 ms: 40 kbit/s, far below any link
+    const uint64_t send = receiveCall("read", 1).sends_.at(0).send_;
+    receiveHead(send, makeHead(200));
+    for (int step = 0; step < 4; ++step) {
+        now_ += Milliseconds(800);
+        CHECK(tick().cancels_.empty());
+        CHECK(receiveBytes(send, std::string(stepBytes, 'a')).cancels_.empty());
+    }
+    CHECK(endSend(send, {}).answers_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(EndlessAnswerFixture, "UnsignedAnswer_WhenItNeverEnds_IsRetriedElsewhere")
 {
     const uint64_t send = receiveCall("read", 1).sends_.at(0).send_;
