Buffered answers: at most a quarter more memory than bytes

A gateway of 88 MB whose upstream sent bodies without end at 400 connections exceeded its memory, and with it fell the requests of all its callers: buffers doubled as they grew, so that they took up to twice what their limit counts, and those of streams kept their memory between events. Buffers now grow by a quarter, take over the first piece without a copy, and are freed when they are empty.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -52,8 +52,12 @@
 
 void eraseFromAnswer(GatewayState &state, Call &call, size_t length)
 {
-    call.body_.erase(0, length);
     state.answerBytes_ -= length;
+    if (length == call.body_.size()) {
+        std::string().swap(call.body_); // unlike clear(), frees the memory
+    } else {
+        call.body_.erase(0, length);
+    }
 }
 
 /**
@@ -374,6 +378,24 @@
     handleFailure(state, now, id, call, false, outbox);
 }
 
+/// Appends to a buffer that takes at most a quarter more than its bytes, whereas std::string would double it.
+void appendBytes(std::string &buffer, std::string bytes)
+{
+    if (buffer.empty()) {
+        buffer = std::move(bytes);
+        return;
+    }
+    constexpr size_t spareDivisor = 4;
+    const size_t needed = buffer.size() + bytes.size();
+    if (needed > buffer.capacity()) {
+        std::string grown;
+        grown.reserve(needed + needed / spareDivisor);
+        grown += buffer;
+        buffer = std::move(grown);
+    }
+    buffer += bytes;
+}
+
 /// Ends sends until all buffered answers together are within their limit.
 void limitAnswers(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
 {
@@ -402,8 +424,8 @@
     call->lastBytesAt_ = now;
     const size_t scanned = call->body_.size();
     const bool streamed = isForwardable(*call) && isStreamed(*call);
-    call->body_ += event.bytes_;
     state.answerBytes_ += event.bytes_.size();
+    appendBytes(call->body_, std::move(event.bytes_));
     if (isForwardable(*call) && !streamed && scanned / answerProgressStep != call->body_.size() / answerProgressStep) {
         call->lastReceivedAt_ = now;
     }
