Server: joined chunks take the memory that is counted

Chunks that wait for a caller were joined into a string that grew by doubling, so that 400 slow readers could hold up to 64 KiB each beyond the budget.

--- a/src/http_server_output.cpp
+++ b/src/http_server_output.cpp
@@ -80,12 +80,25 @@
     const auto isChunk = [](const ServerOutput &item) {
         return item.kind_ == ServerOutput::Kind::Chunk;
     };
-    while (isChunk(output) && !connection.output_.empty() && isChunk(connection.output_.front())
-        && output.bytes_.size() < maxJoinedBytes) {
+    size_t parts = 0;
+    size_t length = output.bytes_.size();
+    while (isChunk(output) && parts < connection.output_.size() && isChunk(connection.output_[parts])
+        && length < maxJoinedBytes) {
+        length += connection.output_[parts].bytes_.size();
+        ++parts;
+    }
+    if (parts == 0) {
+        return output;
+    }
+    std::string joined;
+    joined.reserve(length); // growing by parts would take up to twice the memory that is counted
+    joined += output.bytes_;
+    for (; parts > 0; --parts) {
         memory += memoryOf(connection.output_.front());
-        output.bytes_ += connection.output_.front().bytes_;
+        joined += connection.output_.front().bytes_;
         connection.output_.pop_front();
     }
+    output.bytes_ = std::move(joined);
     return output;
 }
 
