Upstreams: bound what the kernel receives of an answer that is not read

Unread bytes count as memory of the process, and the kernel grew the receive buffers of fast connections without a bound of ours. A gateway of 88 MB that was stopped while 400 streams arrived held 94,120, 92,357 and 91,749 KiB (bound 90,112), 50,140 of them unread.

Link_WhenItDoesNotRead_LeavesTheRestWithTheUpstream guards the size; Gateway_WhenItIsStoppedWhileStreamsArriveFast_... is added with two more crowds.

--- a/src/socket.cpp
+++ b/src/socket.cpp
@@ -1,6 +1,6 @@
 /**
  * @file socket.cpp
- * @brief Socket options that detect a peer that disappeared without closing its connection.
+ * @brief Socket options that detect a peer that disappeared without closing its connection, and bound what is unread.
  */
 #include "socket_func.h"
 
@@ -36,6 +36,14 @@
     socket.set_option(UserTimeout(static_cast<int>(userTimeout.count())), ignored);
 }
 
+void openBoundedSocket(Tcp::socket &socket, const Tcp::endpoint &endpoint)
+{
+    boost::system::error_code ignored;
+    socket.open(endpoint.protocol(), ignored);
+    // The kernel doubles the value, and takes its own data from it.
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(upstreamReceiveBytes / 2), ignored);
+}
+
 Milliseconds timeSinceReceipt(Tcp::socket &socket)
 {
     tcp_info info{};
--- a/src/socket_func.h
+++ b/src/socket_func.h
@@ -1,12 +1,13 @@
 /**
  * @file socket_func.h
- * @brief Socket options that detect a peer that disappeared without closing its connection.
+ * @brief Socket options that detect a peer that disappeared without closing its connection, and bound what is unread.
  */
 #pragma once
 
 #include "time_type.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 
 namespace Burdockfield {
 
@@ -22,6 +23,13 @@
  */
 void configureSocket(boost::asio::ip::tcp::socket &socket, Milliseconds userTimeout);
 
+/// Bytes that the kernel may hold of an answer that has not been read yet. 100 Mbit/s at a round trip of 5 ms; without
+/// a limit, the kernel grows the buffer of a fast connection to some MB.
+constexpr size_t upstreamReceiveBytes = 64U << 10U;
+
+/// Opens the socket of a connection to an upstream, with a bounded receive buffer.
+void openBoundedSocket(boost::asio::ip::tcp::socket &socket, const boost::asio::ip::tcp::endpoint &endpoint);
+
 /// @return the time since a connection last received data from its peer, or 0 if the system doesn't tell it.
 Milliseconds timeSinceReceipt(boost::asio::ip::tcp::socket &socket);
 
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -301,6 +301,7 @@
             finishConnect(connection, Asio::error::timed_out, onConnect);
         }
     });
+    openBoundedSocket(connection->socket_, *endpoint);
     connection->socket_.async_connect(*endpoint, [connection, onConnect](const boost::system::error_code &error) {
         finishConnect(connection, error, onConnect);
     });
--- a/tests/endless_upstream_process_test.cpp
+++ b/tests/endless_upstream_process_test.cpp
@@ -62,6 +62,12 @@
     return repeat(text, 16U << 10U);
 }
 
+/// @return fields of a head within the limits of a gateway: 240 fields, 31 KiB.
+std::string makeLargeFields()
+{
+    return repeat("Name: " + std::string(122, 'a') + "\r\n", 240 * 130);
+}
+
 /// Connection that the gateway has opened to the upstream.
 struct HostileConnection
 {
@@ -199,15 +205,16 @@
     }
 
     /// Makes all calls of the crowd; their answers are not read.
-    void connectCrowd()
+    void connectCrowd(const std::string &target = "/read/x")
     {
         const auto endpoint = *parseEndpoint(fleet_.processes_.at("gateway-1").address_);
         for (size_t index = 0; index < crowdSize; ++index) {
             Tcp::socket &socket = callers_.emplace_back(io_);
             socket.connect(endpoint);
             Asio::write(socket,
-                Asio::buffer("POST /read/x HTTP/1.1\r\nHost: " + std::string(gatewayHost) + "\r\nRequest-Id: crowd-"
-                    + std::to_string(index) + "\r\nAuthorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbody"));
+                Asio::buffer("POST " + target + " HTTP/1.1\r\nHost: " + std::string(gatewayHost)
+                    + "\r\nRequest-Id: crowd-" + std::to_string(index)
+                    + "\r\nAuthorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbody"));
         }
     }
 
@@ -267,10 +274,10 @@
     }
 
     /// Lets the upstream send to the whole crowd while the gateway is stopped, as on a machine without processor time.
-    void runCrowd(EndlessScript script)
+    void runCrowd(EndlessScript script, const std::string &target = "/read/x")
     {
         upstream_.setScript(std::move(script));
-        connectCrowd();
+        connectCrowd(target);
         waitUntil([this] { return upstream_.requests_ >= crowdSize; }, crowdTime);
         CHECK(upstream_.requests_ >= crowdSize);
         signalProcess(fleet_, "gateway-1", SIGSTOP);
@@ -280,6 +287,14 @@
         awaitQuiet();
     }
 
+    /// Stops the gateway once more in the middle of what it receives.
+    void stopForATime()
+    {
+        signalProcess(fleet_, "gateway-1", SIGSTOP);
+        awaitQuiet();
+        signalProcess(fleet_, "gateway-1", SIGCONT);
+    }
+
     /// @return the status of an ordinary request; its caller retries once after a refusal.
     int callOnce()
     {
@@ -400,6 +415,29 @@
     checkGateway();
 }
 
+TEST_CASE_FIXTURE(EndlessUpstreamFixture, "Gateway_WhenLargeHeadsWithinTheLimitsStopShort_StaysWithinItsMemory")
+{
+    runCrowd({ makeSignedHead("Content-Length: 1000\r\n") + makeLargeFields(), "" });
+    checkGateway();
+}
+
+TEST_CASE_FIXTURE(EndlessUpstreamFixture, "Gateway_WhenLargeHeadsAndBodiesStall_StaysWithinItsMemory")
+{
+    const auto bodyBytes = static_cast<size_t>(answerShare * memoryBytes / crowdSize) - 1024;
+    runCrowd(
+        { makeSignedHead("Content-Length: 99999\r\n") + makeLargeFields() + "\r\n" + std::string(bodyBytes, 'a'), "" });
+    checkGateway();
+}
+
+TEST_CASE_FIXTURE(EndlessUpstreamFixture, "Gateway_WhenItIsStoppedWhileStreamsArriveFast_StaysWithinItsMemory")
+{
+    runCrowd(
+        { makeSignedHead("Content-Type: text/event-stream\r\n\r\n"), makePiece(":" + std::string(1000, 'a') + "\n\n") },
+        "/stream/x");
+    stopForATime();
+    checkGateway();
+}
+
 TEST_CASE_FIXTURE(EndlessUpstreamFixture, "Gateway_WhenAnswersAreFollowedByBytesWithoutEnd_StaysWithinItsMemory")
 {
     EndlessScript script{ "", makePiece("a") };
--- a/tests/upstream_link_test.cpp
+++ b/tests/upstream_link_test.cpp
@@ -265,6 +265,13 @@
     CHECK(heads_ == 1);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenItDoesNotRead_LeavesTheRestWithTheUpstream")
+{
+    boost::asio::socket_base::receive_buffer_size size;
+    link_.busy_.at(1)->socket_.get_option(size);
+    CHECK(static_cast<size_t>(size.value()) <= (64U << 10U));
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenTheUpstreamClosesWithinTheHeader_HasNoAnswer")
 {
     for (const std::string &head : { okHead + "Content-Length: 2\r\n\r\n", okHead + "\r\n", chunkedHead }) {
