Memory budget: count what upstreams' answers hold, and give up the sends that cost most

Above the total, sends that have made no progress (4 KiB) for 300 ms and hold more than an ordinary answer's head and buffer are given up, in the order of bytes times that time, before callers' connections are looked at: a call that may be repeated is retried, another one ends as possibly run. The choice is a function without I/O; each send given up has a log line and is counted (sends_given_up).

Tests: Budget_WhenAnswersTakeItAll_..., Link_WhenAHeadIsHeld_..., Link_WhenACallIsGivenUp_...

--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -161,6 +161,28 @@
     }
 }
 
+/// Counts what is held of upstreams' answers; gives up sends if the process holds too much.
+void limitAnswerMemory(GatewayDaemon &daemon, TimePoint now)
+{
+    MemoryBudget &budget = daemon.budget_->table_;
+    budget.otherBytes_ = daemon.state_.answerBytes_ + *daemon.link_.heldBytes_;
+    if (!exceedsLimits(budget)) {
+        return;
+    }
+    std::vector<SendHolding> sends = listHoldings(daemon.link_);
+    for (SendHolding &send : sends) {
+        const Call *call = findRow(daemon.state_.calls_, findCallBySend(daemon.state_, send.send_));
+        send.bytes_ += call != nullptr && call->send_ == send.send_ ? call->body_.capacity() : 0;
+    }
+    for (const SendHolding &send : chooseSendsToGiveUp(budget, now, sends)) {
+        logLine(LogLevel::Warning, "send-given-up",
+            { { "held_bytes", std::to_string(send.bytes_) },
+                { "inactive_ms", millisecondsText(now - send.activeAt_) } });
+        count(daemon.state_.metrics_, "sends_given_up", "no-memory");
+        giveUpCall(daemon.link_, send.send_);
+    }
+}
+
 void runTick(GatewayDaemon &daemon)
 {
     daemon.tickPosted_ = false;
@@ -168,7 +190,7 @@
     GatewayInbox inbox = std::move(daemon.inbox_);
     daemon.inbox_ = {};
     executeOutbox(daemon, tickGateway(daemon.state_, Clock::now(), std::move(inbox)));
-    daemon.budget_->table_.otherBytes_ = daemon.state_.answerBytes_;
+    limitAnswerMemory(daemon, Clock::now());
     enforceLimits(daemon.budget_);
     daemon.tickDueAt_ = nextGatewayDeadline(daemon.state_);
     daemon.tickTimer_.expires_at(daemon.tickDueAt_);
@@ -217,6 +239,7 @@
         }
     };
     handlers.onBytes_ = [&daemon](uint64_t send, std::string bytes) {
+        daemon.budget_->table_.otherBytes_ += bytes.capacity(); // until the tick
         daemon.inbox_.bytes_.push_back({ send, std::move(bytes) });
         scheduleTick(daemon);
     };
--- a/src/memory_budget.cpp
+++ b/src/memory_budget.cpp
@@ -19,7 +19,8 @@
 constexpr double connectionShare = 0.75; ///< Share of the descriptors that callers' connections may take.
 /// Longest request that is always granted, twice a prompt of 3,000 tokens; as headers, these are bounded by the total.
 constexpr size_t smallRequestBytes = 32U << 10U;
-constexpr size_t progressStep = 4U << 10U; ///< Bytes that count as progress; a link of 10 Mbit/s carries them in 4 ms.
+/// Memory of an ordinary send: a buffer that has grown once, and the head of its answer. A stream that pauses holds it.
+constexpr size_t ordinarySendBytes = 40U << 10U;
 /// Time without progress after which a body is refused: the platform's idle timeout. A body may not stand still for
 /// longer than a connection; the read timeout of the whole request mostly ends it before.
 constexpr Milliseconds stallTimeout{ 15000 };
@@ -346,6 +347,33 @@
     return reading || exceedsLimits(budget);
 }
 
+std::vector<SendHolding> chooseSendsToGiveUp(
+    const MemoryBudget &budget, TimePoint now, const std::vector<SendHolding> &sends)
+{
+    const size_t held = heldBytes(budget);
+    size_t excess = held - std::min(held, budget.limits_.totalBytes_);
+    std::vector<SendHolding> chosen;
+    if (excess == 0) {
+        return chosen;
+    }
+    std::vector<std::pair<double, size_t>> costs;
+    for (size_t index = 0; index < sends.size(); ++index) {
+        const Duration inactive = now - sends[index].activeAt_;
+        if (sends[index].bytes_ > ordinarySendBytes && inactive >= precedenceDelay) {
+            costs.emplace_back(static_cast<double>(sends[index].bytes_) * FractionalSeconds(inactive).count(), index);
+        }
+    }
+    std::sort(costs.rbegin(), costs.rend());
+    for (const auto &[cost, index] : costs) {
+        if (excess == 0) {
+            break;
+        }
+        excess -= std::min(excess, sends[index].bytes_);
+        chosen.push_back(sends[index]);
+    }
+    return chosen;
+}
+
 BudgetDecisions runMemoryBudget(MemoryBudget &budget, TimePoint now)
 {
     BudgetDecisions decisions;
--- a/src/memory_budget_func.h
+++ b/src/memory_budget_func.h
@@ -13,6 +13,8 @@
 
 constexpr Milliseconds budgetCheckInterval{ 100 }; ///< A fraction of the shortest time limit of the budget.
 
+constexpr size_t progressStep = 4U << 10U; ///< Bytes that count as progress; a link of 10 Mbit/s carries them in 4 ms.
+
 /// Bytes that the kernel may hold of a connection that is not read, set as its SO_RCVBUF.
 constexpr size_t receiveBufferBytes = 64U << 10U;
 
@@ -67,4 +69,11 @@
 /// Decides which paused reads continue, and which connections are refused or closed.
 BudgetDecisions runMemoryBudget(MemoryBudget &budget, TimePoint now);
 
+/**
+ * Chooses the sends to give up while more is held than allowed: those that hold the most for the longest time without
+ * progress. Sends that make progress, or hold no more than what one read takes, are not chosen.
+ */
+std::vector<SendHolding> chooseSendsToGiveUp(
+    const MemoryBudget &budget, TimePoint now, const std::vector<SendHolding> &sends);
+
 } // namespace Burdockfield
--- a/src/memory_budget_type.h
+++ b/src/memory_budget_type.h
@@ -54,6 +54,14 @@
     Duration inactive_{}; ///< Time since its last progress, for the log.
 };
 
+/// What the process holds of the answer to a send.
+struct SendHolding
+{
+    uint64_t send_ = 0; ///< Number of the send.
+    size_t bytes_ = 0;
+    TimePoint activeAt_; ///< Last progress of the answer; at first when the send was made.
+};
+
 using BudgetDecisions = std::vector<BudgetDecision>; ///< Actions in the order in which they were decided.
 
 } // namespace Burdockfield
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -8,6 +8,7 @@
 #include "error_type.h"
 #include "http_fields_func.h"
 #include "http_func.h"
+#include "memory_budget_func.h"
 #include "socket_func.h"
 
 #include <algorithm>
@@ -69,6 +70,8 @@
         connection->message_.reset();
     }
     connection->parser_.reset();
+    connection->headBytes_ = 0;
+    connection->headCopyBytes_ = 0;
     const bool clean
         = !error && connection->reusable_ && connection->requestWritten_ && connection->buffer_.size() == 0;
     auto &idle = link.idle_[connection->call_.address_];
@@ -92,6 +95,33 @@
     connection.headBytes_ = 0;
 }
 
+/// Counts the memory of a connection's response in the sum of the link.
+void countMemory(LinkConnection &connection)
+{
+    // The parser takes at least as much again for the fields of a header that is not complete.
+    const size_t held = connection.buffer_.capacity() + 2 * connection.headBytes_ + connection.headCopyBytes_;
+    *connection.linkBytes_ += held - connection.heldBytes_;
+    connection.heldBytes_ = held;
+}
+
+size_t memoryOf(const HttpReply &head)
+{
+    size_t bytes = head.headers_.capacity() * sizeof(HttpHeaders::value_type);
+    for (const auto &[name, value] : head.headers_) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
+void recordProgress(LinkConnection &connection, size_t bodyBytes)
+{
+    connection.progressBytes_ += bodyBytes;
+    if (connection.progressBytes_ >= progressStep) {
+        connection.progressBytes_ = 0;
+        connection.progressAt_ = Clock::now();
+    }
+}
+
 HttpReply makeHead(LinkConnection &connection)
 {
     HttpReply reply;
@@ -128,8 +158,11 @@
         if (connection.discarding_) {
             connection.reusable_ = false;
         } else {
+            connection.headCopyBytes_ = memoryOf(head);
+            connection.progressAt_ = Clock::now();
             link.handlers_.onHead_(connection.call_.send_, std::move(head));
         }
+        connection.headBytes_ = 0;
         connection.parser_->get().clear(); // the parser itself does not need the fields any more
     }
     std::string bytes = std::move(connection.parser_->get().body());
@@ -137,6 +170,7 @@
     if (!bytes.empty() && !connection.discarding_) {
         // Each byte of the body also makes up for one of overhead, so that a stream may be of any length.
         connection.overheadBytes_ -= std::min(connection.overheadBytes_, 2 * bytes.size());
+        recordProgress(connection, bytes.size());
         link.handlers_.onBytes_(connection.call_.send_, std::move(bytes));
     }
 }
@@ -226,9 +260,12 @@
 
 void readSome(UpstreamLink &link, const LinkPointer &connection)
 {
-    connection->socket_.async_read_some(connection->buffer_.prepare(readBytes),
-        [&link, connection](
-            const boost::system::error_code &error, size_t length) { handleRead(link, connection, error, length); });
+    const auto space = connection->buffer_.prepare(readBytes);
+    countMemory(*connection);
+    connection->socket_.async_read_some(
+        space, [&link, connection](const boost::system::error_code &error, size_t length) {
+            handleRead(link, connection, error, length);
+        });
 }
 
 void writeRequest(UpstreamLink &link, const LinkPointer &connection)
@@ -262,6 +299,8 @@
 {
     resetParser(*connection);
     connection->overheadBytes_ = 0;
+    connection->progressBytes_ = 0;
+    connection->progressAt_ = Clock::now();
     writeRequest(link, connection);
 }
 
@@ -309,7 +348,7 @@
 
 void openConnection(UpstreamLink &link, LinkCall call)
 {
-    auto connection = std::make_shared<LinkConnection>(link.io_);
+    auto connection = std::make_shared<LinkConnection>(link.io_, link.heldBytes_);
     connection->call_ = std::move(call);
     link.busy_[connection->call_.send_] = connection;
     connect(link, connection, [&link, connection](std::error_code error) {
@@ -372,7 +411,7 @@
 void startCheck(UpstreamLink &link, const std::string &address, int connectionsLeft,
     const std::function<void(std::error_code)> &onEnd)
 {
-    auto connection = std::make_shared<LinkConnection>(link.io_);
+    auto connection = std::make_shared<LinkConnection>(link.io_, link.heldBytes_);
     connection->call_.address_ = address;
     connect(link, connection, [&link, connection, connectionsLeft, onEnd](std::error_code error) {
         if (error) {
@@ -441,6 +480,23 @@
     closeConnection(connection);
 }
 
+std::vector<SendHolding> listHoldings(const UpstreamLink &link)
+{
+    std::vector<SendHolding> holdings;
+    for (const auto &[send, connection] : link.busy_) {
+        holdings.push_back({ send, connection->heldBytes_, connection->progressAt_ });
+    }
+    return holdings;
+}
+
+void giveUpCall(UpstreamLink &link, uint64_t send)
+{
+    if (const auto found = link.busy_.find(send); found != link.busy_.end()) {
+        const LinkPointer connection = found->second;
+        endCall(link, connection, TransportErrc::Malformed);
+    }
+}
+
 void closeStaleConnections(UpstreamLink &link, TimePoint now)
 {
     for (auto &[address, idle] : link.idle_) {
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "http_type.h"
+#include "memory_budget_type.h"
 #include "time_type.h"
 
 #include <boost/asio/io_context.hpp>
@@ -76,12 +77,22 @@
 /// Connection to an upstream.
 struct LinkConnection
 {
-    explicit LinkConnection(Asio::io_context &io)
+    /// @param linkBytes sum of the memory of all connections of the link
+    LinkConnection(Asio::io_context &io, std::shared_ptr<size_t> linkBytes)
         : socket_(io)
         , timer_(io)
+        , linkBytes_(std::move(linkBytes))
     {
     }
 
+    LinkConnection(const LinkConnection &) = delete;
+    LinkConnection &operator=(const LinkConnection &) = delete;
+
+    ~LinkConnection()
+    {
+        *linkBytes_ -= heldBytes_;
+    }
+
     Asio::ip::tcp::socket socket_;
     Asio::steady_timer timer_; ///< Connect timeout.
     Beast::flat_buffer buffer_; ///< Bytes received and not yet parsed.
@@ -94,6 +105,11 @@
     bool discarding_ = false; ///< Whether the current response is interim (1xx) or belongs to another call.
     size_t headBytes_ = 0; ///< Bytes parsed of the current response while its header was incomplete.
     size_t overheadBytes_ = 0; ///< Bytes parsed for the current call beyond twice those of its answer's body.
+    std::shared_ptr<size_t> linkBytes_; ///< See UpstreamLink::heldBytes_.
+    size_t heldBytes_ = 0; ///< Memory of the buffer and of the current response's header, as counted in linkBytes_.
+    size_t headCopyBytes_ = 0; ///< Memory of the header that was passed on.
+    size_t progressBytes_ = 0; ///< Bytes of the body received since progressAt_.
+    TimePoint progressAt_{}; ///< When the current response last made progress; at first when its request was sent.
     bool reusable_ = true; ///< Whether the connection may carry another call.
     bool closed_ = false; ///< Whether closed by this side; pending operations do nothing then.
     Milliseconds announcedIdleTimeout_{ 0 }; ///< Keep-Alive timeout of the upstream; 0 if it announced none.
@@ -116,6 +132,7 @@
     std::unordered_map<std::string, std::vector<LinkPointer>> idle_; ///< Idle connections by address.
     std::unordered_map<uint64_t, LinkPointer> busy_; ///< Connections with a call, by number of the send.
     std::unordered_set<uint64_t> starting_; ///< Sends that have no connection yet.
+    std::shared_ptr<size_t> heldBytes_ = std::make_shared<size_t>(0); ///< Memory of all connections' responses.
     uint64_t connectionsOpened_ = 0; ///< Connections opened since the start, failed attempts included.
 };
 
@@ -132,6 +149,12 @@
 /// Cancels a call and closes its connection; no callback is called for it any more.
 void cancelCall(UpstreamLink &link, uint64_t send);
 
+/// @return what the responses of all calls hold, with their last progress.
+std::vector<SendHolding> listHoldings(const UpstreamLink &link);
+
+/// Ends a call as one whose response is malformed, and closes its connection.
+void giveUpCall(UpstreamLink &link, uint64_t send);
+
 /// Closes idle connections that the upstream may close soon, or that have been idle for too long.
 void closeStaleConnections(UpstreamLink &link, TimePoint now);
 
--- a/tests/memory_budget_test.cpp
+++ b/tests/memory_budget_test.cpp
@@ -168,6 +168,28 @@
     CHECK(findRow(budget_.holdings_, busy)->phase_ == HoldingPhase::Exchange);
 }
 
+TEST_CASE_FIXTURE(MemoryBudgetFixture, "Budget_WhenAnswersTakeItAll_GivesUpThoseWithoutProgressThatCostMost")
+{
+    constexpr size_t small = 48U << 10U;
+    constexpr size_t large = 4U << 20U;
+    now_ += std::chrono::seconds(10);
+    const std::vector<SendHolding> sends{ { 1, small, now_ - std::chrono::seconds(1) },
+        { 2, large, now_ - std::chrono::seconds(1) }, { 3, small, now_ - std::chrono::seconds(9) },
+        { 4, 4 * large, now_ - Milliseconds(50) }, { 5, 34U << 10U, now_ - std::chrono::seconds(9) } };
+    budget_.otherBytes_ = budget_.limits_.totalBytes_;
+    CHECK(chooseSendsToGiveUp(budget_, now_, sends).empty());
+    budget_.otherBytes_ += large;
+    std::vector<SendHolding> chosen = chooseSendsToGiveUp(budget_, now_, sends);
+    REQUIRE(chosen.size() == 1);
+    CHECK(chosen[0].send_ == 2);
+    budget_.otherBytes_ += small;
+    chosen = chooseSendsToGiveUp(budget_, now_, sends);
+    REQUIRE(chosen.size() == 2);
+    CHECK(chosen[1].send_ == 3);
+    budget_.otherBytes_ += 8 * large;
+    CHECK(chooseSendsToGiveUp(budget_, now_, sends).size() == 3); // neither the one in progress nor the ordinary one
+}
+
 TEST_CASE_FIXTURE(MemoryBudgetFixture, "Budget_WhenTheMemoryIsLowered_FollowsAtTheNextCheck")
 {
     for (int reader = 0; reader < 8; ++reader) {
--- a/tests/upstream_link_test.cpp
+++ b/tests/upstream_link_test.cpp
@@ -265,6 +265,41 @@
     CHECK(heads_ == 1);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAHeadIsHeld_CountsItUntilTheCallEnds")
+{
+    const size_t before = *link_.heldBytes_;
+    send(okHead + "Content-Length: 2\r\nLong: " + std::string(30000, 'a') + "\r\n\r\no");
+    runUntil([this] { return received_ == 1; });
+    CHECK(*link_.heldBytes_ >= before + 30000);
+    REQUIRE(listHoldings(link_).size() == 1);
+    CHECK(listHoldings(link_)[0].bytes_ >= 30000);
+    send("k");
+    runUntil([this] { return end_.has_value(); });
+    CHECK(listHoldings(link_).empty());
+    closeStaleConnections(link_, Clock::now() + std::chrono::seconds(60));
+    runFor(Milliseconds(10));
+    CHECK(*link_.heldBytes_ == 0);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAHeadIsIncomplete_CountsIt")
+{
+    send(okHead);
+    for (int field = 0; field < 200; ++field) {
+        send("Name: " + std::string(90, 'a') + "\r\n");
+    }
+    runUntil([this] { return !listHoldings(link_).empty() && listHoldings(link_)[0].bytes_ >= 20000; });
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenACallIsGivenUp_EndsItAndClosesItsConnection")
+{
+    send(okHead);
+    giveUpCall(link_, 1);
+    CHECK(end_ == make_error_code(TransportErrc::Malformed));
+    runUntil([this] { return isClosed(); });
+    CHECK(listHoldings(link_).empty());
+    giveUpCall(link_, 1);
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenItDoesNotRead_LeavesTheRestWithTheUpstream")
 {
     boost::asio::socket_base::receive_buffer_size size;
