Upstreams: what all connections read at once is bounded

With 400 streams that arrive at full speed, each round of reads put 6.4 MB into the inbox and as much again into the answers before any was handled, and each connection kept a buffer of 16 KiB. All connections with a call together now read 1.5 MiB at once, but at least 4 KiB each; up to 96 of them read 16 KiB as before.

--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -27,7 +27,10 @@
 /// process has not accepted within a few milliseconds of its end.
 constexpr Milliseconds checkSettleTime{ 25 };
 constexpr int maxCheckConnections = 4; ///< Connections tried in one check, see startCheck().
-constexpr size_t readBytes = 16U << 10U; ///< Most bytes read at once.
+constexpr size_t maxReadBytes = 16U << 10U; ///< Most bytes read at once on a connection.
+constexpr size_t minReadBytes = 4U << 10U; ///< The same if very many connections have a call.
+/// Bytes that all connections with a call together may read before any of them is handled.
+constexpr size_t readBytesOfAll = 1536U << 10U;
 constexpr uint32_t responseHeaderLimit = 32U << 10U; ///< Bytes of the longest response header.
 /// Most fields of a response's header or trailers. A short field takes many times its length once it is parsed.
 constexpr ptrdiff_t maxResponseFields = 256;
@@ -258,9 +261,14 @@
     }
 }
 
+size_t readSize(const UpstreamLink &link)
+{
+    return std::clamp(readBytesOfAll / std::max<size_t>(link.busy_.size(), 1), minReadBytes, maxReadBytes);
+}
+
 void readSome(UpstreamLink &link, const LinkPointer &connection)
 {
-    const auto space = connection->buffer_.prepare(readBytes);
+    const auto space = connection->buffer_.prepare(readSize(link));
     countMemory(*connection);
     connection->socket_.async_read_some(
         space, [&link, connection](const boost::system::error_code &error, size_t length) {
