Requests' headers: limit the fields

A caller's header of very short fields takes many times its length once it is parsed, as an upstream's did: 180 callers with 15 KB each brought a gateway of 64 MiB to 108,988 KiB (bound 65,536), and the budget counted only the buffers. A header may have 256 fields now, and the fields of one that has more are freed before its refusal (431). Found by looking for the same cause elsewhere. Gateway_WhenHeadersHaveVeryManyFields_StaysWithinItsMemory failed before; 61,784 to 63,924 KiB in six runs after, for a reason not found yet, so that a longer maxHeaderBytes may still exceed the memory.

--- a/src/http_server_input.cpp
+++ b/src/http_server_input.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <iterator>
 
 namespace Burdockfield {
 
@@ -120,6 +121,11 @@
         Http::async_read_some(connection.stream_.socket(), connection.buffer_, parser, yield[error]);
         setInput(server.budget_->table_, connection.holding_, connection.buffer_.capacity());
         enforceLimits(server.budget_);
+        auto &fields = parser.get();
+        if (!error && std::distance(fields.begin(), fields.end()) > maxHeaderFields) {
+            fields.clear(); // the connection stays open until its peer has read the refusal
+            error = Http::error::header_limit;
+        }
     }
 }
 
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -8,6 +8,7 @@
 #include "error_type.h"
 #include "http_fields_func.h"
 #include "http_func.h"
+#include "http_limit_type.h"
 #include "memory_budget_func.h"
 #include "socket_func.h"
 
@@ -32,8 +33,6 @@
 /// Bytes that all connections with a call together may read before any of them is handled.
 constexpr size_t readBytesOfAll = 1536U << 10U;
 constexpr uint32_t responseHeaderLimit = 32U << 10U; ///< Bytes of the longest response header.
-/// Most fields of a response's header or trailers. A short field takes many times its length once it is parsed.
-constexpr ptrdiff_t maxResponseFields = 256;
 /// Most bytes buffered while the rest of a header, a chunk's header or trailers is missing.
 constexpr size_t maxUnparsedBytes = responseHeaderLimit;
 /// Most bytes of a call, beyond those of its answer's body, that are headers, chunk headers and discarded responses.
@@ -186,8 +185,7 @@
         connection.headBytes_ += parsed;
     }
     const auto &fields = connection.parser_->get();
-    return connection.headBytes_ > responseHeaderLimit
-        || std::distance(fields.begin(), fields.end()) > maxResponseFields;
+    return connection.headBytes_ > responseHeaderLimit || std::distance(fields.begin(), fields.end()) > maxHeaderFields;
 }
 
 /// Parses the received bytes; ends the call when its response is complete or exceeds a limit.
--- a/tests/untrusted_client_process_test.cpp
+++ b/tests/untrusted_client_process_test.cpp
@@ -262,6 +262,19 @@
     checkGateway();
 }
 
+TEST_CASE_FIXTURE(UntrustedClientFixture, "Gateway_WhenHeadersHaveVeryManyFields_StaysWithinItsMemory")
+{
+    constexpr size_t manyFieldsCrowd = 180; // as many as the descriptors allow
+    connectClients(manyFieldsCrowd);
+    std::string fields;
+    while (fields.size() < 15000) {
+        fields += "a:\r\n";
+    }
+    sendFromAll(
+        makeAnnouncedHead(limitBytes, "/read/x").substr(0, makeAnnouncedHead(limitBytes).size() - 2) + fields + "\r\n");
+    checkGateway();
+}
+
 TEST_CASE_FIXTURE(UntrustedClientFixture, "Gateway_WhenClientsNeverReadTheirAnswers_StaysWithinItsMemory")
 {
     for (const char *engine : { "engines-1", "engines-2" }) {
