--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -21,6 +21,8 @@
 constexpr size_t maxAnswerBytes = 16U << 20U; ///< 16 MiB: longest answer that is buffered; below any memory limit.
 constexpr size_t maxEventBytes = 256U << 10U; ///< Longest event of a stream.
 constexpr size_t maxUnusedBytes = 64U << 10U; ///< Longest body of an answer that is not forwarded.
+/// Bytes of an answer that count as progress; a link of 10 Mbit/s carries them in 4 ms.
+constexpr size_t answerProgressStep = 4U << 10U;
 constexpr uint32_t maxConnectFailures = 4; ///< Failures to connect after which a call is refused.
 constexpr Milliseconds initialBackoff{ 250 }; ///< Time for which an upstream is not used after a failure to connect.
 constexpr Milliseconds maxBackoff{ 4000 }; ///< Longest such time, after several failures in a row.
@@ -52,8 +54,12 @@
 
 void eraseFromAnswer(GatewayState &state, Call &call, size_t length)
 {
-    call.body_.erase(0, length);
     state.answerBytes_ -= length;
+    if (length == call.body_.size()) {
+        std::string().swap(call.body_); // unlike clear(), frees the memory
+    } else {
+        call.body_.erase(0, length);
+    }
 }
 
 /**
@@ -343,17 +349,29 @@
     return isStreamed(call) ? maxEventBytes : maxAnswerBytes;
 }
 
-CallId findLongestAnswer(GatewayState &state)
+/// Answer of a send as far as it is buffered.
+struct BufferedAnswer
 {
-    CallId longest;
-    size_t length = 0;
-    forEachRow(state.calls_, [&](CallId id, const Call &call) {
-        if (call.body_.size() > length) {
-            longest = id;
-            length = call.body_.size();
+    uint64_t send_ = 0; ///< Number of the send; 0 for none.
+    size_t bytes_ = 0; ///< Bytes buffered.
+    double cost_ = 0; ///< The same times the seconds without progress.
+};
+
+/// @return the answer that takes the most memory for the longest time without progress, with send_ 0 if there is none.
+BufferedAnswer findCostliestAnswer(const GatewayState &state, TimePoint now)
+{
+    BufferedAnswer costliest;
+    const auto consider = [&costliest, now](uint64_t send, const std::string &body, TimePoint progressAt) {
+        const double cost = static_cast<double>(body.size()) * FractionalSeconds(now - progressAt).count();
+        if (std::pair(cost, body.size()) > std::pair(costliest.cost_, costliest.bytes_)) {
+            costliest = { send, body.size(), cost };
         }
-    });
-    return longest;
+    };
+    forEachRow(state.calls_,
+        [&consider](CallId /*id*/, const Call &call) { consider(call.send_, call.body_, call.lastReceivedAt_); });
+    forEachRow(state.hedges_,
+        [&consider](HedgeId /*id*/, const Hedge &hedge) { consider(hedge.send_, hedge.body_, hedge.lastReceivedAt_); });
+    return costliest;
 }
 
 /// Ends a send whose answer is malformed or too long.
@@ -365,6 +383,39 @@
     handleFailure(state, now, id, call, false, outbox);
 }
 
+/// Appends to a buffer that takes at most a quarter more than its bytes, whereas std::string would double it.
+void appendBytes(std::string &buffer, std::string bytes)
+{
+    if (buffer.empty()) {
+        buffer = std::move(bytes);
+        return;
+    }
+    constexpr size_t spareDivisor = 4;
+    const size_t needed = buffer.size() + bytes.size();
+    if (needed > buffer.capacity()) {
+        std::string grown;
+        grown.reserve(needed + needed / spareDivisor);
+        grown += buffer;
+        buffer = std::move(grown);
+    }
+    buffer += bytes;
+}
+
+/// Ends sends until all buffered answers together are within their limit.
+void limitAnswers(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
+{
+    while (state.answerBytes_ > state.bounds_.answerBytes_) {
+        const uint64_t send = findCostliestAnswer(state, now).send_;
+        takeUpSend(state, send); // the end of either send decides on the call
+        const CallId id = findCallBySend(state, send);
+        Call *call = findRow(state.calls_, id);
+        if (call == nullptr) {
+            return;
+        }
+        breakOffSend(state, now, id, *call, outbox);
+    }
+}
+
 void handleBytes(GatewayState &state, TimePoint now, BytesReceived &event, GatewayOutbox &outbox)
 {
     const CallId id = findCallBySend(state, event.send_);
@@ -378,17 +429,16 @@
     call->lastBytesAt_ = now;
     const size_t scanned = call->body_.size();
     const bool streamed = isForwardable(*call) && isStreamed(*call);
-    call->body_ += event.bytes_;
     state.answerBytes_ += event.bytes_.size();
-    if (isForwardable(*call) && !streamed) {
+    appendBytes(call->body_, std::move(event.bytes_));
+    if (isForwardable(*call) && !streamed && scanned / answerProgressStep != call->body_.size() / answerProgressStep) {
         call->lastReceivedAt_ = now;
     }
     const bool valid = !streamed || forwardEvents(state, now, *call, scanned, outbox);
     if (!valid || call->body_.size() > bufferLimit(*call)) {
         breakOffSend(state, now, id, *call, outbox);
-    } else if (state.answerBytes_ > state.bounds_.answerBytes_) {
-        const CallId longest = findLongestAnswer(state);
-        breakOffSend(state, now, longest, *findRow(state.calls_, longest), outbox);
+    } else {
+        limitAnswers(state, now, outbox);
     }
 }
 
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -9,10 +9,13 @@
 #include "error_type.h"
 #include "http_fields_func.h"
 #include "http_func.h"
+#include "http_limit_type.h"
+#include "memory_budget_func.h"
 #include "socket_func.h"
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 namespace Burdockfield {
@@ -27,7 +30,10 @@
 /// process has not accepted within a few milliseconds of its end.
 constexpr Milliseconds checkSettleTime{ 25 };
 constexpr int maxCheckConnections = 4; ///< Connections tried in one check, see startCheck().
-constexpr size_t readBytes = 16U << 10U; ///< Most bytes read at once.
+constexpr size_t maxReadBytes = 16U << 10U; ///< Most bytes read at once on a connection.
+constexpr size_t minReadBytes = 4U << 10U; ///< The same if very many connections have a call.
+/// Bytes that all connections with a call together may read before any of them is handled.
+constexpr size_t readBytesOfAll = 1536U << 10U;
 constexpr size_t peekedBytes = 2U << 10U; ///< Most bytes of an extra answer looked at on an idle connection.
 constexpr uint32_t responseHeaderLimit = 32U << 10U; ///< Bytes of the longest response header.
 /// Most bytes buffered while the rest of a header, a chunk's header or trailers is missing.
@@ -117,6 +123,8 @@
         connection->message_.reset();
     }
     connection->parser_.reset();
+    connection->headBytes_ = 0;
+    connection->headCopyBytes_ = 0;
     const bool clean = !error && connection->reusable_ && connection->requestWritten_ && connection->buffer_.size() == 0
         && connection->carriedIds_.size() < maxCallsPerConnection;
     auto &idle = link.idle_[connection->call_.address_];
@@ -137,6 +145,34 @@
     connection.parser_->eager(true);
     connection.headHandled_ = false;
     connection.discarding_ = false;
+    connection.headBytes_ = 0;
+}
+
+/// Counts the memory of a connection's response in the sum of the link.
+void countMemory(LinkConnection &connection)
+{
+    // The parser takes at least as much again for the fields of a header that is not complete.
+    const size_t held = connection.buffer_.capacity() + 2 * connection.headBytes_ + connection.headCopyBytes_;
+    *connection.linkBytes_ += held - connection.heldBytes_;
+    connection.heldBytes_ = held;
+}
+
+size_t memoryOf(const HttpReply &head)
+{
+    size_t bytes = head.headers_.capacity() * sizeof(HttpHeaders::value_type);
+    for (const auto &[name, value] : head.headers_) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
+void recordProgress(LinkConnection &connection, size_t bodyBytes)
+{
+    connection.progressBytes_ += bodyBytes;
+    if (connection.progressBytes_ >= progressStep) {
+        connection.progressBytes_ = 0;
+        connection.progressAt_ = Clock::now();
+    }
 }
 
 void recordKeepAlive(LinkConnection &connection, const HttpReply &head)
@@ -169,18 +205,34 @@
                 reportExtraAnswer(link, connection, ExtraAnswerPlace::BeforeAnswer, std::move(head));
             }
         } else {
+            connection.headCopyBytes_ = memoryOf(head);
+            connection.progressAt_ = Clock::now();
             link.handlers_.onHead_(connection.call_.send_, std::move(head));
         }
+        connection.headBytes_ = 0;
+        connection.parser_->get().clear(); // the parser itself does not need the fields any more
     }
     std::string bytes = std::move(connection.parser_->get().body());
     connection.parser_->get().body().clear();
     if (!bytes.empty() && !connection.discarding_) {
         // Each byte of the body also makes up for one of overhead, so that a stream may be of any length.
         connection.overheadBytes_ -= std::min(connection.overheadBytes_, 2 * bytes.size());
+        recordProgress(connection, bytes.size());
         link.handlers_.onBytes_(connection.call_.send_, std::move(bytes));
     }
 }
 
+/// @return whether the header or the trailers of the current response are too long. The limit of the parser holds only
+/// for what it has not parsed yet, and it parses a header in parts.
+bool exceedsFieldLimits(LinkConnection &connection, size_t parsed)
+{
+    if (!connection.parser_->is_header_done()) {
+        connection.headBytes_ += parsed;
+    }
+    const auto &fields = connection.parser_->get();
+    return connection.headBytes_ > responseHeaderLimit || std::distance(fields.begin(), fields.end()) > maxHeaderFields;
+}
+
 /// Parses the received bytes; ends the call when its response is complete or exceeds a limit.
 void parse(UpstreamLink &link, const LinkPointer &connection)
 {
@@ -189,7 +241,7 @@
         const size_t parsed = connection->parser_->put(connection->buffer_.data(), error);
         connection->buffer_.consume(parsed);
         connection->overheadBytes_ += parsed;
-        if (error && error != Http::error::need_more) {
+        if ((error && error != Http::error::need_more) || exceedsFieldLimits(*connection, parsed)) {
             endCall(link, connection, TransportErrc::Malformed);
             return;
         }
@@ -253,11 +305,19 @@
     }
 }
 
+size_t readSize(const UpstreamLink &link)
+{
+    return std::clamp(readBytesOfAll / std::max<size_t>(link.busy_.size(), 1), minReadBytes, maxReadBytes);
+}
+
 void readSome(UpstreamLink &link, const LinkPointer &connection)
 {
-    connection->socket_.async_read_some(connection->buffer_.prepare(readBytes),
-        [&link, connection](
-            const boost::system::error_code &error, size_t length) { handleRead(link, connection, error, length); });
+    const auto space = connection->buffer_.prepare(readSize(link));
+    countMemory(*connection);
+    connection->socket_.async_read_some(
+        space, [&link, connection](const boost::system::error_code &error, size_t length) {
+            handleRead(link, connection, error, length);
+        });
 }
 
 void writeRequest(UpstreamLink &link, const LinkPointer &connection)
@@ -292,6 +352,8 @@
     resetParser(*connection);
     connection->overheadBytes_ = 0;
     connection->carriedIds_.push_back(hashId(connection->call_.requestId_));
+    connection->progressBytes_ = 0;
+    connection->progressAt_ = Clock::now();
     writeRequest(link, connection);
 }
 
@@ -331,6 +393,7 @@
             finishConnect(connection, Asio::error::timed_out, onConnect);
         }
     });
+    openBoundedSocket(connection->socket_, *endpoint);
     connection->socket_.async_connect(*endpoint, [connection, onConnect](const boost::system::error_code &error) {
         finishConnect(connection, error, onConnect);
     });
@@ -338,7 +401,7 @@
 
 void openConnection(UpstreamLink &link, LinkCall call)
 {
-    auto connection = std::make_shared<LinkConnection>(link.io_);
+    auto connection = std::make_shared<LinkConnection>(link.io_, link.heldBytes_);
     connection->call_ = std::move(call);
     link.busy_[connection->call_.send_] = connection;
     connect(link, connection, [&link, connection](std::error_code error) {
@@ -411,7 +474,7 @@
 void startCheck(UpstreamLink &link, const std::string &address, int connectionsLeft,
     const std::function<void(std::error_code)> &onEnd)
 {
-    auto connection = std::make_shared<LinkConnection>(link.io_);
+    auto connection = std::make_shared<LinkConnection>(link.io_, link.heldBytes_);
     connection->call_.address_ = address;
     connect(link, connection, [&link, connection, connectionsLeft, onEnd](std::error_code error) {
         if (error) {
@@ -480,6 +543,23 @@
     closeConnection(connection);
 }
 
+std::vector<SendHolding> listHoldings(const UpstreamLink &link)
+{
+    std::vector<SendHolding> holdings;
+    for (const auto &[send, connection] : link.busy_) {
+        holdings.push_back({ send, connection->heldBytes_, connection->progressAt_ });
+    }
+    return holdings;
+}
+
+void giveUpCall(UpstreamLink &link, uint64_t send)
+{
+    if (const auto found = link.busy_.find(send); found != link.busy_.end()) {
+        const LinkPointer connection = found->second;
+        endCall(link, connection, TransportErrc::Malformed);
+    }
+}
+
 void closeStaleConnections(UpstreamLink &link, TimePoint now)
 {
     for (auto &[address, idle] : link.idle_) {
--- a/tests/gateway_endless_answer_test.cpp
+++ b/tests/gateway_endless_answer_test.cpp
@@ -118,6 +118,45 @@
     CHECK(outbox.refusals_[0].reason_ == RefusalReason::Expired);
 }
 
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answer_WhenItTricklesInAndTheCallMayBeRepeated_IsFetchedElsewhere")
+{
+    const SendCall first = receiveCall("read", 1).sends_.at(0);
+    receiveHead(first.send_, makeHead(200));
+    const GatewayOutbox outbox = trickle(first.send_, Milliseconds(2000));
+    REQUIRE(outbox.sends_.size() == 1);
+    CHECK(outbox.sends_[0].parameters_.instance_ != first.parameters_.instance_);
+    CHECK(outbox.refusals_.empty());
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answer_WhenItTricklesInAndNoOtherUpstreamHasAFreeSlot_IsKept")
+{
+    const SendCall first = receiveCall("read", 1).sends_.at(0);
+    receiveHead(first.send_, makeHead(200));
+    const char *other = first.parameters_.instance_ == "engine-1" ? "engine-2" : "engine-1";
+    receivePeerCounts("10.0.0.9:7000", { { other, 5 } });
+    for (int step = 0; step < 40; ++step) {
+        now_ += Milliseconds(50);
+        receivePeerCounts("10.0.0.9:7000", { { other, 5 } });
+        CHECK(receiveBytes(first.send_, "a").cancels_.empty());
+    }
+    const GatewayOutbox end = endSend(first.send_, {});
+    REQUIRE(end.answers_.size() == 1);
+    CHECK(end.answers_[0].reply_.body_ == std::string(40, 'a'));
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answer_WhenItIsLongAndItsLinkIsSlow_IsKept")
+{
+    constexpr size_t stepBytes = 4U << 10U; // a step of 800 ms: 40 kbit/s, far below any link
+    const uint64_t send = receiveCall("read", 1).sends_.at(0).send_;
+    receiveHead(send, makeHead(200));
+    for (int step = 0; step < 4; ++step) {
+        now_ += Milliseconds(800);
+        CHECK(tick().cancels_.empty());
+        CHECK(receiveBytes(send, std::string(stepBytes, 'a')).cancels_.empty());
+    }
+    CHECK(endSend(send, {}).answers_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(EndlessAnswerFixture, "UnsignedAnswer_WhenItNeverEnds_IsRetriedElsewhere")
 {
     const uint64_t send = receiveCall("read", 1).sends_.at(0).send_;
@@ -174,6 +213,24 @@
     CHECK(state_.answerBytes_ == 0);
 }
 
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answers_WhenTheyTakeTooMuchMemoryTogether_KeepsALongOneThatMakesProgress")
+{
+    state_.bounds_.answerBytes_ = 10 * pieceBytes;
+    const uint64_t steady = receiveCall("once", 1).sends_.at(0).send_;
+    const uint64_t stalled = receiveCall("read", 2).sends_.at(0).send_;
+    receiveHead(steady, makeHead(200));
+    receiveHead(stalled, makeHead(200));
+    receiveBytes(stalled, std::string(4 * pieceBytes, 'a'));
+    for (int piece = 0; piece < 6; ++piece) {
+        now_ += Milliseconds(50);
+        CHECK(receiveBytes(steady, std::string(pieceBytes, 'a')).cancels_.empty());
+    }
+    const GatewayOutbox outbox = receiveBytes(steady, std::string(pieceBytes, 'a'));
+    CHECK(outbox.cancels_ == std::vector<uint64_t>{ stalled });
+    CHECK(outbox.sends_.size() == 1);
+    CHECK(endSend(steady, {}).answers_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(EndlessAnswerFixture, "Answers_WhenSendsFailOrCallersLeave_TakeNoMemory")
 {
     const uint64_t broken = receiveCall("read", 1).sends_.at(0).send_;
--- a/tests/upstream_link_test.cpp
+++ b/tests/upstream_link_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr size_t maxHeaderBytes = 64U << 10U; ///< Bytes without a body after which a connection has to be closed.
+constexpr size_t maxFieldBytes = 16U << 10U; ///< Bytes of very short fields after which it has to be closed.
 constexpr size_t maxForeignBytes = 512U << 10U; ///< Bytes of foreign responses after which it has to be closed.
 const std::string okHead = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n";
 const std::string chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n";
@@ -95,6 +96,47 @@
     checkFloodEnds("Name: value\r\n", maxHeaderBytes);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAHeadOfShortFieldsNeverEnds_EndsTheCall")
+{
+    send("HTTP/1.1 200 OK\r\n");
+    checkFloodEnds("a:\r\n", maxFieldBytes);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAHeadHasVeryManyFields_EndsTheCall")
+{
+    std::string head = okHead;
+    for (int field = 0; field < 2000; ++field) {
+        head += "a:\r\n";
+    }
+    send(head + "\r\n");
+    runUntil([this] { return end_.has_value(); });
+    CHECK(end_ == make_error_code(TransportErrc::Malformed));
+    CHECK(heads_ == 0);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAHeadHasManyFieldsAndArrivesInParts_ReceivesTheAnswer")
+{
+    std::string head = okHead + "Content-Length: 2\r\n";
+    for (int field = 0; field < 200; ++field) {
+        head += "Name-" + std::to_string(field) + ": " + std::string(100, 'a') + "\r\n";
+    }
+    for (size_t at = 0; at < head.size(); at += 1000) {
+        send(head.substr(at, 1000));
+        runFor(Milliseconds(1));
+    }
+    send("\r\nok");
+    runUntil([this] { return end_.has_value(); });
+    CHECK_FALSE(*end_);
+    CHECK(heads_ == 1);
+    CHECK(received_ == 2);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenTrailersHaveVeryManyFields_EndsTheCall")
+{
+    send(chunkedHead + "1\r\na\r\n0\r\n");
+    checkFloodEnds("a:\r\n", maxFieldBytes);
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenBlankLinesNeverEnd_EndsTheCall")
 {
     checkFloodEnds("\r\n", maxHeaderBytes);
@@ -223,6 +265,48 @@
     CHECK(heads_ == 1);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAHeadIsHeld_CountsItUntilTheCallEnds")
+{
+    const size_t before = *link_.heldBytes_;
+    send(okHead + "Content-Length: 2\r\nLong: " + std::string(30000, 'a') + "\r\n\r\no");
+    runUntil([this] { return received_ == 1; });
+    CHECK(*link_.heldBytes_ >= before + 30000);
+    REQUIRE(listHoldings(link_).size() == 1);
+    CHECK(listHoldings(link_)[0].bytes_ >= 30000);
+    send("k");
+    runUntil([this] { return end_.has_value(); });
+    CHECK(listHoldings(link_).empty());
+    closeStaleConnections(link_, Clock::now() + std::chrono::seconds(60));
+    runFor(Milliseconds(10));
+    CHECK(*link_.heldBytes_ == 0);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAHeadIsIncomplete_CountsIt")
+{
+    send(okHead);
+    for (int field = 0; field < 200; ++field) {
+        send("Name: " + std::string(90, 'a') + "\r\n");
+    }
+    runUntil([this] { return !listHoldings(link_).empty() && listHoldings(link_)[0].bytes_ >= 20000; });
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenACallIsGivenUp_EndsItAndClosesItsConnection")
+{
+    send(okHead);
+    giveUpCall(link_, 1);
+    CHECK(end_ == make_error_code(TransportErrc::Malformed));
+    runUntil([this] { return isClosed(); });
+    CHECK(listHoldings(link_).empty());
+    giveUpCall(link_, 1);
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenItDoesNotRead_LeavesTheRestWithTheUpstream")
+{
+    boost::asio::socket_base::receive_buffer_size size;
+    link_.busy_.at(1)->socket_.get_option(size);
+    CHECK(static_cast<size_t>(size.value()) <= (64U << 10U));
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenTheUpstreamClosesWithinTheHeader_HasNoAnswer")
 {
     for (const std::string &head : { okHead + "Content-Length: 2\r\n\r\n", okHead + "\r\n", chunkedHead }) {
