JSON: bound the memory of a document's values

A reply of 2 MiB that is a list of empty values took 16 bytes and more for each two or three bytes of its text, several times the text in all, besides the parser's stack. A store's or a peer's reply of 8 MiB, which was allowed, so exceeded a machine of 88 MB by itself: the process ended with the requests of its callers. Datagrams and frames of agents go through the same parser.

parseJson() allocates values and its stack within 4 MiB and four times the text; a text that takes more is refused as out of range. A configuration of 2,500 routes and 1,400 workspaces (1,028,167 bytes) takes 4,269,205.

Json_WhenItsValuesTakeFarMoreMemoryThanItsText_IsRefused failed before for all five kinds of values (no error), and passes.

--- a/src/json.cpp
+++ b/src/json.cpp
@@ -6,11 +6,94 @@
 
 #include <cmath>
 #include <limits>
+#include <memory>
+#include <new>
+#include <utility>
 
 namespace Burdockfield {
 
 namespace {
 
+/// Memory that values may take besides a multiple of their text; messages of up to some 100 KB never reach it.
+constexpr size_t baseMemory = 4U << 20U;
+constexpr size_t memoryPerByte = 4; ///< A configuration of 2,500 routes takes about as much.
+constexpr size_t blockOverhead = 16; ///< Bytes that the allocator adds to a block, rounding included.
+
+/**
+ * Allocates the values of all documents, and bounds what a single parse takes. It has to outlive all values, which
+ * refer to it without counting.
+ */
+class BoundedMemory : public Json::memory_resource
+{
+public:
+    /// Starts a parse that may take @p bytes.
+    static void start(size_t bytes)
+    {
+        left = bytes;
+    }
+
+    /// Ends the bound.
+    static void stop()
+    {
+        left = unbounded;
+    }
+
+private:
+    void *do_allocate(size_t bytes, size_t /*alignment*/) override
+    {
+        const size_t charged = bytes + blockOverhead;
+        if (charged > left) {
+            throw std::bad_alloc();
+        }
+        left -= left == unbounded ? 0 : charged;
+        return ::operator new(bytes);
+    }
+
+    void do_deallocate(void *block, size_t bytes, size_t /*alignment*/) override
+    {
+        left += left == unbounded ? 0 : bytes + blockOverhead;
+        ::operator delete(block);
+    }
+
+    bool do_is_equal(const Json::memory_resource &other) const noexcept override
+    {
+        return this == &other;
+    }
+
+    static constexpr size_t unbounded = std::numeric_limits<size_t>::max();
+    static thread_local size_t left; ///< Bytes that the parse in progress on this thread may still take.
+};
+
+thread_local size_t BoundedMemory::left = BoundedMemory::unbounded;
+
+/// Parses within the bound. @throw std::bad_alloc if the values exceed it
+Json::value parseBounded(std::string_view text, const Json::parse_options &options, Json::error_code &error)
+{
+    static BoundedMemory memory;
+
+    struct Bound
+    {
+        explicit Bound(size_t bytes)
+        {
+            BoundedMemory::start(bytes);
+        }
+
+        ~Bound()
+        {
+            BoundedMemory::stop();
+        }
+
+        Bound(const Bound &) = delete;
+        Bound &operator=(const Bound &) = delete;
+    };
+
+    const Bound bound(baseMemory + memoryPerByte * text.size());
+    Json::parser parser(Json::storage_ptr(&memory), options);
+    parser.reset(Json::storage_ptr(&memory));
+    parser.write(text.data(), text.size(), error);
+    return error ? Json::value() : parser.release();
+}
+
 /// Reads an integer from 0 to @p limit.
 uint64_t readUnsigned(JsonReader &reader, const Json::value &value, uint64_t limit)
 {
@@ -50,12 +133,16 @@
     options.max_depth = jsonDepthLimit;
     options.allow_invalid_utf8 = encoding == StringEncoding::AnyBytes;
     Json::error_code parseError;
-    Json::value value = Json::parse({ text.data(), text.size() }, parseError, {}, options);
-    if (parseError) {
+    try {
+        Json::value value = parseBounded(text, options, parseError);
+        if (!parseError) {
+            return value;
+        }
         error = parseError == Json::error::too_deep ? WireErrc::TooDeep : WireErrc::MalformedJson;
-        return nullptr;
+    } catch (const std::bad_alloc &) {
+        error = WireErrc::OutOfRange;
     }
-    return value;
+    return nullptr;
 }
 
 JsonReader readObject(const Json::value &value)
@@ -71,7 +158,10 @@
 JsonReader readJsonObject(std::string_view text, Json::value &document, StringEncoding encoding)
 {
     std::error_code error;
-    document = parseJson(text, error, encoding);
+    Json::value parsed = parseJson(text, error, encoding);
+    // An assignment would copy the values into the document's own storage.
+    std::destroy_at(&document);
+    std::construct_at(&document, std::move(parsed));
     JsonReader reader = readObject(document);
     if (error) {
         reader.error_ = error;
--- a/src/json_func.h
+++ b/src/json_func.h
@@ -40,8 +40,9 @@
 };
 
 /**
- * Parses JSON text.
- * @param error set to a WireErrc if the text is not JSON or is nested too deeply
+ * Parses JSON text. Its values may take 4 MiB and four times its length: a text of many small values takes 20 times its
+ * length or more.
+ * @param error set to a WireErrc if the text is not JSON, is nested too deeply or takes too much memory
  * @return the value, or JSON null on error
  */
 Json::value parseJson(std::string_view text, std::error_code &error, StringEncoding encoding = StringEncoding::Utf8);
