HTTP client: bound all replies that are being received together

Only a single reply was bounded, by 8 MiB in gateways.

Replies count in a budget: each may take 0.03 of the memory, all together 0.05. Beyond that the reply with the greatest product of size and age is given up with "no-memory", which its caller treats as other failures; a new reply passes beside trickling ones. The kernel keeps 128 KiB of a connection at most; that it may keep more was found by reading (tcp_rmem): the test of it passed before, too.

--- a/src/error_type.h
+++ b/src/error_type.h
@@ -81,6 +81,7 @@
     Malformed, ///< The peer's message could not be parsed.
     Cancelled, ///< Closed by this side.
     ConnectionRefused, ///< As NotSent, since no process listens at the address.
+    NoMemory, ///< Given up by this side, since all replies being received together exceed the memory for them.
 };
 
 /// Why an operation of the table service failed.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -25,6 +25,8 @@
 constexpr Milliseconds longDelay{ 200 }; ///< Delay of the event loop from which it is logged.
 constexpr Milliseconds exitDelay{ 60 }; ///< Time for the last answers to be transmitted before exit.
 constexpr size_t maxReplyBytes = 8U << 20U; ///< 8 MiB: longest reply of the store or a peer.
+constexpr size_t maxBadRowLines = 20; ///< Log lines about malformed rows between two runs of the housekeeping.
+constexpr size_t maxLoggedKey = 200; ///< Bytes of a malformed row's key that are logged.
 constexpr double bodyMemoryShare = 0.25; ///< Share of the memory setting that request bodies may take.
 constexpr double answerMemoryShare = 0.2; ///< Share of the memory setting that buffered answers may take.
 
@@ -168,7 +170,7 @@
     GatewayInbox inbox = std::move(daemon.inbox_);
     daemon.inbox_ = {};
     executeOutbox(daemon, tickGateway(daemon.state_, Clock::now(), std::move(inbox)));
-    daemon.budget_->table_.otherBytes_ = daemon.state_.answerBytes_;
+    daemon.budget_->table_.otherBytes_ = daemon.state_.answerBytes_ + daemon.client_.replies_->budget_.heldBytes_;
     enforceLimits(daemon.budget_);
     daemon.tickDueAt_ = nextGatewayDeadline(daemon.state_);
     daemon.tickTimer_.expires_at(daemon.tickDueAt_);
@@ -257,8 +259,13 @@
         std::move(addresses.begin(), addresses.end(), std::back_inserter(daemon.inbox_.peerAddresses_));
         scheduleTick(daemon);
     };
-    handlers.onMalformedRow_ = [](const std::string &table, const std::string &key, std::error_code error) {
-        logLine(LogLevel::Warning, "bad-row", { { "table", table }, { "key", key }, { "error", error.message() } });
+    handlers.onMalformedRow_ = [&daemon](const std::string &table, const std::string &key, std::error_code error) {
+        count(daemon.state_.metrics_, "bad_rows", error.message());
+        if (daemon.badRowLines_ < maxBadRowLines) {
+            ++daemon.badRowLines_;
+            logLine(LogLevel::Warning, "bad-row",
+                { { "table", table }, { "key", key.substr(0, maxLoggedKey) }, { "error", error.message() } });
+        }
     };
     return handlers;
 }
@@ -269,6 +276,7 @@
     const auto memory = static_cast<double>(daemon.settings_.gateway_.memoryBytes_);
     daemon.state_.bounds_.bodyBytes_ = static_cast<size_t>(memory * bodyMemoryShare);
     daemon.state_.bounds_.answerBytes_ = static_cast<size_t>(memory * answerMemoryShare);
+    setReplyMemory(daemon.client_, daemon.settings_.gateway_.memoryBytes_, maxReplyBytes);
     setBudgetMemory(*daemon.budget_, daemon.settings_.gateway_.memoryBytes_, daemon.settings_.gateway_.descriptors_);
     daemon.follower_.updateDelay_
         = std::min(daemon.state_.bounds_.configurationDelay_, daemon.state_.bounds_.drainDelay_);
@@ -301,6 +309,7 @@
 void runHousekeeping(GatewayDaemon &daemon)
 {
     closeStaleConnections(daemon.link_, Clock::now());
+    daemon.badRowLines_ = 0;
     if (const auto time = modificationTimeOf(daemon.file_); time != daemon.fileTime_) {
         daemon.fileTime_ = time;
         reload(daemon, "file-changed");
@@ -357,7 +366,6 @@
     state.nextSlotRequest_ = state.random_() >> 16U; // so that a request of an earlier process is not taken for one
     state.startedAt_ = Clock::now();
     state.lastPeerDisruptionAt_ = state.startedAt_;
-    daemon.client_.responseBodyLimit_ = maxReplyBytes;
     applyBounds(daemon);
 }
 
--- a/src/gateway_daemon_type.h
+++ b/src/gateway_daemon_type.h
@@ -46,6 +46,7 @@
     GatewayInbox inbox_; ///< Events collected for the next tick.
     EncodedConfiguration encodedConfiguration_; ///< The configuration that a peer fetched last.
     TimePoint tickDueAt_{ noDeadline }; ///< When the next tick is due by its timer.
+    size_t badRowLines_ = 0; ///< Log lines about malformed rows since the last run of the housekeeping.
     bool tickPosted_ = false; ///< Whether a tick has been posted to io_ and has not run yet.
     bool exiting_ = false; ///< Whether exitTimer_ is running.
     bool exitsImmediately_ = false; ///< Whether the process exits even if requests are in progress.
--- a/src/gateway_peer_io.cpp
+++ b/src/gateway_peer_io.cpp
@@ -36,6 +36,7 @@
         }
     }
     if (error) {
+        count(daemon.state_.metrics_, "snapshots_failed", error.message());
         logLine(LogLevel::Warning, "bad-snapshot", { { "peer", address }, { "error", error.message() } });
         return;
     }
@@ -157,6 +158,7 @@
         const std::string took = millisecondsText(Clock::now() - start);
         if (error || reply.status_ != 200) {
             const std::string reason = error ? error.message() : "status " + std::to_string(reply.status_);
+            count(daemon.state_.metrics_, "snapshots_failed", reason);
             logLine(LogLevel::Warning, "snapshot-failed",
                 { { "peer", address }, { "error", reason }, { "took_ms", took } });
             return;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -10,6 +10,7 @@
 #include "http_fields_func.h"
 #include "socket_func.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http.hpp>
 #include <optional>
@@ -32,6 +33,10 @@
 constexpr int firstFinalStatus = 200; ///< Lower statuses (1xx) are interim responses.
 constexpr int maxInterimResponses = 8; ///< Interim responses after which a response is malformed.
 constexpr size_t streamBufferBytes = 16U << 10U; ///< Most bytes passed to onBytes_ at once.
+constexpr double replyShare = 0.03; ///< Longest reply as a share of the memory; twice a large configuration on 88 MiB.
+constexpr double repliesShare = 0.05; ///< Share of the memory for all replies being received.
+constexpr size_t minReplyBytes = 1U << 20U; ///< Longest reply with little memory; a page of the store is as long.
+constexpr int receiveBufferBytes = 128 << 10; ///< Most bytes that the kernel keeps unread; 0.1 s at 10 Mbit/s.
 
 Http::request<Http::string_body> makeMessage(const std::string &address, const HttpRequest &request)
 {
@@ -60,6 +65,9 @@
     if (error == Beast::error::timeout) {
         return TransportErrc::TimedOut;
     }
+    if (error == Asio::error::no_memory) {
+        return TransportErrc::NoMemory;
+    }
     return isMalformed(error) ? TransportErrc::Malformed : TransportErrc::Lost;
 }
 
@@ -88,6 +96,14 @@
     }
 }
 
+/// Opens a socket whose unread bytes are bounded; without this the kernel may keep megabytes of each connection.
+void boundUnreadBytes(Tcp::socket &socket, const Tcp::endpoint &endpoint)
+{
+    boost::system::error_code ignored;
+    socket.open(endpoint.protocol(), ignored);
+    socket.set_option(Asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+}
+
 /// Connects. @return false on failure; the peer has received nothing then.
 bool connect(Beast::tcp_stream &stream, const std::string &address, Milliseconds timeout, Asio::yield_context yield)
 {
@@ -96,6 +112,7 @@
         return false;
     }
     boost::system::error_code error;
+    boundUnreadBytes(stream.socket(), *endpoint);
     stream.expires_after(std::min(timeout, connectTimeout));
     stream.async_connect(*endpoint, yield[error]);
     if (!error) {
@@ -122,13 +139,16 @@
 
 /// Reads the rest of a response. A large one may take longer than the timeout as long as it arrives steadily.
 void readWholeBody(Beast::tcp_stream &stream, Beast::flat_buffer &buffer,
-    Http::response_parser<Http::string_body> &parser, Milliseconds timeout, boost::system::error_code &error,
-    Asio::yield_context yield)
+    Http::response_parser<Http::string_body> &parser, Milliseconds timeout, const HeldReply &held,
+    boost::system::error_code &error, Asio::yield_context yield)
 {
     size_t received = 0;
     parser.eager(true);
     while (!error && !parser.is_done()) {
         received += Http::async_read_some(stream, buffer, parser, yield[error]);
+        if (!holdBytes(held, parser.get().body().capacity())) {
+            error = Asio::error::no_memory;
+        }
         if (received >= timedBytes) {
             received = 0;
             stream.expires_after(timeout);
@@ -154,7 +174,7 @@
 }
 
 CallResult callOnConnection(Beast::tcp_stream &stream, const std::string &address, const HttpRequest &request,
-    Milliseconds timeout, size_t bodyLimit, Asio::yield_context yield)
+    Milliseconds timeout, const HttpClient &client, Asio::yield_context yield)
 {
     CallResult result;
     boost::system::error_code error;
@@ -167,10 +187,11 @@
     }
     Beast::flat_buffer buffer(maxUnparsedBytes);
     std::optional<Http::response_parser<Http::string_body>> parser;
-    readHeader(stream, buffer, bodyLimit, parser, error, yield);
+    readHeader(stream, buffer, client.responseBodyLimit_, parser, error, yield);
     if (!error) {
+        const HeldReply held(client, &stream);
         stream.expires_after(timeout);
-        readWholeBody(stream, buffer, *parser, timeout, error, yield);
+        readWholeBody(stream, buffer, *parser, timeout, held, error, yield);
     }
     if (error) {
         result.error_ = classifyError(error);
@@ -187,7 +208,7 @@
     CallResult result;
     if (StreamPointer reused = use == ConnectionUse::Reuse ? takeIdleConnection(client, address) : nullptr;
         reused != nullptr) {
-        result = callOnConnection(*reused, address, request, timeout, client.responseBodyLimit_, yield);
+        result = callOnConnection(*reused, address, request, timeout, client, yield);
         if (!result.error_ && result.keepAlive_) {
             keepIdleConnection(client, address, std::move(reused));
         }
@@ -204,7 +225,7 @@
         result.error_ = maybeSent ? TransportErrc::Lost : TransportErrc::NotSent;
         return result;
     }
-    result = callOnConnection(*fresh, address, request, timeout, client.responseBodyLimit_, yield);
+    result = callOnConnection(*fresh, address, request, timeout, client, yield);
     if (!result.error_ && result.keepAlive_ && use == ConnectionUse::Reuse) {
         keepIdleConnection(client, address, std::move(fresh));
     }
@@ -272,6 +293,40 @@
 
 } // namespace
 
+HeldReply::HeldReply(const HttpClient &client, Beast::tcp_stream *stream)
+    : replies_(client.replies_)
+    , number_(addReply(replies_->budget_, Clock::now()))
+{
+    if (stream != nullptr) {
+        replies_->streams_[number_] = stream;
+    }
+}
+
+HeldReply::~HeldReply()
+{
+    removeReply(replies_->budget_, number_);
+    replies_->streams_.erase(number_);
+}
+
+bool holdBytes(const HeldReply &reply, size_t bytes)
+{
+    for (const uint64_t number : setReplyBytes(reply.replies_->budget_, Clock::now(), reply.number_, bytes)) {
+        const auto found = reply.replies_->streams_.find(number);
+        if (found != reply.replies_->streams_.end() && number != reply.number_) {
+            found->second->cancel(); // ends its read, after which its buffer is released
+        }
+    }
+    return !isGivenUp(reply.replies_->budget_, reply.number_);
+}
+
+void setReplyMemory(HttpClient &client, size_t memoryBytes, size_t longest)
+{
+    const auto memory = static_cast<double>(memoryBytes);
+    client.responseBodyLimit_
+        = std::clamp(static_cast<size_t>(memory * replyShare), std::min(minReplyBytes, longest), longest);
+    client.replies_->budget_.limitBytes_ = std::max(static_cast<size_t>(memory * repliesShare), 2 * minReplyBytes);
+}
+
 void fetch(HttpClient &client, std::string address, HttpRequest request, Milliseconds timeout, ConnectionUse use,
     FetchHandler done)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "http_type.h"
+#include "reply_budget_func.h"
 #include "time_type.h"
 
 #include <boost/asio/io_context.hpp>
@@ -50,6 +51,13 @@
     bool cancelled_ = false; ///< Whether closeStream() has been called.
 };
 
+/// Replies that a client is receiving. Shared with its coroutines, which may outlive the client at the process's end.
+struct ClientReplies
+{
+    ReplyBudget budget_; ///< Their memory.
+    std::map<uint64_t, Beast::tcp_stream *> streams_; ///< Their connections, by number in the budget.
+};
+
 /// State of an HTTP client: its persistent connections and open streams.
 struct HttpClient
 {
@@ -60,11 +68,34 @@
 
     Asio::io_context &io_; ///< Runs all I/O and handlers.
     size_t responseBodyLimit_ = 16U << 20U; ///< 16 MiB: longest response body of fetch().
+    std::shared_ptr<ClientReplies> replies_ = std::make_shared<ClientReplies>(); ///< Replies of fetch() under way.
     std::map<std::string, std::vector<IdleConnection>> idle_; ///< Idle connections by address (IP:PORT).
     std::map<uint64_t, std::shared_ptr<ClientStream>> streams_; ///< Open streams by number.
     uint64_t nextStream_ = 1;
 };
 
+/// Reply whose memory counts in a client's budget as long as this exists.
+struct HeldReply
+{
+    /// @param stream its connection, which is closed when it is given up; nullptr for data that is kept without one
+    HeldReply(const HttpClient &client, Beast::tcp_stream *stream);
+    ~HeldReply();
+    HeldReply(const HeldReply &) = delete;
+    HeldReply &operator=(const HeldReply &) = delete;
+
+    std::shared_ptr<ClientReplies> replies_;
+    uint64_t number_; ///< In the budget.
+};
+
+/// Sets the memory of a reply. @return whether it may be received further
+bool holdBytes(const HeldReply &reply, size_t bytes);
+
+/**
+ * Sets the limits of replies for control calls: each within 0.03 of the memory, all together within 0.05.
+ * @param longest most bytes of a reply whatever the memory
+ */
+void setReplyMemory(HttpClient &client, size_t memoryBytes, size_t longest = size_t{ 8 } << 20U);
+
 /// Called with the response; the error is a TransportErrc, or success.
 using FetchHandler = std::function<void(std::error_code, HttpReply)>;
 
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -6,6 +6,7 @@
 
 #include "endless_peer_fixture.h"
 #include "error_type.h"
+#include "heap_func.h"
 
 #include <optional>
 #include <thread>
@@ -219,3 +220,50 @@
         }
     }
 }
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenManyRepliesTrickle_HoldsThemWithinTheMemory")
+{
+    constexpr int calls = 60;
+    constexpr size_t bytesPerCall = 1200U << 10U;
+    setReplyMemory(client_, smallestMemory);
+    const std::string part(64U << 10U, 'a');
+    const size_t before = heapBytes();
+    std::vector<boost::asio::ip::tcp::socket> peers;
+    for (int call = 0; call < calls; ++call) {
+        startAndAccept();
+        send(chunkedHead);
+        for (size_t sent = 0; sent < bytesPerCall && !isClosed(); sent += part.size()) {
+            send("10000\r\n" + part + "\r\n");
+        }
+        peers.push_back(std::move(peer_));
+    }
+    CHECK(heapGrowth(before) <= heldBound);
+    startAndAccept();
+    send(okHead + "Content-Length: 2\r\n\r\nok");
+    runUntil([this] { return reply_.body_ == "ok"; });
+}
+
+// The kernel raises the buffer of a connection that has been read fast to some MiB.
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenAFastReplyIsNoLongerRead_LetsTheKernelHoldLittleOfIt")
+{
+    constexpr size_t unreadBound = 1U << 20U; ///< Of 50 connections, the share of the memory for everything held.
+    constexpr size_t readBytes = 12U << 20U;
+    startAndAccept();
+    send(okHead + "Content-Length: 16000000\r\n\r\n");
+    const std::string text(256U << 10U, 'a');
+    boost::system::error_code error;
+    size_t read = 0;
+    for (int attempt = 0; attempt < 100000 && read < readBytes; ++attempt) {
+        read += peer_.write_some(boost::asio::buffer(text), error);
+        io_.poll();
+    }
+    CHECK(read >= readBytes);
+    peer_.set_option(boost::asio::socket_base::send_buffer_size(32 << 10));
+    size_t unread = 0;
+    for (int attempt = 0; attempt < 1000; ++attempt) { // the client's loop does not run
+        unread += peer_.write_some(boost::asio::buffer(text), error);
+        std::this_thread::sleep_for(std::chrono::microseconds(200));
+    }
+    MESSAGE("unread: ", unread >> 10U, " KiB");
+    CHECK(unread <= unreadBound);
+}
