--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -12,6 +12,7 @@
 #include "http_server.h"
 #include "rollout_wire.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <stdexcept>
 
@@ -242,3 +243,46 @@
         Milliseconds(5000)));
     CHECK(rollouts_.back().operatorVersion_ == 60);
 }
+
+// A poll returns all changes since the last one, which may be far longer than the table.
+TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenAReplyIsTooLong_ReadsTheTable")
+{
+    client_.responseBodyLimit_ = 100000;
+    const Call poll = nextCall();
+    REQUIRE(isPoll(poll));
+    answer(poll, makeRows(makeConfiguration(2, 200000), 2));
+    const Call read = nextCall();
+    CHECK_FALSE(isPoll(read));
+    answer(read, makeRows(makeConfiguration(3), 3));
+    CHECK(isPoll(nextCall()));
+    CHECK(versions_ == std::vector<uint64_t>{ 1, 3 });
+}
+
+TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenVersionsNeverEnd_ForgetsThemAndReadsTheOrdersOnceAtATime")
+{
+    constexpr size_t maxVersions = 4096;
+    REQUIRE(isPoll(nextCall())); // stays unanswered, as all further calls about the operator's table
+    follower_.updateDelay_ = Milliseconds(30000);
+    uint64_t version = 50;
+    for (size_t reply = 0; reply < 20; ++reply) {
+        REQUIRE(waitUntil(
+            [this, reply] {
+                io_.poll();
+                return upstreamPolls_.size() > reply;
+            },
+            Milliseconds(5000)));
+        std::string rows;
+        for (int row = 0; row < 250; ++row, ++version) {
+            const std::string text = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready",)"
+                                     R"("version":"v)"
+                + std::to_string(version) + "\"}";
+            rows += (row == 0 ? "" : ",") + std::string(R"({"table":"servers","part":"","key":"i-)")
+                + std::to_string(row) + R"(","value":")" + encodeBase64(text) + R"(","ver":)" + std::to_string(version)
+                + "}";
+        }
+        answer(upstreamPolls_[reply], R"({"rows":[)" + rows + R"(],"ver":)" + std::to_string(version) + "}");
+    }
+    CHECK(follower_.versions_.size() <= maxVersions);
+    const auto reads = std::count_if(calls_.begin() + 2, calls_.end(), [](const Call &call) { return !isPoll(call); });
+    CHECK(reads <= 2);
+}
