Peers: bound the tables that grow by what peers name

A datagram may name some 3,500 peers, workspaces or upstreams. All were kept: each peer for 30 s, workspaces as long as their peer, rollouts for ever. Texts that are no address were added as peers, too.

At most 512 peers are kept; one that only another peer has named makes room for one that is heard or that the store lists. Names of all peers together take 13 MiB; beyond that only known upstreams and workspaces are kept. 1,024 rollouts, and outcomes of 4,096 routes and 512 peers, are kept. What is left out is counted, and logged at most every 10 s.

--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -231,6 +231,8 @@
     std::unordered_map<std::string, uint32_t> inFlight_; ///< Its calls in flight, by upstream id.
     std::unordered_map<std::string, uint64_t> memoryTokens_; ///< Tokens of memory that they may take, by upstream id.
     std::unordered_map<std::string, uint64_t> chargedUnits_; ///< Units charged since its start, by workspace.
+    size_t nameBytes_ = 0; ///< Memory of chargedUnits_.
+    size_t countBytes_ = 0; ///< Memory of inFlight_ and memoryTokens_.
     bool usageComplete_ = false; ///< Whether chargedUnits_ holds all workspaces, as a full update has been received.
 
     uint32_t brokerWeight_ = 0; ///< Thousandths of a core that it has; 0 if it does not offer itself as a broker.
@@ -374,6 +376,8 @@
     Pool<Peer> peers_; ///< Other gateways.
     std::map<std::string, PeerId> peerByAddress_; ///< Index of peers_ by address.
     uint64_t nextSequence_ = 1; ///< Number of the next update to peers.
+    TimePoint upstreamRejectionLoggedAt_{}; ///< When rows of upstreams that were left out were last logged.
+    TimePoint peerRejectionLoggedAt_{}; ///< When entries left out of the tables of peers were last logged.
     TimePoint peerAddedAt_{}; ///< When the address of a peer last became known.
     TimePoint lastFullUpdateAt_{}; ///< When a full update was last sent.
     TimePoint peerListDueAt_{}; ///< When a full update lists all peers next, if no peer is added before.
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -2,6 +2,7 @@
  * @file gateway_peers.cpp
  * @brief System that applies what other gateways tell: call counts, quota usage and versions.
  */
+#include "address_func.h"
 #include "gateway_func.h"
 #include "gateway_rollout_func.h"
 
@@ -19,8 +20,47 @@
 constexpr Milliseconds snapshotDelay{ 200 }; ///< Time for the store to deliver a newer version before a peer is asked.
 constexpr size_t deliveryBytesPerMs = 5000; ///< Rate at which the store delivers a large configuration.
 constexpr Milliseconds snapshotInterval{ 400 }; ///< Minimum time between fetches of a part of a snapshot.
+constexpr size_t maxPeers = 512; ///< Peers that are kept; more than any fleet has.
+/// Memory of the names that all peers together have told, 0.15 of the smallest machine's. 50 peers may name 1,400
+/// workspaces each.
+constexpr size_t maxNameBytes = 13U << 20U;
+constexpr size_t nameOverhead = 144; ///< Bytes that an entry of a map takes besides its name.
+constexpr size_t maxLoggedAddress = 64; ///< Bytes of an address that are logged.
+constexpr std::chrono::seconds rejectionLogInterval{ 10 }; ///< Time between log lines about entries left out.
 constexpr std::chrono::seconds snapshotGiveUpTime{ 10 }; ///< Longest fetch; brings 10 MB over the slowest links.
 
+/// Counts what is left out of the tables of peers, and logs it from time to time.
+void recordRejection(
+    GatewayState &state, TimePoint now, const std::string &address, const char *reason, GatewayOutbox &outbox)
+{
+    count(state.metrics_, "peer_entries_rejected", reason);
+    if (now - state.peerRejectionLoggedAt_ >= rejectionLogInterval) {
+        state.peerRejectionLoggedAt_ = now;
+        outbox.decisions_.push_back(
+            { "peer", { { "peer", address.substr(0, maxLoggedAddress) }, { "change", reason } }, true });
+    }
+}
+
+/// @return the memory of a map by name.
+template<typename Map>
+size_t nameBytes(const Map &map)
+{
+    size_t bytes = 0;
+    for (const auto &[name, value] : map) {
+        bytes += name.size() + nameOverhead;
+    }
+    return bytes;
+}
+
+/// @return the memory of the names that all peers have told.
+size_t allNameBytes(const GatewayState &state)
+{
+    size_t bytes = 0;
+    forEachRow(
+        state.peers_, [&bytes](PeerId /*id*/, const Peer &peer) { bytes += peer.nameBytes_ + peer.countBytes_; });
+    return bytes;
+}
+
 void addPeerTokens(Upstream &upstream, uint64_t tokens, bool add)
 {
     upstream.peerTokens_
@@ -61,11 +101,27 @@
     applyPendingGrants(state, peer, false);
     peer.inFlight_.clear();
     peer.memoryTokens_.clear();
+    peer.countBytes_ = 0;
     peer.pendingGrants_.clear();
 }
 
+/// Leaves out the counts at unknown upstreams if those of all peers take too much memory.
+void boundCounts(GatewayState &state, TimePoint now, PeerUpdate &update, GatewayOutbox &outbox)
+{
+    if (allNameBytes(state) + nameBytes(update.inFlight_) + nameBytes(update.memoryTokens_) <= maxNameBytes) {
+        return;
+    }
+    const auto isUnknown = [&state](const auto &item) {
+        return findUpstream(state, item.first) == nullptr;
+    };
+    if (std::erase_if(update.inFlight_, isUnknown) + std::erase_if(update.memoryTokens_, isUnknown) > 0) {
+        recordRejection(state, now, update.address_, "unknown-upstreams", outbox);
+    }
+}
+
 /// Replaces a peer's counts by those of an update, which also cover the grants that the peer has received.
-void replacePeerCounts(GatewayState &state, TimePoint now, Peer &peer, PeerUpdate &update, bool restarted)
+void replacePeerCounts(
+    GatewayState &state, TimePoint now, Peer &peer, PeerUpdate &update, bool restarted, GatewayOutbox &outbox)
 {
     std::vector<PendingGrant> pending;
     if (!restarted) {
@@ -76,18 +132,53 @@
                 const PendingGrant &grant) { return grant.grant_ > newest && now - grant.at_ < grantTimeout; });
     }
     clearPeerCounts(state, peer);
+    boundCounts(state, now, update, outbox);
     peer.inFlight_ = std::move(update.inFlight_);
     peer.memoryTokens_ = std::move(update.memoryTokens_);
+    peer.countBytes_ = nameBytes(peer.inFlight_) + nameBytes(peer.memoryTokens_);
     peer.pendingGrants_ = std::move(pending);
     peer.countsAt_ = now;
     applyPeerCounts(state, peer, true);
     applyPendingGrants(state, peer, true);
 }
 
-PeerId findOrAddPeer(GatewayState &state, TimePoint now, const std::string &address, GatewayOutbox &outbox)
+/// Where an address of a peer comes from.
+enum class AddressSource : uint8_t {
+    Own, ///< The peer's own update, the store or the settings.
+    Named, ///< The update of another peer.
+};
+
+/// Removes the peer that was named first among those never heard. @return whether there was one
+bool removeUnheardPeer(GatewayState &state)
+{
+    const Peer *oldest = nullptr;
+    forEachRow(state.peers_, [&oldest](PeerId /*id*/, const Peer &peer) {
+        const bool unheard = peer.lastReceivedAt_ == TimePoint{};
+        oldest = unheard && (oldest == nullptr || peer.addedAt_ < oldest->addedAt_) ? &peer : oldest;
+    });
+    if (oldest == nullptr) {
+        return false;
+    }
+    const auto index = state.peerByAddress_.find(oldest->address_);
+    eraseRow(state.peers_, index->second);
+    state.peerByAddress_.erase(index);
+    return true;
+}
+
+/// @return the peer of an address, which is added if it is new, or nullptr if there is no room for it.
+Peer *findOrAddPeer(
+    GatewayState &state, TimePoint now, const std::string &address, AddressSource source, GatewayOutbox &outbox)
 {
     if (const auto found = state.peerByAddress_.find(address); found != state.peerByAddress_.end()) {
-        return found->second;
+        return findRow(state.peers_, found->second);
+    }
+    if (!parseEndpoint(address)) {
+        recordRejection(state, now, address, "no-address", outbox);
+        return nullptr;
+    }
+    if (state.peers_.size_ >= maxPeers && (source == AddressSource::Named || !removeUnheardPeer(state))) {
+        recordRejection(state, now, address, "too-many", outbox);
+        return nullptr;
     }
     Peer peer;
     peer.address_ = address;
@@ -96,7 +187,7 @@
     state.peerByAddress_[address] = id;
     state.peerAddedAt_ = now;
     outbox.decisions_.push_back({ "peer", { { "peer", address }, { "change", "learnt" } } });
-    return id;
+    return findRow(state.peers_, id);
 }
 
 /// @return the share of a peer's usage that precedes this process's start, if it was used evenly; the assumed levels
@@ -111,7 +202,27 @@
     return own >= peers ? 0 : 1 - own / peers;
 }
 
-void chargeReportedUsage(GatewayState &state, TimePoint now, Peer &peer, const PeerUpdate &update)
+/// Keeps the usage that a peer has reported. Without room it is kept for the configured workspaces only.
+void keepReportedUsage(GatewayState &state, TimePoint now, Peer &peer, const PeerUpdate &update, GatewayOutbox &outbox)
+{
+    size_t bytes = allNameBytes(state);
+    for (const auto &[workspace, charged] : update.chargedUnits_) { // updates that aren't full hold recent changes only
+        const size_t added = workspace.size() + nameOverhead;
+        const auto known = peer.chargedUnits_.find(workspace);
+        if (known != peer.chargedUnits_.end()) {
+            known->second = charged;
+        } else if (bytes + added <= maxNameBytes || findWorkspaceByName(state.configuration_, workspace) != nullptr) {
+            peer.chargedUnits_[workspace] = charged;
+            peer.nameBytes_ += added;
+            bytes += added;
+        } else {
+            recordRejection(state, now, update.address_, "unknown-workspaces", outbox);
+        }
+    }
+}
+
+void chargeReportedUsage(
+    GatewayState &state, TimePoint now, Peer &peer, const PeerUpdate &update, GatewayOutbox &outbox)
 {
     const bool complete = !update.name_.empty();
     const double oldShare = peer.usageComplete_ ? 0 : usageShareBeforeStart(state, now, update);
@@ -124,9 +235,7 @@
             chargePeerUsage(state, now, peer, workspace, static_cast<int64_t>(charged) - static_cast<int64_t>(base));
         }
     }
-    for (const auto &[workspace, charged] : update.chargedUnits_) { // updates that aren't full hold recent changes only
-        peer.chargedUnits_[workspace] = charged;
-    }
+    keepReportedUsage(state, now, peer, update, outbox);
     peer.usageComplete_ = peer.usageComplete_ || complete;
 }
 
@@ -135,13 +244,17 @@
     if (update.address_ == state.peerAddress_) {
         return;
     }
-    Peer *peer = findRow(state.peers_, findOrAddPeer(state, now, update.address_, outbox));
+    Peer *peer = findOrAddPeer(state, now, update.address_, AddressSource::Own, outbox);
+    if (peer == nullptr) {
+        return;
+    }
     const bool restarted = peer->incarnation_ != 0 && peer->incarnation_ != update.incarnation_;
     if (peer->incarnation_ == update.incarnation_ && update.sequence_ <= peer->sequence_) {
         return;
     }
     if (restarted) {
         peer->chargedUnits_.clear();
+        peer->nameBytes_ = 0;
         peer->newestCountedRequest_ = 0;
         peer->usageComplete_ = true; // the process is new, so all that it has charged is recent
         state.lastPeerDisruptionAt_ = now;
@@ -151,13 +264,13 @@
             { { "peer", update.address_ }, { "name", peer->name_ }, { "change", "heard" },
                 { "configuration", std::to_string(update.configurationVersion_) } } });
     }
-    chargeReportedUsage(state, now, *peer, update);
+    chargeReportedUsage(state, now, *peer, update, outbox);
     if (restarted) {
         peer->brokerWeight_ = 0;
         clearPeerCounts(state, *peer);
     }
     if (update.hasCounts_) {
-        replacePeerCounts(state, now, *peer, update, restarted);
+        replacePeerCounts(state, now, *peer, update, restarted, outbox);
         for (const auto &[id, report] : update.reports_) {
             if (Upstream *upstream = findUpstream(state, id); upstream != nullptr) {
                 applyReport(*upstream, now, report);
@@ -180,7 +293,7 @@
     peer->lastReceivedAt_ = now;
     for (const std::string &address : update.peers_) {
         if (address != state.peerAddress_) {
-            findOrAddPeer(state, now, address, outbox);
+            findOrAddPeer(state, now, address, AddressSource::Named, outbox);
         }
     }
 }
@@ -271,7 +384,7 @@
 {
     for (const std::string &address : inbox.peerAddresses_) {
         if (address != state.peerAddress_) {
-            findOrAddPeer(state, now, address, outbox);
+            findOrAddPeer(state, now, address, AddressSource::Own, outbox);
         }
     }
     for (PeerUpdate &update : inbox.peerUpdates_) {
--- a/src/gateway_rollouts.cpp
+++ b/src/gateway_rollouts.cpp
@@ -22,6 +22,7 @@
 
 /// Time from writing a status row to the next attempt, in which the reply or the row itself is received.
 constexpr std::chrono::seconds statusWriteInterval{ 1 };
+constexpr size_t maxRollouts = 1024; ///< Services whose rollouts are kept; more than any configuration has.
 
 const Rollout *findRollout(const GatewayState &state, const std::string &service)
 {
@@ -122,6 +123,10 @@
 void applyReceivedOrder(
     GatewayState &state, const RolloutOrder &order, const std::string &source, GatewayOutbox &outbox)
 {
+    if (!state.rollouts_.contains(order.service_) && state.rollouts_.size() >= maxRollouts) {
+        count(state.metrics_, "rollouts", "too-many");
+        return;
+    }
     Rollout &rollout = state.rollouts_[order.service_];
     const bool unproven = isUnproven(rollout, order.version_);
     if (!applyOrder(rollout, order)) {
@@ -138,6 +143,10 @@
 
 void applyReceivedStatus(GatewayState &state, const RolloutStatus &status, GatewayOutbox &outbox)
 {
+    if (!state.rolloutStatuses_.contains(status.service_) && state.rolloutStatuses_.size() >= maxRollouts) {
+        count(state.metrics_, "rollouts", "too-many");
+        return;
+    }
     RolloutStatus &known = state.rolloutStatuses_[status.service_];
     if (status.rowVersion_ <= known.rowVersion_) {
         return;
@@ -185,9 +194,9 @@
         }
         for (const PeerRollout &known : event.peerRollouts_) {
             applyReceivedOrder(state, known.order_, event.source_, outbox);
-            if (Rollout &rollout = state.rollouts_[known.order_.service_];
-                rollout.order_.rowVersion_ == known.order_.rowVersion_) {
-                changeState(state, rollout, known.state_, event.source_, outbox);
+            const auto found = state.rollouts_.find(known.order_.service_);
+            if (found != state.rollouts_.end() && found->second.order_.rowVersion_ == known.order_.rowVersion_) {
+                changeState(state, found->second, known.state_, event.source_, outbox);
             }
         }
         // Only after the orders: it says that all of them up to this version are known.
@@ -322,10 +331,11 @@
 {
     for (const PeerRollout &known : update.rollouts_) {
         applyReceivedOrder(state, known.order_, update.name_, outbox);
-        Rollout &rollout = state.rollouts_[known.order_.service_];
-        if (rollout.order_.rowVersion_ != known.order_.rowVersion_) {
+        const auto found = state.rollouts_.find(known.order_.service_);
+        if (found == state.rollouts_.end() || found->second.order_.rowVersion_ != known.order_.rowVersion_) {
             continue;
         }
+        Rollout &rollout = found->second;
         changeState(state, rollout, known.state_, update.name_, outbox);
         if (rollout.state_ != RolloutState::Watching) {
             continue;
--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -23,6 +23,8 @@
 /// Score from which a version is bad: five failures in a row at the normal rate. VersionTest_WhenVersionsAreDrawn_*
 /// measures how often a good version reaches it.
 constexpr double badScore = 10;
+constexpr size_t maxEvidencePeers = 512; ///< Peers whose outcomes are kept; more than there are.
+constexpr size_t maxEvidenceRoutes = 4096; ///< Routes whose outcomes are kept; peers may name any.
 
 constexpr std::array<std::pair<std::string_view, RolloutState>, 4> stateNames{ {
     { "watching", RolloutState::Watching },
@@ -162,11 +164,17 @@
 
 void mergeEvidence(Rollout &rollout, const std::string &address, uint64_t incarnation, const RolloutEvidence &evidence)
 {
+    if (!rollout.peerEvidence_.contains(address) && rollout.peerEvidence_.size() >= maxEvidencePeers) {
+        return;
+    }
     PeerEvidence &known = rollout.peerEvidence_[address];
     if (known.incarnation_ != incarnation) {
         known = { incarnation, {} };
     }
     for (const auto &[route, reported] : evidence) {
+        if (!rollout.evidence_.contains(route) && rollout.evidence_.size() >= maxEvidenceRoutes) {
+            continue;
+        }
         RouteEvidence &before = known.evidence_[route];
         addEvidence(rollout, route,
             { grown(reported.newVersion_, before.newVersion_), grown(reported.others_, before.others_) });
--- a/tests/endless_peer_test.cpp
+++ b/tests/endless_peer_test.cpp
@@ -66,6 +66,89 @@
 
 } // namespace
 
+TEST_CASE_FIXTURE(EndlessPeerTableFixture, "Peers_WhenAPeerNamesAddressesWithoutEnd_StayWithinTheMemory")
+{
+    const size_t before = heapBytes();
+    for (size_t datagram = 0; datagram < datagrams; ++datagram) {
+        PeerUpdate update = makeUpdate();
+        for (size_t name = 0; name < namesPerDatagram; ++name) {
+            update.peers_.push_back(makeAddress(datagram * namesPerDatagram + name));
+        }
+        receive(std::move(update));
+    }
+    CHECK(heapGrowth(before) <= heldBound);
+    CHECK(state_.peerByAddress_.contains("10.0.0.2:7000"));
+    receive(makeUpdate("10.0.0.3:7000"));
+    REQUIRE(state_.peerByAddress_.contains("10.0.0.3:7000"));
+    CHECK(findRow(state_.peers_, state_.peerByAddress_.at("10.0.0.3:7000"))->name_ == "gateway-2");
+}
+
+TEST_CASE_FIXTURE(EndlessPeerTableFixture, "Peers_WhenAnAddressIsNone_AreNotAdded")
+{
+    PeerUpdate update = makeUpdate();
+    update.peers_ = { "no address", "10.0.0.4", "10.0.0.4:7000" };
+    receive(std::move(update));
+    CHECK(state_.peers_.size_ == 2);
+    CHECK(state_.peerByAddress_.contains("10.0.0.4:7000"));
+}
+
+TEST_CASE_FIXTURE(EndlessPeerTableFixture, "Peers_WhenAPeerNamesWorkspacesWithoutEnd_StayWithinTheMemory")
+{
+    const size_t before = heapBytes();
+    for (size_t datagram = 0; datagram < 4 * datagrams; ++datagram) {
+        PeerUpdate update = makeUpdate();
+        for (size_t name = 0; name < namesPerDatagram / 2; ++name) {
+            update.chargedUnits_[longName(datagram * namesPerDatagram + name)] = 1;
+        }
+        receive(std::move(update));
+    }
+    CHECK(heapGrowth(before) <= heldBound);
+    PeerUpdate update = makeUpdate();
+    update.chargedUnits_["workspace-1"] = 700;
+    const double level = state_.quotaByWorkspace_["workspace-1"].level_;
+    receive(std::move(update));
+    CHECK(state_.quotaByWorkspace_["workspace-1"].peerChargedUnits_ >= 0);
+    CHECK(findRow(state_.peers_, state_.peerByAddress_.at("10.0.0.2:7000"))->chargedUnits_.contains("workspace-1"));
+    CHECK(level >= 0);
+}
+
+TEST_CASE_FIXTURE(EndlessPeerTableFixture, "Peers_WhenManyPeersNameUpstreamsWithoutEnd_StayWithinTheMemory")
+{
+    const size_t before = heapBytes();
+    for (size_t peer = 0; peer < datagrams; ++peer) {
+        PeerUpdate update = makeUpdate(makeAddress(peer));
+        update.hasCounts_ = true;
+        for (size_t name = 0; name < namesPerDatagram; ++name) {
+            update.inFlight_[longName(name)] = 1;
+            update.memoryTokens_[longName(name)] = 1;
+        }
+        receive(std::move(update));
+    }
+    CHECK(heapGrowth(before) <= heldBound);
+    PeerUpdate update = makeUpdate();
+    update.hasCounts_ = true;
+    update.inFlight_["engine-1"] = 2;
+    receive(std::move(update));
+    CHECK(findUpstream(state_, "engine-1")->peerInFlight_ == 2);
+}
+
+TEST_CASE_FIXTURE(EndlessPeerTableFixture, "Rollouts_WhenAPeerNamesServicesWithoutEnd_StayWithinTheMemory")
+{
+    const size_t before = heapBytes();
+    for (size_t datagram = 0; datagram < 4 * datagrams; ++datagram) {
+        PeerUpdate update = makeUpdate();
+        for (size_t name = 0; name < 500; ++name) {
+            PeerRollout rollout;
+            rollout.order_.service_ = longName(datagram * 500 + name);
+            rollout.order_.version_ = "v2";
+            rollout.order_.rowVersion_ = 1;
+            update.rollouts_.push_back(rollout);
+        }
+        receive(std::move(update));
+    }
+    CHECK(heapGrowth(before) <= heldBound);
+}
+
 TEST_CASE("Snapshot_WhenItsConfigurationUnpacksWithoutEnd_IsRefused")
 {
     const std::string packed = compress(std::string(30U << 20U, 'a'));
