Membership: bound the upstreams that the store lists

Every listed upstream was kept, and each removed one remembered for 10 minutes. Each removal also searched all remembered ones for outdated entries, so that replacing a long list took time in proportion to its square.

At most 8,192 upstreams are kept and as many removed ones remembered; further rows are counted, and logged at most every 10 s. Outdated entries are removed once for each event.

Upstreams_WhenTheStoreListsThemWithoutEnd_StayWithinTheMemory failed before (83,870,496 of 55,364,812 bytes) and passes with 5,328,016; Upstreams_WhenTheStoreReplacesThemWithoutEnd_StayWithinTheMemory had not ended after 60 s, and passes.

--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Upstreams that are kept, and removed ones that are remembered; each takes some 650 bytes, and fleets have hundreds.
+constexpr size_t maxUpstreams = 8192;
+constexpr std::chrono::seconds rejectionLogInterval{ 10 }; ///< Time between log lines about rows left out.
 constexpr std::chrono::minutes removedRetention{ 10 }; ///< Longer than an upstream lives on without its row.
 
 void applyConfiguration(GatewayState &state, TimePoint now, ConfigurationReceived &event, GatewayOutbox &outbox)
@@ -51,8 +54,18 @@
     }
 }
 
-void addUpstream(GatewayState &state, const UpstreamRow &row, const std::string &source, GatewayOutbox &outbox)
+/// Adds an upstream. @return false if there is no room for it
+bool addUpstream(
+    GatewayState &state, TimePoint now, const UpstreamRow &row, const std::string &source, GatewayOutbox &outbox)
 {
+    if (state.upstreams_.size_ >= maxUpstreams) {
+        count(state.metrics_, "upstream_rows_rejected", source);
+        if (now - state.upstreamRejectionLoggedAt_ >= rejectionLogInterval) {
+            state.upstreamRejectionLoggedAt_ = now;
+            logUpstreamChange(row, "too-many", source, outbox);
+        }
+        return false;
+    }
     Upstream upstream;
     upstream.id_ = row.id_;
     upstream.service_ = row.service_;
@@ -80,6 +93,25 @@
     });
     state.upstreamById_[row.id_] = insertRow(state.upstreams_, std::move(upstream));
     logUpstreamChange(row, row.draining_ ? "listed-draining" : "listed", source, outbox);
+    return true;
+}
+
+/// Forgets the half of the removed upstreams that was removed first.
+void forgetOlderHalf(GatewayState &state)
+{
+    std::vector<TimePoint> times;
+    for (const auto &[id, removed] : state.removedUpstreams_) {
+        times.push_back(removed.removedAt_);
+    }
+    const auto middle = times.begin() + static_cast<ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    size_t left = times.size() / 2;
+    std::erase_if(state.removedUpstreams_, [middle, &left](const auto &item) {
+        const bool older = item.second.removedAt_ <= *middle && left > 0;
+        left -= older ? 1 : 0;
+        return older;
+    });
+    count(state.metrics_, "upstream_rows_rejected", "removed");
 }
 
 void removeUpstream(
@@ -91,8 +123,9 @@
     }
     logUpstreamChange(makeUpstreamRow(*upstream), "removed", source, outbox);
     recordReplacedUpstream(state, now, *upstream, outbox);
-    std::erase_if(
-        state.removedUpstreams_, [now](const auto &item) { return now - item.second.removedAt_ > removedRetention; });
+    if (state.removedUpstreams_.size() >= maxUpstreams) {
+        forgetOlderHalf(state);
+    }
     state.removedUpstreams_[id] = { upstream->startedAtMs_, upstream->announcement_, now };
     eraseRow(state.upstreams_, state.upstreamById_.at(id));
     state.upstreamById_.erase(id);
@@ -132,8 +165,9 @@
     if (knowsBetter || findUpstream(state, row.id_) != nullptr) {
         return;
     }
-    addUpstream(state, row, source, outbox);
-    findUpstream(state, row.id_)->missingSince_ = now;
+    if (addUpstream(state, now, row, source, outbox)) {
+        findUpstream(state, row.id_)->missingSince_ = now;
+    }
 }
 
 void applyUpstreamRow(
@@ -157,7 +191,7 @@
         upstream = nullptr;
     }
     if (upstream == nullptr) {
-        addUpstream(state, row, source, outbox);
+        addUpstream(state, now, row, source, outbox);
         return;
     }
     if (row.versionKnown_ && !upstream->versionKnown_) {
@@ -324,6 +358,10 @@
         applyUpstreams(state, now, event, outbox);
     }
     removeMissingUpstreams(state, now, outbox);
+    if (!inbox.upstreams_.empty()) {
+        std::erase_if(state.removedUpstreams_,
+            [now](const auto &item) { return now - item.second.removedAt_ > removedRetention; });
+    }
 }
 
 } // namespace Burdockfield::Gateway
--- a/tests/endless_peer_test.cpp
+++ b/tests/endless_peer_test.cpp
@@ -149,6 +149,42 @@
     CHECK(heapGrowth(before) <= heldBound);
 }
 
+TEST_CASE_FIXTURE(EndlessPeerTableFixture, "Upstreams_WhenTheStoreListsThemWithoutEnd_StayWithinTheMemory")
+{
+    const size_t before = heapBytes();
+    for (size_t reply = 0; reply < datagrams; ++reply) {
+        UpstreamsReceived event;
+        event.version_ = 11 + reply;
+        for (size_t row = 0; row < 1000; ++row) {
+            event.rows_.push_back(makeRow(longName(reply * 1000 + row), "engines"));
+        }
+        GatewayInbox inbox;
+        inbox.upstreams_.push_back(std::move(event));
+        tick(std::move(inbox));
+    }
+    CHECK(heapGrowth(before) <= heldBound);
+    CHECK(findUpstream(state_, "engine-1") != nullptr);
+}
+
+TEST_CASE_FIXTURE(EndlessPeerTableFixture, "Upstreams_WhenTheStoreReplacesThemWithoutEnd_StayWithinTheMemory")
+{
+    const size_t before = heapBytes();
+    for (size_t reply = 0; reply < 4 * datagrams; ++reply) {
+        UpstreamsReceived event;
+        event.version_ = 11 + reply;
+        event.fullList_ = true;
+        event.rows_ = { makeRow("engine-1", "engines") };
+        for (size_t row = 0; row < 1000; ++row) {
+            event.rows_.push_back(makeRow(longName(reply * 1000 + row), "engines"));
+        }
+        GatewayInbox inbox;
+        inbox.upstreams_.push_back(std::move(event));
+        tick(std::move(inbox));
+    }
+    CHECK(heapGrowth(before) <= heldBound);
+    CHECK(findUpstream(state_, "engine-1") != nullptr);
+}
+
 TEST_CASE("Snapshot_WhenItsConfigurationUnpacksWithoutEnd_IsRefused")
 {
     const std::string packed = compress(std::string(30U << 20U, 'a'));
