Agents: bound what an engine sends without end

An event of an engine's stream was buffered up to the 64 MiB of a stream's body, and searched from its beginning for each piece; deltas were kept without a limit in sum; bytes after a malformed event or after the end of an answer were still decoded, the latter as further deltas of the answer.

An event may have 256 KiB, as in gateways; a stream with a malformed one is closed at once. Answers of running runs take 0.2 of the memory together; beyond that the run with the longest one ends as failed by its upstream, and counts in answers_given_up_total. Replies of services take 0.1 together.

--- a/src/agent_base.h
+++ b/src/agent_base.h
@@ -97,6 +97,7 @@
     ReportSignature signature_; ///< Signature of the current report version.
     uint64_t reportVersion_ = 1; ///< Current version of the report.
 
+    size_t answerLimit_ = size_t{ 200 } << 20U; ///< Most bytes of answers of all running runs.
     bool stopping_ = false; ///< Whether a planned stop is in progress.
     TimePoint stopDeadline_ = noDeadline; ///< When the process exits even if runs have not ended.
     Metrics metrics_;
--- a/src/agent_daemon.cpp
+++ b/src/agent_daemon.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr double answerMemoryShare = 0.2; ///< Share of the memory for answers of running runs, as in gateways.
+constexpr double replyMemoryShare = 0.1; ///< Share of the memory for replies being received, which services send whole.
 constexpr Milliseconds loadTimeout{ 1000 }; ///< Timeout of a load request to the upstream.
 
 using AgentLoop = NodeLoop<AgentState, AgentEvent, AgentInbox, AgentOutbox>;
@@ -82,15 +84,25 @@
     std::error_code malformed_; ///< Set if an event could not be parsed.
 };
 
+void endDispatchedRun(AgentDaemon &daemon, const DispatchedRun &run, std::error_code error);
+
 void handleEngineBytes(AgentDaemon &daemon, DispatchedRun &run, std::string_view bytes)
 {
-    if (run.status_ != 200) {
+    if (run.status_ != 200 || run.malformed_) {
         return;
     }
     std::vector<Delta> deltas = parseEngineBytes(run.stream_, bytes, run.malformed_);
     if (!deltas.empty()) {
         postEvent(daemon.loop_, AgentEvent(EngineDeltas{ run.run_, run.dispatchNumber_, std::move(deltas) }));
     }
+    if (run.malformed_) {
+        logLine(LogLevel::Warning, "engine-malformed", { { "error", run.malformed_.message() } });
+        const auto stream = daemon.engineStreams_.find({ run.run_, run.dispatchNumber_ });
+        if (stream != daemon.engineStreams_.end()) {
+            closeStream(daemon.client_, stream->second);
+        }
+        endDispatchedRun(daemon, run, TransportErrc::Malformed);
+    }
 }
 
 void endDispatchedRun(AgentDaemon &daemon, const DispatchedRun &run, std::error_code error)
@@ -278,6 +290,8 @@
     const Settings &settings = daemon.settings_;
     daemon.loop_.state_
         = makeAgentState(settings.identity_, settings.agentPolicy_, settings.upstream_, chooseSeed(settings));
+    daemon.loop_.state_.answerLimit_
+        = static_cast<size_t>(static_cast<double>(settings.serverMemoryBytes_) * answerMemoryShare);
     daemon.loop_.tick_ = tickAgent;
     daemon.loop_.nextDeadline_ = nextAgentDeadline;
     setUpLoop(daemon, executeOutbox);
@@ -296,6 +310,8 @@
     if (const std::error_code error = listen(*daemon.server_, settings.listenAddress_); error) {
         return logListenFailure(settings, error);
     }
+    const auto memory = static_cast<double>(settings.serverMemoryBytes_);
+    daemon.client_.replies_->budget_.limitBytes_ = static_cast<size_t>(memory * replyMemoryShare);
     startLoop(daemon);
     return runDaemon(daemon, "agent");
 }
--- a/src/agent_engine_output.cpp
+++ b/src/agent_engine_output.cpp
@@ -50,10 +50,34 @@
     for (Delta &delta : event.deltas_) {
         run->receivedTokens_ += delta.tokens_;
         run->dispatchTokens_ += delta.tokens_;
+        run->answerBytes_ += 2 * sizeof(Delta) + delta.text_.size(); // the vector may be twice as long as its contents
         run->answer_.push_back(std::move(delta));
     }
 }
 
+/// Ends the runs with the longest answers while those of all running runs exceed their memory.
+void boundAnswers(AgentState &state, TimePoint now, AgentOutbox &outbox)
+{
+    const auto bytesOf = [&state](RunId id) {
+        return findRow(state.runs_, id)->answerBytes_;
+    };
+    size_t bytes = 0;
+    for (const RunId id : state.running_) {
+        bytes += bytesOf(id);
+    }
+    while (bytes > state.answerLimit_) {
+        const RunId longest = *std::max_element(state.running_.begin(), state.running_.end(),
+            [&bytesOf](RunId left, RunId right) { return bytesOf(left) < bytesOf(right); });
+        bytes -= bytesOf(longest);
+        Run &run = *findRow(state.runs_, longest);
+        run.answer_ = {}; // released now; readers get the end only
+        run.answerBytes_ = 0;
+        abortRun(state, longest, outbox);
+        count(state.metrics_, "answers_given_up_total", "no-memory");
+        endRun(state, longest, makeFailure(RefusalErrc::UpstreamError, RunOutcome::Unknown), now, outbox);
+    }
+}
+
 void updateDecodeRate(AgentState &state, const Run &run, TimePoint now)
 {
     if (run.order_.kind_ == RouteKind::Service) {
@@ -113,6 +137,7 @@
     for (EngineDeltas &event : inbox.deltas_) {
         applyDeltas(state, event, now);
     }
+    boundAnswers(state, now, outbox);
     const bool crash = std::any_of(inbox.ends_.begin(), inbox.ends_.end(), isUpstreamLoss);
     const bool sameCrash = now - state.lastCrashAt_ < crashWindow;
     const bool alone = state.running_.size() == 1 && !sameCrash;
--- a/src/engine_wire.cpp
+++ b/src/engine_wire.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view eventPrefix = "data: ";
 constexpr std::string_view eventSeparator = "\n\n";
 constexpr std::string_view doneEvent = "[DONE]";
+constexpr size_t maxEventBytes = 256U << 10U; ///< Longest event of a stream, as for gateways.
 constexpr int serverErrorStatus = 500;
 
 /// @return the caller's body, changed to request a stream that resumes after the tokens received so far.
@@ -81,6 +82,9 @@
 std::vector<Delta> parseEngineBytes(EngineStream &stream, std::string_view bytes, std::error_code &error)
 {
     std::vector<Delta> deltas;
+    if (stream.done_) {
+        return deltas;
+    }
     for (const std::string &event : extractParts(stream.splitter_, bytes, eventSeparator)) {
         if (!event.starts_with(eventPrefix)) {
             continue;
@@ -104,6 +108,9 @@
             deltas.push_back(std::move(delta));
         }
     }
+    if (stream.splitter_.rest_.size() > maxEventBytes) {
+        error = WireErrc::OutOfRange;
+    }
     return deltas;
 }
 
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -4,6 +4,7 @@
  */
 #include "http_func.h"
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
 
@@ -55,12 +56,14 @@
     splitter.rest_ += piece;
     std::vector<std::string> parts;
     size_t begin = 0;
-    for (size_t end = splitter.rest_.find(separator); end != std::string::npos;
+    for (size_t end = splitter.rest_.find(separator, splitter.searched_); end != std::string::npos;
          end = splitter.rest_.find(separator, begin)) {
         parts.push_back(splitter.rest_.substr(begin, end - begin));
         begin = end + separator.size();
     }
     splitter.rest_.erase(0, begin);
+    // The next piece may complete a separator that has begun.
+    splitter.searched_ = splitter.rest_.size() - std::min(splitter.rest_.size(), separator.size() - 1);
     return parts;
 }
 
--- a/src/http_func.h
+++ b/src/http_func.h
@@ -36,6 +36,7 @@
 struct TextSplitter
 {
     std::string rest_; ///< Text after the last separator.
+    size_t searched_ = 0; ///< Bytes of it that begin no separator.
 };
 
 /// Appends @p piece. @return the parts that are complete now, without the @p separator that ends them.
--- a/src/run_base.h
+++ b/src/run_base.h
@@ -57,6 +57,7 @@
     TimePoint claimRetryAt_ = noDeadline; ///< When to retry the claim.
 
     std::vector<Delta> answer_; ///< Deltas received so far.
+    size_t answerBytes_ = 0; ///< Memory of these deltas.
     uint32_t receivedTokens_ = 0; ///< Answer tokens received so far.
     uint64_t prefillTokens_ = 0; ///< Prompt tokens, added up over all dispatches.
     TimePoint dispatchedAt_{}; ///< Time of the latest dispatch.
