Entries: bound what an agent sends without end

A frame that never ends was buffered up to the 64 MiB of a stream's body, one for each request being read, and the deltas of all requests were kept without a limit in sum.

Incomplete frames and replies take 0.1 of the memory together; beyond that the stream is closed, and read again as after other breaks. Answers take 0.2 together; beyond that the request with the longest one is cancelled and refused as failed by its upstream, and counts in answers_given_up_total.

That a frame without end is given up is not shown by a test: it is a step of the daemon, and uses the budget that has tests of its own.

--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -103,6 +103,7 @@
     std::map<ExchangeId, RequestId> requestByExchange_; ///< Index by the caller's exchange.
     DeadlineQueue<Request> requestDeadlines_; ///< Ends of the agreed waits, and retries.
     SuspectTable suspects_; ///< Payloads that were in flight when an upstream crashed.
+    size_t answerLimit_ = size_t{ 200 } << 20U; ///< Most bytes of answers of all requests in progress.
     double retryBudget_ = retryBudgetLimit; ///< Lost runs that may be retried now; at most retryBudgetLimit.
 
     bool stopping_ = false; ///< Whether a planned stop is in progress.
--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr double answerMemoryShare = 0.2; ///< Share of the memory for answers of requests, as in gateways.
+constexpr double replyMemoryShare = 0.1; ///< Share of the memory for replies and frames being received.
 constexpr Milliseconds orderTimeout{ 1500 }; ///< Timeout of a run order.
 constexpr Milliseconds cancelTimeout{ 1000 }; ///< Timeout of a cancellation or leave notice.
 constexpr Milliseconds answerSilenceTimeout{ 1500 }; ///< Longest time without data on an answer stream.
@@ -108,6 +110,12 @@
 /// State shared by the handlers of one answer stream.
 struct AnswerStream
 {
+    explicit AnswerStream(const HttpClient &client)
+        : held_(client, nullptr)
+    {
+    }
+
+    HeldReply held_; ///< Memory of an incomplete frame.
     RequestId request_; ///< Request that the stream was opened for.
     uint32_t streamNumber_ = 0; ///< Number of the stream; unique within the request.
     TextSplitter splitter_; ///< Splits the received bytes into frames.
@@ -121,27 +129,37 @@
         EntryEvent(AnswerStreamClosed{ stream.request_, stream.streamNumber_, error, stream.unknownRun_ }));
 }
 
+/// Closes an answer stream and ends it with an error.
+void abandonAnswerStream(EntryDaemon &daemon, const AnswerStream &stream, std::error_code error)
+{
+    logLine(LogLevel::Warning, "answer-stream-abandoned", { { "error", error.message() } });
+    const auto found = daemon.answerStreams_.find({ stream.request_, stream.streamNumber_ });
+    if (found != daemon.answerStreams_.end()) {
+        closeStream(daemon.client_, found->second);
+    }
+    endAnswerStream(daemon, stream, error);
+}
+
 void handleAnswerBytes(EntryDaemon &daemon, AnswerStream &stream, std::string_view bytes)
 {
     for (const std::string &line : extractParts(stream.splitter_, bytes, "\n")) {
         AnswerFrameReceived event{ stream.request_, stream.streamNumber_, {} };
         if (parseAnswerFrame(line, event.frame_, Clock::now())) {
-            const auto found = daemon.answerStreams_.find({ stream.request_, stream.streamNumber_ });
-            if (found != daemon.answerStreams_.end()) {
-                closeStream(daemon.client_, found->second);
-            }
-            endAnswerStream(daemon, stream, TransportErrc::Malformed);
+            abandonAnswerStream(daemon, stream, TransportErrc::Malformed);
             return;
         }
         postEvent(daemon.loop_, EntryEvent(std::move(event)));
     }
+    if (!holdBytes(stream.held_, stream.splitter_.rest_.capacity())) {
+        abandonAnswerStream(daemon, stream, TransportErrc::NoMemory);
+    }
 }
 
 void execute(EntryDaemon &daemon, const OpenAnswerStream &command)
 {
     HttpRequest request;
     request.target_ = runTarget(answerPath, command.name_) + "&offset=" + std::to_string(command.offset_);
-    auto stream = std::make_shared<AnswerStream>();
+    auto stream = std::make_shared<AnswerStream>(daemon.client_);
     stream->request_ = command.request_;
     stream->streamNumber_ = command.streamNumber_;
     StreamHandlers handlers;
@@ -411,6 +429,9 @@
     daemon.loop_.state_ = makeEntryState(settings.identity_, settings.entryPolicy_, chooseSeed(settings));
     daemon.loop_.state_.peers_ = settings.seeds_; // used until the first VM list is received
     std::erase(daemon.loop_.state_.peers_, settings.controlAddress_);
+    const auto memory = static_cast<double>(settings.serverMemoryBytes_);
+    daemon.loop_.state_.answerLimit_ = static_cast<size_t>(memory * answerMemoryShare);
+    daemon.client_.replies_->budget_.limitBytes_ = static_cast<size_t>(memory * replyMemoryShare);
     daemon.loop_.tick_ = tickEntry;
     daemon.loop_.nextDeadline_ = nextEntryDeadline;
     setUpLoop(daemon, executeOutbox);
--- a/src/entry_relay.cpp
+++ b/src/entry_relay.cpp
@@ -7,6 +7,8 @@
 #include "error_type.h"
 #include "request_func.h"
 
+#include <algorithm>
+
 namespace Burdockfield {
 
 namespace {
@@ -43,6 +45,8 @@
         std::make_move_iterator(frame.deltas_.end()));
     for (const Delta &delta : newDeltas) {
         request.receivedTokens_ += delta.tokens_;
+        request.answerBytes_
+            += 2 * sizeof(Delta) + delta.text_.size(); // the vector may be twice as long as its contents
         request.answer_.push_back(delta);
     }
     sendDeltas(request, std::move(newDeltas), outbox, state);
@@ -135,6 +139,27 @@
     }
 }
 
+/// Refuses the requests with the longest answers while those of all requests exceed their memory.
+void boundAnswers(EntryState &state, EntryOutbox &outbox)
+{
+    size_t bytes = 0;
+    forEachRow(state.requests_, [&bytes](RequestId /*id*/, const Request &request) { bytes += request.answerBytes_; });
+    while (bytes > state.answerLimit_) {
+        RequestId longest;
+        size_t most = 0;
+        forEachRow(state.requests_, [&longest, &most](RequestId id, const Request &request) {
+            longest = request.answerBytes_ > most ? id : longest;
+            most = std::max(most, request.answerBytes_);
+        });
+        bytes -= most;
+        count(state.metrics_, "answers_given_up_total", "no-memory");
+        if (Request &request = *findRow(state.requests_, longest); request.stage_ != RequestStage::Waiting) {
+            cancelAttempt(request, longest, outbox);
+        }
+        refuseRequest(state, longest, RefusalErrc::UpstreamError, RunOutcome::Unknown, outbox);
+    }
+}
+
 void handleStreamClosed(EntryState &state, const AnswerStreamClosed &event, TimePoint now, EntryOutbox &outbox)
 {
     Request *request = findRow(state.requests_, event.request_);
@@ -188,6 +213,9 @@
     for (AnswerFrameReceived &event : inbox.frames_) {
         handleFrame(state, event, now, outbox);
     }
+    if (!inbox.frames_.empty()) {
+        boundAnswers(state, outbox);
+    }
     for (const AnswerStreamClosed &event : inbox.closedAnswerStreams_) {
         handleStreamClosed(state, event, now, outbox);
     }
--- a/src/request_base.h
+++ b/src/request_base.h
@@ -60,6 +60,7 @@
     bool mayHaveRun_ = false; ///< Whether an earlier attempt may have run.
 
     std::vector<Delta> answer_; ///< Deltas received.
+    size_t answerBytes_ = 0; ///< Memory of these deltas.
     uint32_t receivedTokens_ = 0; ///< Tokens received.
     uint64_t attemptOffset_ = 0; ///< Number of deltas received before the current attempt.
     bool responseStarted_ = false; ///< Whether a part of the answer was sent to the caller.
--- a/tests/endless_engine_test.cpp
+++ b/tests/endless_engine_test.cpp
@@ -119,6 +119,41 @@
     CHECK(findRow(state_.runs_, first)->stage_ == RunStage::Running);
 }
 
+TEST_CASE_FIXTURE(EntryFixture, "Entry_WhenAnAnswerNeverEnds_RefusesItsRequestWithinTheMemory")
+{
+    state_.answerLimit_ = smallestMemory / 5;
+    addUpstreams({ makeReport("only") });
+    const EntryOutbox ordered = submit({ makeRequest() });
+    const SendOrder &order = ordered.orders_.at(0);
+    EntryInbox accepted;
+    accepted.runReplies_.push_back({ order.request_, 1, {}, { {}, makeReport("only") } });
+    tick(std::move(accepted));
+    const size_t before = heapBytes();
+    AnswerFrameReceived frame{ order.request_, 1, {} };
+    frame.frame_.name_ = order.order_.name_;
+    frame.frame_.deltas_.assign(500, Delta{ "a", 1 });
+    std::optional<std::error_code> refusal;
+    size_t cancels = 0;
+    for (int piece = 0; piece < 4000 && !refusal; ++piece) {
+        now_ += Milliseconds(1);
+        EntryInbox inbox;
+        inbox.frames_.push_back(frame);
+        const EntryOutbox outbox = tick(std::move(inbox));
+        cancels += outbox.cancels_.size();
+        for (const CallerOutput &output : outbox.callerOutputs_) {
+            if (const auto *body = std::get_if<Refusal>(&output.body_); body != nullptr) {
+                refusal = body->error_;
+            }
+        }
+        frame.frame_.offset_ += frame.frame_.deltas_.size();
+    }
+    CHECK(heapGrowth(before) <= heldBound);
+    CHECK(refusal == make_error_code(RefusalErrc::UpstreamError));
+    CHECK(cancels == 1);
+    CHECK(state_.requests_.size_ == 0);
+    CHECK(submit({ makeRequest() }).orders_.size() == 1);
+}
+
 TEST_CASE("Splitter_WhenASeparatorArrivesInPieces_FindsIt")
 {
     TextSplitter splitter;
