Tests: a gateway process whose store replies without end

The stand-in of the store gets two modes: pages of new rows without end, and a list of empty values.

--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -17,17 +17,21 @@
 
 namespace {
 
-constexpr std::array<std::pair<std::string_view, StoreMode>, 5> storeModeNames{ {
+constexpr std::array<std::pair<std::string_view, StoreMode>, 7> storeModeNames{ {
     { "up", StoreMode::Up },
     { "down", StoreMode::Down },
     { "busy", StoreMode::Busy },
     { "silent", StoreMode::Silent },
     { "lose-answers", StoreMode::LoseReplies },
+    { "endless-pages", StoreMode::EndlessPages },
+    { "endless-values", StoreMode::EndlessValues },
 } };
 
 constexpr std::string_view putObjectPath = "/burdockfield/blob-put/";
 constexpr std::string_view getObjectPath = "/burdockfield/blob-get/";
 constexpr size_t pageRows = 500; ///< Maximum rows of one response.
+constexpr size_t endlessRowBytes = 1500; ///< Value of a row of a page without end.
+constexpr size_t endlessValuesBytes = 2500000; ///< Length of a list of empty values.
 constexpr size_t historyLength = 2000; ///< Changes kept for feeds.
 
 void sendOutput(PlatformState &state, StandinOutput output, TimePoint now, StandinOutbox &outbox)
@@ -243,12 +247,46 @@
     outbox.outputs_.push_back(makeWholeOutput(arrival.exchange_, known ? 200 : 404, known ? found->second : "{}"));
 }
 
+/// Responds with rows whose keys ascend from call to call.
+void sendEndlessPage(
+    PlatformState &state, const Arrival &arrival, HttpTarget &target, TimePoint now, StandinOutbox &outbox)
+{
+    const std::string table = percentDecode(target.query_["table"]);
+    Json::array rows;
+    for (size_t row = 0; row < pageRows; ++row) {
+        const std::string key = std::to_string(1000000000 + state.reads_ * pageRows + row);
+        rows.push_back(makeRowObject({ { table, key }, std::string(endlessRowBytes, 'x'), ++state.version_ }, false));
+    }
+    ++state.reads_;
+    sendOutput(
+        state, makeWholeOutput(arrival.exchange_, 200, serializeRows(state, std::move(rows), true)), now, outbox);
+}
+
+void sendEndlessValues(PlatformState &state, const Arrival &arrival, TimePoint now, StandinOutbox &outbox)
+{
+    ++state.reads_;
+    std::string body = R"({"ver":1,"rows":[[])";
+    while (body.size() < endlessValuesBytes) {
+        body += ",[]";
+    }
+    sendOutput(state, makeWholeOutput(arrival.exchange_, 200, body + "]}"), now, outbox);
+}
+
 void handleStoreCall(
     PlatformState &state, const Arrival &arrival, HttpTarget &target, TimePoint now, StandinOutbox &outbox)
 {
     if (state.mode_ == StoreMode::Silent) {
         return;
     }
+    const bool isRead = target.path_ == "/burdockfield/rows-get" || target.path_ == "/burdockfield/rows-feed";
+    if (isRead && state.mode_ == StoreMode::EndlessPages) {
+        sendEndlessPage(state, arrival, target, now, outbox);
+        return;
+    }
+    if (isRead && state.mode_ == StoreMode::EndlessValues) {
+        sendEndlessValues(state, arrival, now, outbox);
+        return;
+    }
     if (state.mode_ == StoreMode::Down || state.mode_ == StoreMode::Busy) {
         sendOutput(
             state, makeWholeOutput(arrival.exchange_, state.mode_ == StoreMode::Down ? 503 : 429, "{}"), now, outbox);
--- a/tests/standins/platform_base.h
+++ b/tests/standins/platform_base.h
@@ -22,6 +22,8 @@
     Busy, ///< Refuses with status 429, as if over its rate limit; nothing is written.
     Silent, ///< Never responds; nothing is written.
     LoseReplies, ///< Runs transactions, then closes the connection without a response.
+    EndlessPages, ///< Responds to reads and feeds with a long page of new rows, and says that more follow.
+    EndlessValues, ///< Responds to reads and feeds with a list of empty values as long as a reply may be.
 };
 
 /// Response that is sent after a delay.
