--- a/src/memory_budget_base.h
+++ b/src/memory_budget_base.h
@@ -30,7 +30,7 @@
     size_t inputBytes_ = 0; ///< Sum over all holdings.
     size_t unreadBytes_ = 0; ///< Sum over all holdings.
     size_t outputBytes_ = 0; ///< Sum over all holdings.
-    size_t otherBytes_ = 0; ///< Answers that are buffered before they are queued for a connection.
+    size_t otherBytes_ = 0; ///< Answers and replies of others that are not queued for a connection.
 };
 
 } // namespace Burdockfield
