Orders of entries are not repeated by the HTTP client

Callers saw (older roles): a booking without a key ran twice. The connection of its order broke after the agent had started the run, and the agent was back before the entry noticed. The HTTP client then sent the order again on a new connection; the new process refused it as meant for the earlier one, which the entry, that had sent it once, took for "not run". Change: ConnectionUse::ReuseOnce for calls that the client must not repeat; the entry repeats an order itself and knows then that the first may have been accepted. A connection that the peer has closed while it was idle is recognised before a call is written, so that such calls don't get lost for that reason.

--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -97,7 +97,8 @@
         }
         postEvent(daemon.loop_, EntryEvent(std::move(event)));
     };
-    fetch(daemon.client_, command.address_, std::move(request), orderTimeout, ConnectionUse::Reuse, onReply);
+    // The answer to an order that was sent before may say that the agent never runs it, although the first one did.
+    fetch(daemon.client_, command.address_, std::move(request), orderTimeout, ConnectionUse::ReuseOnce, onReply);
 }
 
 std::string runTarget(std::string_view path, const RunName &name)
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -63,15 +63,22 @@
     return isMalformed(error) ? TransportErrc::Malformed : TransportErrc::Lost;
 }
 
+/// @return whether the peer has neither closed the connection nor sent anything on it since its last call.
+bool isQuiet(Beast::tcp_stream &stream)
+{
+    std::array<char, 1> byte{};
+    boost::system::error_code error;
+    stream.socket().receive(Asio::buffer(byte), Asio::socket_base::message_peek, error);
+    return error == Asio::error::would_block;
+}
+
 StreamPointer takeIdleConnection(HttpClient &client, const std::string &address)
 {
     auto &idle = client.idle_[address];
     while (!idle.empty()) {
         IdleConnection connection = std::move(idle.back());
         idle.pop_back();
-        boost::system::error_code error;
-        const bool quiet = connection.stream_->socket().available(error) == 0 && !error;
-        if (quiet && Clock::now() - connection.idleSince_ < maxIdleTime) {
+        if (isQuiet(*connection.stream_) && Clock::now() - connection.idleSince_ < maxIdleTime) {
             return std::move(connection.stream_);
         }
     }
@@ -100,6 +107,8 @@
     stream.async_connect(*endpoint, yield[error]);
     if (!error) {
         configureSocket(stream.socket(), outgoingUserTimeout);
+        boost::system::error_code ignored;
+        stream.socket().non_blocking(true, ignored); // for isQuiet()
     }
     return !error;
 }
@@ -185,8 +194,8 @@
     ConnectionUse use, Asio::yield_context yield)
 {
     CallResult result;
-    if (StreamPointer reused = use == ConnectionUse::Reuse ? takeIdleConnection(client, address) : nullptr;
-        reused != nullptr) {
+    const bool keepsConnection = use != ConnectionUse::Fresh;
+    if (StreamPointer reused = keepsConnection ? takeIdleConnection(client, address) : nullptr; reused != nullptr) {
         result = callOnConnection(*reused, address, request, timeout, client.responseBodyLimit_, yield);
         if (!result.error_ && result.keepAlive_) {
             keepIdleConnection(client, address, std::move(reused));
@@ -194,7 +203,7 @@
         if (result.error_ == TransportErrc::TimedOut) {
             client.idle_.erase(address); // the peer's other idle connections may be dead too
         }
-        if (result.error_ != TransportErrc::Lost) {
+        if (result.error_ != TransportErrc::Lost || use == ConnectionUse::ReuseOnce) {
             return result;
         }
     }
@@ -205,7 +214,7 @@
         return result;
     }
     result = callOnConnection(*fresh, address, request, timeout, client.responseBodyLimit_, yield);
-    if (!result.error_ && result.keepAlive_ && use == ConnectionUse::Reuse) {
+    if (!result.error_ && result.keepAlive_ && keepsConnection) {
         keepIdleConnection(client, address, std::move(fresh));
     }
     return result;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -26,7 +26,9 @@
 
 /// Whether a call may use a persistent connection.
 enum class ConnectionUse : uint8_t {
-    Reuse, ///< Yes; if the connection turns out to be closed, the call is retried once on a new one.
+    Reuse, ///< Yes; a call whose connection breaks is repeated once on a new one, so that the peer may receive it
+           ///< twice.
+    ReuseOnce, ///< Yes, but the call is not repeated: it ends as Lost, and the peer receives it at most once.
     Fresh, ///< No; NotSent then guarantees that the peer has not received the call.
 };
 
@@ -78,7 +80,7 @@
 
 /**
  * Sends a request and reads the whole response.
- * @param timeout longest time until the header of the response, and for each further 32 KiB of it; the retry of
+ * @param timeout longest time until the header of the response, and for each further 32 KiB of it; the repetition by
  * ConnectionUse::Reuse has as long again
  * @param done called exactly once
  */
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -25,14 +25,14 @@
     static constexpr Milliseconds callTimeout{ 2000 }; ///< Longer than any check waits for the end of a flood.
     static constexpr size_t socketBytes = 64U << 10U; ///< Bytes that may be under way when the client closes.
 
-    void start()
+    void start(ConnectionUse use = ConnectionUse::Reuse)
     {
         end_.reset();
         const auto done = [this](std::error_code error, HttpReply reply) {
             end_ = error;
             reply_ = std::move(reply);
         };
-        fetch(client_, address_, HttpRequest(), callTimeout, ConnectionUse::Reuse, done);
+        fetch(client_, address_, HttpRequest(), callTimeout, use, done);
     }
 
     void startAndAccept()
@@ -135,6 +135,36 @@
     CHECK(reply_.body_ == "own");
 }
 
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenTheKeptConnectionOfACallThatIsNotRepeatedBreaks_EndsTheCallAsLost")
+{
+    startAndAccept();
+    send(okHead + "Content-Length: 2\r\n\r\nok");
+    runUntil([this] { return end_.has_value(); });
+    start(ConnectionUse::ReuseOnce);
+    receiveRequest();
+    peer_.close();
+    runUntil([this] { return end_.has_value(); });
+    CHECK(end_ == make_error_code(TransportErrc::Lost));
+    boost::system::error_code error;
+    acceptor_.accept(peer_, error);
+    CHECK(error == boost::asio::error::would_block);
+}
+
+TEST_CASE_FIXTURE(
+    HttpClientFixture, "Client_WhenAnIdleConnectionWasClosedUnnoticed_StartsACallThatIsNotRepeatedOnANewOne")
+{
+    startAndAccept();
+    send(okHead + "Content-Length: 2\r\n\r\nok");
+    runUntil([this] { return end_.has_value(); });
+    peer_.close();
+    start(ConnectionUse::ReuseOnce);
+    acceptConnection();
+    receiveRequest();
+    send(okHead + "Content-Length: 3\r\n\r\nown");
+    runUntil([this] { return end_.has_value(); });
+    CHECK(reply_.body_ == "own");
+}
+
 TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenABodyNeverEnds_EndsTheCall")
 {
     constexpr size_t maxBodyBytes = 16U << 20U;
