A failed check is no proof while its upstream is heard or its connections are acknowledged

A check fails by a time-out where the queue of new connections is full, and as NotSent where the upstream resets a connection beyond its limit before that is handled; it counted even if bytes had arrived since it began. Change: only a refusal shows by itself that the process is gone. Any other failure counts unless something was received since the check began, or the upstream's machine acknowledges what is sent on a connection with a call: keep-alive probes go out after a second of silence, so that a machine that is cut off is told apart within 1.1 s, before a stream's first check ends. A stream of such an upstream still moves then.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -387,6 +387,14 @@
     }
 }
 
+/// @return whether an upstream is reached although a check of it has failed. Only a refusal shows that its process is
+/// gone: a connection isn't made in time, or is reset, also where too many connections wait or are open.
+bool isReachedDespite(const UpstreamChecked &event, const Upstream &upstream)
+{
+    const bool receivedSince = upstream.reachedAt_ > upstream.checkStartedAt_;
+    return event.error_ != TransportErrc::ConnectionRefused && (receivedSince || event.acknowledged_);
+}
+
 void handleCheck(GatewayState &state, TimePoint now, const UpstreamChecked &event, GatewayOutbox &outbox)
 {
     Upstream *upstream = findUpstream(state, event.upstream_);
@@ -395,7 +403,11 @@
     }
     endVerifiedCalls(state, now, event, outbox); // those that broke belong to the report of a crash
     if (upstream != nullptr && event.error_) {
-        upstream->unreachableSince_ = std::min(upstream->unreachableSince_, now);
+        if (!isReachedDespite(event, *upstream)) {
+            upstream->unreachableSince_ = std::min(upstream->unreachableSince_, now);
+        } else if (event.acknowledged_) {
+            recordReached(now, *upstream);
+        }
         handleFailedConnect(state, now, *upstream, event.error_, outbox);
     } else if (upstream != nullptr) {
         recordReached(now, *upstream);
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -11,9 +11,11 @@
 #include "error_type.h"
 #include "log_func.h"
 #include "settings_func.h"
+#include "socket_func.h"
 
 #include "call_wire.h"
 
+#include <algorithm>
 #include <filesystem>
 
 namespace Burdockfield::Gateway {
@@ -46,14 +48,24 @@
     startCall(daemon.link_, std::move(call));
 }
 
-void execute(GatewayDaemon &daemon, const CheckUpstream &command)
+/// @return whether the machine at an address acknowledges what is sent on a connection with a call.
+bool hasAcknowledgedCall(const UpstreamLink &link, const std::string &address)
 {
-    checkAddress(daemon.link_, command.address_, [&daemon, id = command.upstream_](std::error_code error) {
-        daemon.inbox_.checks_.push_back({ id, error });
-        scheduleTick(daemon);
+    return std::any_of(link.busy_.begin(), link.busy_.end(), [&address](const auto &item) {
+        LinkConnection &connection = *item.second;
+        return connection.connected_ && connection.call_.address_ == address && isAcknowledged(connection.socket_);
     });
 }
 
+void execute(GatewayDaemon &daemon, const CheckUpstream &command)
+{
+    checkAddress(daemon.link_, command.address_,
+        [&daemon, id = command.upstream_, address = command.address_](std::error_code error) {
+            daemon.inbox_.checks_.push_back({ id, error, error && hasAcknowledgedCall(daemon.link_, address) });
+            scheduleTick(daemon);
+        });
+}
+
 void applyLimits(GatewayDaemon &daemon)
 {
     const CallerLimits &limits = daemon.state_.configuration_.limits_;
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -54,6 +54,7 @@
 {
     std::string upstream_; ///< Id of the upstream.
     std::error_code error_; ///< Success if a connection was made, else a TransportErrc.
+    bool acknowledged_ = false; ///< Whether its machine acknowledges what is sent on a connection with a call.
 };
 
 /// A configuration was received from the store or from a peer.
--- a/src/socket.cpp
+++ b/src/socket.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::chrono::seconds keepAliveIdle{ 1 }; ///< Idle time before the first probe.
 constexpr std::chrono::seconds keepAliveInterval{ 1 }; ///< Time between probes.
+constexpr Milliseconds probeReplyTime{ 100 }; ///< Longest time until a probe is answered; round trips take up to 16 ms.
 constexpr std::chrono::seconds maxReceiptAge{ 60 }; ///< Longer than callers wait; a greater value isn't plausible.
 constexpr int keepAliveCount = 2; ///< Unanswered probes after which the connection fails.
 
@@ -46,4 +47,14 @@
     return age < maxReceiptAge ? age : Milliseconds(0);
 }
 
+bool isAcknowledged(Tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    const int status = getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length);
+    const bool known = status == 0 && length >= offsetof(tcp_info, tcpi_last_ack_recv) + sizeof(uint32_t);
+    return known && info.tcpi_state == TCP_ESTABLISHED
+        && Milliseconds(info.tcpi_last_ack_recv) < keepAliveIdle + probeReplyTime;
+}
+
 } // namespace Burdockfield
--- a/src/socket_func.h
+++ b/src/socket_func.h
@@ -25,4 +25,10 @@
 /// @return the time since a connection last received data from its peer, or 0 if the system doesn't tell it.
 Milliseconds timeSinceReceipt(boost::asio::ip::tcp::socket &socket);
 
+/**
+ * @return whether the peer's machine has acknowledged something on a configured connection so recently that no
+ * keep-alive probe can have remained unanswered. False for a connection that is not established.
+ */
+bool isAcknowledged(boost::asio::ip::tcp::socket &socket);
+
 } // namespace Burdockfield
--- a/tests/gateway_silence_test.cpp
+++ b/tests/gateway_silence_test.cpp
@@ -24,10 +24,10 @@
     }
 
     /// Runs a tick that receives the result of a check of the call's upstream.
-    GatewayOutbox endCheck(std::error_code error)
+    GatewayOutbox endCheck(std::error_code error, bool acknowledged = false)
     {
         GatewayInbox inbox;
-        inbox.checks_.push_back({ upstream_, error });
+        inbox.checks_.push_back({ upstream_, error, acknowledged });
         return tick(std::move(inbox));
     }
 
@@ -114,6 +114,30 @@
     CHECK(endCheck(TransportErrc::NotSent).cancels_ == std::vector<uint64_t>{ send_ });
 }
 
+TEST_CASE_FIXTURE(SilenceFixture, "Stream_WhenChecksFailButItsConnectionIsAcknowledged_IsKeptUntilThatEnds")
+{
+    begin("stream");
+    for (int step = 0; step < 20; ++step) {
+        const GatewayOutbox outbox = tickAfter(Milliseconds(100));
+        CHECK(outbox.cancels_.empty());
+        if (!outbox.checks_.empty()) {
+            CHECK(endCheck(TransportErrc::NotSent, true).cancels_.empty());
+        }
+    }
+    for (int step = 0; step < 10 && tickAfter(Milliseconds(100)).checks_.empty(); ++step) {
+    }
+    now_ += Milliseconds(700);
+    CHECK(endCheck(TransportErrc::NotSent).cancels_ == std::vector<uint64_t>{ send_ });
+}
+
+TEST_CASE_FIXTURE(SilenceFixture, "Stream_WhenItsUpstreamRefusesConnections_ResumesElsewhere")
+{
+    begin("stream");
+    REQUIRE(tickAfter(Milliseconds(500)).checks_.size() == 1);
+    now_ += Milliseconds(500);
+    CHECK(endCheck(TransportErrc::ConnectionRefused, true).cancels_ == std::vector<uint64_t>{ send_ });
+}
+
 TEST_CASE_FIXTURE(SilenceFixture, "Stream_WhenItsUpstreamIsUnreachableAndNoOtherHasAFreeSlot_IsKept")
 {
     begin("stream");
--- a/tests/upstream_reachability_test.cpp
+++ b/tests/upstream_reachability_test.cpp
@@ -22,6 +22,11 @@
 {
     using Socket = boost::asio::ip::tcp::socket;
 
+    UpstreamReachabilityFixture()
+        : link_(io_, {})
+    {
+    }
+
     void startCheck()
     {
         checkAddress(link_, address_, [this](std::error_code error) { end_ = error; });
@@ -64,7 +69,7 @@
         }
     }
 
-    UpstreamLink link_{ io_, {} };
+    UpstreamLink link_;
     std::vector<Socket> waiting_; ///< Connections that nobody accepts.
     std::optional<std::error_code> end_; ///< How the check ended.
 };
@@ -83,3 +88,31 @@
     });
     CHECK_FALSE(*end_);
 }
+
+TEST_CASE_FIXTURE(
+    UpstreamReachabilityFixture, "Check_WhenTheAcceptQueueIsFull_FailsWhileAnOpenConnectionIsAcknowledged")
+{
+    Socket open = openConnection();
+    fillAcceptQueue();
+    startCheck();
+    runUntil([this] { return end_.has_value(); });
+    CHECK(end_ == make_error_code(TransportErrc::NotSent));
+    CHECK(isAcknowledged(open));
+}
+
+TEST_CASE_FIXTURE(UpstreamReachabilityFixture, "Connection_WhenItsPeerOnlyPauses_StaysAcknowledged")
+{
+    Socket open = openConnection();
+    for (int step = 0; step < 25; ++step) {
+        runFor(Milliseconds(100));
+        CHECK(isAcknowledged(open));
+    }
+}
+
+TEST_CASE_FIXTURE(UpstreamReachabilityFixture, "Connection_WhenItsPeerIsCutOff_IsNotAcknowledged")
+{
+    Socket open = openConnection();
+    cutOffPeer();
+    runFor(Milliseconds(1150)); // a silent stream's first check ends no sooner
+    CHECK_FALSE(isAcknowledged(open));
+}
