--- a/tests/gateway_silence_test.cpp
+++ b/tests/gateway_silence_test.cpp
@@ -24,10 +24,10 @@
     }
 
     /// Runs a tick that receives the result of a check of the call's upstream.
-    GatewayOutbox endCheck(std::error_code error)
+    GatewayOutbox endCheck(std::error_code error, bool acknowledged = false)
     {
         GatewayInbox inbox;
-        inbox.checks_.push_back({ upstream_, error });
+        inbox.checks_.push_back({ upstream_, error, acknowledged });
         return tick(std::move(inbox));
     }
 
@@ -98,6 +98,46 @@
     CHECK(tickAfter(Milliseconds(950)).cancels_.empty());
 }
 
+TEST_CASE_FIXTURE(SilenceFixture, "Stream_WhenItsUpstreamSendsWhileACheckFails_IsMovedOnlyIfTheNextFailsToo")
+{
+    // Guards against a second run beside an upstream whose queue of new connections is full.
+    begin("stream");
+    REQUIRE(tickAfter(Milliseconds(500)).checks_.size() == 1);
+    now_ += Milliseconds(300);
+    receiveBytes(send_, "i");
+    now_ += Milliseconds(400);
+    CHECK(endCheck(TransportErrc::NotSent).cancels_.empty());
+    const GatewayOutbox second = tickAfter(Milliseconds(200));
+    CHECK(second.cancels_.empty());
+    CHECK(second.checks_.size() == 1);
+    now_ += Milliseconds(700);
+    CHECK(endCheck(TransportErrc::NotSent).cancels_ == std::vector<uint64_t>{ send_ });
+}
+
+TEST_CASE_FIXTURE(SilenceFixture, "Stream_WhenChecksFailButItsConnectionIsAcknowledged_IsKeptUntilThatEnds")
+{
+    begin("stream");
+    for (int step = 0; step < 20; ++step) {
+        const GatewayOutbox outbox = tickAfter(Milliseconds(100));
+        CHECK(outbox.cancels_.empty());
+        if (!outbox.checks_.empty()) {
+            CHECK(endCheck(TransportErrc::NotSent, true).cancels_.empty());
+        }
+    }
+    for (int step = 0; step < 10 && tickAfter(Milliseconds(100)).checks_.empty(); ++step) {
+    }
+    now_ += Milliseconds(700);
+    CHECK(endCheck(TransportErrc::NotSent).cancels_ == std::vector<uint64_t>{ send_ });
+}
+
+TEST_CASE_FIXTURE(SilenceFixture, "Stream_WhenItsUpstreamRefusesConnections_ResumesElsewhere")
+{
+    begin("stream");
+    REQUIRE(tickAfter(Milliseconds(500)).checks_.size() == 1);
+    now_ += Milliseconds(500);
+    CHECK(endCheck(TransportErrc::ConnectionRefused, true).cancels_ == std::vector<uint64_t>{ send_ });
+}
+
 TEST_CASE_FIXTURE(SilenceFixture, "Stream_WhenItsUpstreamIsUnreachableAndNoOtherHasAFreeSlot_IsKept")
 {
     begin("stream");
