Checks of upstreams: a connection that is reset before that is handled was made

Callers could lose answers without a length: the check of an upstream at its limit of connections ended as NotSent if the reset arrived before the connection was handled, so that such an answer counted as cut by a crash. It is tried again now as after other early ends.

--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -357,7 +357,13 @@
     writeRequest(link, connection);
 }
 
-using ConnectHandler = std::function<void(std::error_code)>; ///< Called once, see connect().
+using ConnectHandler = std::function<void(const boost::system::error_code &)>; ///< Called once, see connect().
+
+/// @return the error of a call or check whose connection could not be made.
+std::error_code classifyConnectError(const boost::system::error_code &error)
+{
+    return error == Asio::error::connection_refused ? TransportErrc::ConnectionRefused : TransportErrc::NotSent;
+}
 
 void finishConnect(
     const LinkPointer &connection, const boost::system::error_code &error, const ConnectHandler &onConnect)
@@ -367,7 +373,7 @@
     }
     connection->timer_.cancel();
     if (error) {
-        onConnect(error == Asio::error::connection_refused ? TransportErrc::ConnectionRefused : TransportErrc::NotSent);
+        onConnect(error);
         return;
     }
     connection->connected_ = true;
@@ -404,9 +410,9 @@
     auto connection = std::make_shared<LinkConnection>(link.io_, link.heldBytes_);
     connection->call_ = std::move(call);
     link.busy_[connection->call_.send_] = connection;
-    connect(link, connection, [&link, connection](std::error_code error) {
+    connect(link, connection, [&link, connection](const boost::system::error_code &error) {
         if (error) {
-            endCall(link, connection, error);
+            endCall(link, connection, classifyConnectError(error));
             return;
         }
         sendRequest(link, connection);
@@ -476,13 +482,17 @@
 {
     auto connection = std::make_shared<LinkConnection>(link.io_, link.heldBytes_);
     connection->call_.address_ = address;
-    connect(link, connection, [&link, connection, connectionsLeft, onEnd](std::error_code error) {
-        if (error) {
+    connect(link, connection, [&link, connection, connectionsLeft, onEnd](const boost::system::error_code &error) {
+        if (error && error != Asio::error::connection_reset) {
             closeConnection(connection);
-            onEnd(error);
+            onEnd(classifyConnectError(error));
             return;
         }
-        readSome(link, connection);
+        if (error) { // it broke before it was found to be made
+            closeConnection(connection);
+        } else {
+            readSome(link, connection);
+        }
         connection->timer_.expires_after(checkSettleTime);
         connection->timer_.async_wait([&link, connection, connectionsLeft, onEnd](const boost::system::error_code &) {
             if (!connection->closed_) {
