--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -20,7 +20,7 @@
 constexpr Milliseconds snapshotDelay{ 200 }; ///< Time for the store to deliver a newer version before a peer is asked.
 constexpr size_t deliveryBytesPerMs = 5000; ///< Rate at which the store delivers a large configuration.
 constexpr Milliseconds snapshotInterval{ 400 }; ///< Minimum time between fetches of a part of a snapshot.
-constexpr size_t maxPeers = 512; ///< Peers that are kept; more than any fleet has.
+constexpr size_t maxPeers = 1024; ///< Peers that are kept; more than any fleet has.
 /// Memory of the names that all peers together have told, 0.15 of the smallest machine's. 50 peers may name 1,400
 /// workspaces each.
 constexpr size_t maxNameBytes = 13U << 20U;
