Tests: one reader of a process's memory and descriptors; the first attempt's refusal that is copied

Four test files read /proc for the same figures. NonIdempotentCall_WhenTheRefusalOfItsFirstAttemptIsCopied_RunsOnce pins down the way that closed: the retry of a call at the same upstream.

--- a/tests/endless_store_process_test.cpp
+++ b/tests/endless_store_process_test.cpp
@@ -4,9 +4,8 @@
  */
 #include "gateway_process_fixture.h"
 #include "heap_func.h"
+#include "process_usage_func.h"
 
-#include <filesystem>
-#include <fstream>
 #include <thread>
 
 using namespace Burdockfield;
@@ -28,24 +27,9 @@
         REQUIRE(startGatewayFleet(fleet_, spec));
     }
 
-    /// @return the peak of the gateway's resident memory in bytes, or 0 if the process has ended.
-    size_t peakMemory() const
+    pid_t gatewayProcess() const
     {
-        std::ifstream file("/proc/" + std::to_string(fleet_.processes_.at("gateway-1").pid_) + "/status");
-        for (std::string line; std::getline(file, line);) {
-            if (line.starts_with("VmHWM:")) {
-                return std::stoul(line.substr(line.find_first_of("0123456789"))) << 10U;
-            }
-        }
-        return 0;
-    }
-
-    size_t openDescriptors() const
-    {
-        const std::string folder = "/proc/" + std::to_string(fleet_.processes_.at("gateway-1").pid_) + "/fd";
-        std::error_code error;
-        const std::filesystem::directory_iterator items(folder, error);
-        return static_cast<size_t>(std::distance(begin(items), end(items)));
+        return fleet_.processes_.at("gateway-1").pid_;
     }
 
     int call(const std::string &id, const std::string &key = "key-1")
@@ -60,8 +44,8 @@
         controlStandin(fleet_, "platform", R"({"mode":")" + mode + "\"}");
         std::this_thread::sleep_for(floodTime);
         const int during = call("during");
-        const size_t peak = peakMemory();
-        const size_t descriptors = openDescriptors();
+        const size_t peak = readPeakMemory(gatewayProcess());
+        const size_t descriptors = countDescriptors(gatewayProcess());
         MESSAGE("peak of resident memory: ", peak >> 10U, " KiB, descriptors: ", descriptors);
         CHECK(during == 200);
         CHECK(peak > 0);
@@ -90,7 +74,7 @@
 {
     writeConfiguration(fleet_, 2, { "key-2" }, {}, 2500);
     CHECK(waitUntil([this] { return call("large", "key-2") == 200; }, Milliseconds(8000)));
-    const size_t peak = peakMemory();
+    const size_t peak = readPeakMemory(gatewayProcess());
     MESSAGE("peak of resident memory: ", peak >> 10U, " KiB");
     CHECK(peak < smallestMemory);
 }
--- a/tests/endless_upstream_process_test.cpp
+++ b/tests/endless_upstream_process_test.cpp
@@ -8,6 +8,7 @@
  */
 #include "fleet_parts_func.h"
 #include "gateway_process_fixture.h"
+#include "process_usage_func.h"
 
 #include <atomic>
 #include <boost/asio/read_until.hpp>
@@ -218,15 +219,9 @@
         }
     }
 
-    size_t readMemoryField(const std::string &field) const
+    pid_t gatewayProcess() const
     {
-        std::ifstream file("/proc/" + std::to_string(fleet_.processes_.at("gateway-1").pid_) + "/status");
-        for (std::string line; std::getline(file, line);) {
-            if (line.starts_with(field)) {
-                return std::stoul(line.substr(line.find_first_of("0123456789"))) << 10U;
-            }
-        }
-        return 0;
+        return fleet_.processes_.at("gateway-1").pid_;
     }
 
     /// @return the bytes that the kernel has received for the gateway and that it has not read yet.
@@ -251,7 +246,7 @@
     bool sampleMemory()
     {
         const size_t unread = unreadBytes();
-        const size_t peak = readMemoryField("VmHWM:");
+        const size_t peak = readPeakMemory(gatewayProcess());
         const bool grown = unread > mostUnread_ || peak > peak_;
         mostUnread_ = std::max(mostUnread_, unread);
         peak_ = std::max(peak_, peak);
@@ -308,7 +303,7 @@
     {
         const int status = callOnce();
         sampleMemory();
-        const bool alive = readMemoryField("VmHWM:") > 0;
+        const bool alive = readPeakMemory(gatewayProcess()) > 0;
         MESSAGE("held: ", mostHeld_ >> 10U, " KiB, peak of resident memory: ", peak_ >> 10U,
             " KiB, unread: ", mostUnread_ >> 10U, " KiB, requests: ", upstream_.requests_.load(), ", status: ", status);
         CHECK(alive);
--- a/tests/gateway_refusal_process_test.cpp
+++ b/tests/gateway_refusal_process_test.cpp
@@ -68,6 +68,17 @@
 
 } // namespace
 
+TEST_CASE_FIXTURE(GatewayRefusalFixture, "NonIdempotentCall_WhenTheRefusalOfItsFirstAttemptIsCopied_RunsOnce")
+{
+    start(3);
+    CopyingUpstream upstream(unavailable, 1);
+    list("desk-1", upstream);
+    const HttpReply reply = call("r1");
+    CHECK(reply.status_ == 200);
+    CHECK(reply.body_ == "done");
+    CHECK(upstream.runsOf("r1") == 1);
+}
+
 TEST_CASE_FIXTURE(GatewayRefusalFixture, "NonIdempotentCall_WhenAMisdirectedAnswerIsCopiedAtTheSameAddress_RunsOnce")
 {
     start(1);
--- /dev/null
+++ b/tests/process_usage.cpp
@@ -0,0 +1,49 @@
+/**
+ * @file process_usage.cpp
+ * @brief Memory and descriptors of a running process.
+ */
+#include "process_usage_func.h"
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+namespace Burdockfield::Testing {
+
+namespace {
+
+std::string processFolder(pid_t process)
+{
+    return "/proc/" + std::to_string(process);
+}
+
+} // namespace
+
+size_t readMemoryField(pid_t process, std::string_view field)
+{
+    std::ifstream status(processFolder(process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(field)) {
+            return std::stoul(line.substr(line.find_first_of("0123456789"))) << 10U; // the file has KiB
+        }
+    }
+    return 0;
+}
+
+size_t readPeakMemory(pid_t process)
+{
+    return readMemoryField(process, "VmHWM:");
+}
+
+size_t countDescriptors(pid_t process)
+{
+    std::error_code error;
+    size_t descriptors = 0;
+    for (std::filesystem::directory_iterator item(processFolder(process) + "/fd", error), end; !error && item != end;
+         item.increment(error)) {
+        ++descriptors;
+    }
+    return descriptors;
+}
+
+} // namespace Burdockfield::Testing
--- a/tests/soak_faults.cpp
+++ b/tests/soak_faults.cpp
@@ -2,6 +2,7 @@
  * @file soak_faults.cpp
  * @brief Faults of a soak.
  */
+#include "process_usage_func.h"
 #include "soak_parts_func.h"
 
 #include <algorithm>
@@ -388,21 +389,13 @@
 void checkMemory(Soak &soak)
 {
 #if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__) // they need memory of their own
-    constexpr std::string_view peakField = "VmHWM:"; // in KiB, see proc(5)
     for (const std::string &gateway : soak.fleet_.entries_) {
-        std::ifstream status("/proc/" + std::to_string(soak.fleet_.processes_.at(gateway).pid_) + "/status");
-        for (std::string line; std::getline(status, line);) {
-            if (!line.starts_with(peakField)) {
-                continue;
-            }
-            const uint64_t peakMib = std::stoull(line.substr(peakField.size())) >> 10U;
-            const bool higher
-                = peakMib > std::exchange(soak.report_.peakMib_, std::max(soak.report_.peakMib_, peakMib));
-            if (higher && peakMib >= soak.memoryMib_) {
-                addBreach(soak,
-                    { "a gateway keeps to its memory", gateway,
-                        std::to_string(peakMib) + " of " + std::to_string(soak.memoryMib_) + " MiB" });
-            }
+        const uint64_t peakMib = readPeakMemory(soak.fleet_.processes_.at(gateway).pid_) >> 20U;
+        const bool higher = peakMib > std::exchange(soak.report_.peakMib_, std::max(soak.report_.peakMib_, peakMib));
+        if (higher && peakMib >= soak.memoryMib_) {
+            addBreach(soak,
+                { "a gateway keeps to its memory", gateway,
+                    std::to_string(peakMib) + " of " + std::to_string(soak.memoryMib_) + " MiB" });
         }
     }
 #endif
--- a/tests/untrusted_client_process_test.cpp
+++ b/tests/untrusted_client_process_test.cpp
@@ -6,10 +6,10 @@
  * code before it had a memory budget.
  */
 #include "gateway_process_fixture.h"
+#include "process_usage_func.h"
 
 #include <boost/asio/read.hpp>
 #include <deque>
-#include <filesystem>
 #include <fstream>
 #include <sys/resource.h>
 
@@ -132,26 +132,19 @@
         return client.ended_;
     }
 
-    /// @return the peak of the gateway's resident memory in bytes, or 0 if the process has ended.
-    size_t peakMemory() const
+    pid_t gatewayProcess() const
     {
-        std::ifstream file("/proc/" + std::to_string(fleet_.processes_.at("gateway-1").pid_) + "/status");
-        for (std::string line; std::getline(file, line);) {
-            if (line.starts_with("VmHWM:")) {
-                return std::stoul(line.substr(line.find_first_of("0123456789"))) << 10U;
-            }
-        }
-        return 0;
+        return fleet_.processes_.at("gateway-1").pid_;
     }
 
     /// Waits until the peak of the memory no longer rises: sent bytes may still wait in the kernel's buffers.
     void awaitQuiet() const
     {
-        size_t peak = peakMemory();
+        size_t peak = readPeakMemory(gatewayProcess());
         TimePoint risenAt = Clock::now();
         waitUntil(
             [this, &peak, &risenAt] {
-                if (const size_t now = peakMemory(); now > peak) {
+                if (const size_t now = readPeakMemory(gatewayProcess()); now > peak) {
                     peak = now;
                     risenAt = Clock::now();
                 }
@@ -160,18 +153,6 @@
             crowdTime);
     }
 
-    size_t openDescriptors() const
-    {
-        const std::string folder = "/proc/" + std::to_string(fleet_.processes_.at("gateway-1").pid_) + "/fd";
-        std::error_code error;
-        size_t descriptors = 0;
-        for (std::filesystem::directory_iterator item(folder, error), end; !error && item != end;
-             item.increment(error)) {
-            ++descriptors;
-        }
-        return descriptors;
-    }
-
     /// @return the bytes that the kernel has received for the gateway's callers and that it has not read yet.
     size_t unreadBytes() const
     {
@@ -201,9 +182,9 @@
     {
         awaitQuiet();
         const size_t unread = unreadBytes();
-        const size_t descriptors = openDescriptors();
+        const size_t descriptors = countDescriptors(gatewayProcess());
         const int status = callOnce();
-        const size_t peak = peakMemory();
+        const size_t peak = readPeakMemory(gatewayProcess());
         MESSAGE("peak of resident memory: ", peak >> 10U, " KiB, unread: ", unread >> 10U,
             " KiB, descriptors: ", descriptors, ", status: ", status);
         CHECK(peak > 0);
