Soak: an instance that replaces another one has a row of its own

As on the platform: the earlier instance's row stays listed for a time, so that a gateway can send a call again to the same address under the new id.

--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -144,7 +144,7 @@
     bool remove, uint64_t startedAtMs, const std::string &version)
 {
     const std::string service = upstream.substr(0, upstream.find('-'));
-    const auto link = fleet.processes_.find(upstream + "-link");
+    const auto link = fleet.processes_.find(upstream.substr(0, upstream.find("-replaced")) + "-link");
     const std::string &address
         = link == fleet.processes_.end() ? fleet.processes_.at(upstream).address_ : link->second.address_;
     Json::object value{ { "service", service }, { "address", address }, { "zone", "zone-1" }, { "slots", slots },
--- a/tests/soak_faults.cpp
+++ b/tests/soak_faults.cpp
@@ -269,7 +269,8 @@
         signalProcess(soak.fleet_, upstream, SIGKILL);
         *instance = name;
         startProcess(soak.fleet_, upstream);
-        std::this_thread::sleep_for(Milliseconds(soak.random_() % 1000));
+        writeUpstreamRow(soak.fleet_, upstream + "-replaced", "ready", 4, name == upstream);
+        std::this_thread::sleep_for(Milliseconds(500 + soak.random_() % 1000));
     }
 }
 
