--- a/tests/upstream_link_reuse_test.cpp
+++ b/tests/upstream_link_reuse_test.cpp
@@ -65,7 +65,7 @@
         start(send, "request-" + std::to_string(send));
     }
 
-    void start(uint64_t send, const std::string &id)
+    LinkCall makeCall(uint64_t send, const std::string &id) const
     {
         LinkCall call;
         call.send_ = send;
@@ -78,7 +78,12 @@
             const std::string_view echoed = findHeader(head.headers_, "Request-Id");
             return !echoed.empty() && echoed != id;
         };
-        startCall(link_, std::move(call));
+        return call;
+    }
+
+    void start(uint64_t send, const std::string &id)
+    {
+        startCall(link_, makeCall(send, id));
     }
 
     /// Runs the link until it has sent a request on a new connection.
@@ -405,6 +410,59 @@
     CHECK(link_.connectionsOpened_ == 2);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenARefusalComesBeforeTheRequestIsWritten_ClosesTheConnection")
+{
+    constexpr size_t moreThanSocketsBuffer = 64U << 20U;
+    LinkCall call = makeCall(1, "request-1");
+    call.body_ = std::make_shared<const std::string>(moreThanSocketsBuffer, 'x');
+    startCall(link_, std::move(call));
+    Asio::ip::tcp::socket socket = acceptRequest();
+    refuse(socket, "request-1");
+    runUntil([this] { return ends_.contains(1); });
+    CHECK_FALSE(ends_[1]);
+    CHECK_FALSE(uses_[1].requestWritten_);
+    CHECK(link_.idle_[address_].empty());
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenACopyIsCutOff_DoesNotTakeItForTheAnswer")
+{
+    Asio::ip::tcp::socket socket = refuseFirstCall();
+    start(2);
+    receiveRequest(socket);
+    std::string copy = refusalOf("request-1");
+    copy.resize(copy.size() - 3);
+    Asio::write(socket, Asio::buffer(copy));
+    socket.close();
+    runUntil([this] { return ends_.contains(2); });
+    CHECK(ends_[2] == TransportErrc::Lost);
+    CHECK(bodies_[2].empty());
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenACopySwallowsTheAnswer_DoesNotTakeItForTheAnswer")
+{
+    Asio::ip::tcp::socket socket = refuseFirstCall();
+    start(2);
+    receiveRequest(socket);
+    Asio::write(socket, Asio::buffer(std::string("HTTP/1.1 503 Unavailable\r\nRequest-Id: request-1\r\n\r\n")));
+    answer(socket, "second");
+    socket.close();
+    runUntil([this] { return ends_.contains(2); });
+    CHECK(ends_[2] == TransportErrc::Lost);
+    CHECK(bodies_[2].empty());
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenAnAnswerIsOfHttp10_UsesANewConnection")
+{
+    start(1);
+    Asio::ip::tcp::socket socket = acceptRequest();
+    receiveRequest(socket);
+    Asio::write(socket,
+        Asio::buffer(std::string("HTTP/1.0 503 Unavailable\r\nRequest-Id: request-1\r\nContent-Length: 0\r\n\r\n")));
+    runUntil([this] { return ends_.contains(1); });
+    start(2);
+    checkSecondCallSucceedsOnNewConnection();
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenACallIsCancelledWhileItStarts_NeverSendsIt")
 {
     Asio::ip::tcp::socket socket = completeFirstCall();
