--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -160,6 +160,14 @@
     CHECK(parseAnswerHead(reply_, "r1").wrongInstance_);
 }
 
+TEST_CASE_FIXTURE(AnswerWireFixture, "UpstreamRefusal_WhenItNamesAnotherRequestToo_IsNoReportOfNotRun")
+{
+    reply_ = { 503, { { "Request-Id", "r1" }, { "Request-Id", "r2" }, { "Not-Executed", "1" } }, {} };
+    CHECK_FALSE(parseAnswerHead(reply_, "r1").notRun_);
+    reply_.status_ = 421;
+    CHECK_FALSE(parseAnswerHead(reply_, "r1").wrongInstance_);
+}
+
 TEST_CASE_FIXTURE(AnswerWireFixture, "Answer_WhenItsUpstreamLeavesOrWantsAPause_TellsSo")
 {
     CHECK_FALSE(parseAnswerHead(reply_, "r1").upstreamLeaving_);
