Tests: a stream is left at an upstream that answered it without its id

An answer without Request-Id is taken for that of the send under way. It is no success and no refusal, so that the call fails or goes on elsewhere, but the connection is kept as idle and the upstream works on: of a stream two upstreams work for more than 400 ms.

--- a/tests/gateway_refusal_process_test.cpp
+++ b/tests/gateway_refusal_process_test.cpp
@@ -7,6 +7,7 @@
 #include "process_fixture.h"
 
 #include <algorithm>
+#include <atomic>
 #include <doctest/doctest.h>
 #include <fstream>
 #include <string>
@@ -19,6 +20,62 @@
 
 const std::string misdirected = "HTTP/1.1 421 Misdirected Request\r\n";
 const std::string unavailable = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n";
+const std::string succeeded = "HTTP/1.1 200 OK\r\nResponse-Signature: 1\r\n";
+const std::string failed = "HTTP/1.1 500 Internal Server Error\r\nResponse-Signature: 1\r\n";
+
+/// Upstream that answers each request without its id and works on it until the connection is closed.
+struct UnnamingUpstream
+{
+    UnnamingUpstream()
+    {
+        accept();
+        thread_ = std::thread([this] { io_.run(); });
+    }
+
+    UnnamingUpstream(const UnnamingUpstream &) = delete;
+    UnnamingUpstream &operator=(const UnnamingUpstream &) = delete;
+
+    ~UnnamingUpstream()
+    {
+        io_.stop();
+        thread_.join();
+    }
+
+    void accept()
+    {
+        acceptor_.async_accept([this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
+            if (!error) {
+                read(std::make_shared<CopyingConnection>(std::move(socket)), false);
+            }
+            accept();
+        });
+    }
+
+    /// @param working whether the connection has carried a request
+    void read(const std::shared_ptr<CopyingConnection> &connection, bool working)
+    {
+        connection->request_ = {};
+        boost::beast::http::async_read(connection->socket_, connection->buffer_, connection->request_,
+            [this, connection, working](const boost::system::error_code &error, size_t) {
+                if (error) {
+                    working_ -= working ? 1 : 0;
+                    return;
+                }
+                ++requests_;
+                working_ += working ? 0 : 1;
+                connection->output_ = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+                boost::asio::write(connection->socket_, boost::asio::buffer(connection->output_));
+                read(connection, true);
+            });
+    }
+
+    std::string address_ = takeAddresses(1)[0]; ///< Where it listens.
+    boost::asio::io_context io_{ 1 };
+    boost::asio::ip::tcp::acceptor acceptor_{ io_, *parseEndpoint(address_) };
+    std::atomic<int> requests_ = 0; ///< Requests received.
+    std::atomic<int> working_ = 0; ///< Open connections that have carried a request.
+    std::thread thread_;
+};
 
 /// A gateway without upstreams of the service "desk", which the test lists.
 struct GatewayRefusalFixture : ProcessFixture
@@ -33,7 +90,8 @@
     }
 
     /// Lists an instance at the address of an upstream, which doesn't check it.
-    void list(const std::string &instance, const CopyingUpstream &upstream)
+    template<typename Upstream>
+    void list(const std::string &instance, const Upstream &upstream)
     {
         fleet_.processes_[instance].address_ = upstream.address_;
         writeUpstreamRow(fleet_, instance, "ready", 4);
@@ -134,6 +192,67 @@
     CHECK(upstream.runsOf("r2") == 1);
 }
 
+TEST_CASE_FIXTURE(GatewayRefusalFixture, "NonIdempotentCall_WhenARefusalOfAnIdInOtherCaseIsCopied_IsAnswered")
+{
+    start(1);
+    CopyingUpstream upstream(unavailable, 1);
+    list("desk-1", upstream);
+    CHECK(call("r1").status_ == 503);
+    const HttpReply reply = call("R1");
+    CHECK(reply.status_ == 200);
+    CHECK(upstream.runsOf("R1") == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayRefusalFixture, "NonIdempotentCall_WhenARefusalOfItsIdWithSpacesAroundIsCopied_RunsOnce")
+{
+    constexpr uint32_t attempts = 3;
+    start(attempts);
+    CopyingUpstream upstream(unavailable, attempts);
+    list("desk-1", upstream);
+    CHECK(call("r1").status_ == 503);
+    const HttpReply reply = call(" r1\t ");
+    CHECK(reply.status_ == 200);
+    CHECK(reply.body_ == "done");
+    CHECK(upstream.runsOf("r1") == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayRefusalFixture, "NonIdempotentCall_WhenASuccessOfACallWithItsIdIsCopied_HasItsOwnAnswer")
+{
+    start(1);
+    CopyingUpstream upstream(succeeded, 1);
+    list("desk-1", upstream);
+    CHECK(call("r1").body_ == "none");
+    const HttpReply reply = call("r1");
+    CHECK(reply.status_ == 200);
+    CHECK(reply.body_ == "done");
+}
+
+TEST_CASE_FIXTURE(GatewayRefusalFixture, "NonIdempotentCall_WhenAFailureOfACallWithItsIdIsCopied_HasItsOwnAnswer")
+{
+    start(1);
+    CopyingUpstream upstream(failed, 1);
+    list("desk-1", upstream);
+    CHECK(call("r1").status_ == 500);
+    const HttpReply reply = call("r1");
+    CHECK(reply.status_ == 200);
+    CHECK(reply.body_ == "done");
+}
+
+TEST_CASE_FIXTURE(GatewayRefusalFixture, "Stream_WhenAnAnswerWithoutIdMovesIt_IsNotLeftAtItsUpstream")
+{
+    constexpr int mostCalls = 30;
+    start(3);
+    UnnamingUpstream upstream;
+    list("engines-3", upstream);
+    for (int number = 0; number < mostCalls && upstream.requests_ == 0; ++number) {
+        const std::string id = "r" + std::to_string(number);
+        CHECK(callGateway(fleet_, "gateway-1", { id, "/stream/x", "body", "key-1", Milliseconds(4000), {} }).status_
+            == 200);
+    }
+    REQUIRE(upstream.requests_ > 0);
+    CHECK(waitUntil([&] { return upstream.working_ == 0; }, Milliseconds(400)));
+}
+
 TEST_CASE_FIXTURE(GatewayRefusalFixture, "ExtraAnswer_WhenARefusalOfAnotherCallIsCopied_IsLoggedWithBothIds")
 {
     start(1);
