Tests: a HEAD call waits for a body that its answer doesn't have

The link's parser isn't told the method, so that it takes the announced length for that of a body to come.

--- a/tests/upstream_link_reuse_test.cpp
+++ b/tests/upstream_link_reuse_test.cpp
@@ -463,6 +463,19 @@
     checkSecondCallSucceedsOnNewConnection();
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenAHeadCallIsAnswered_EndsWithoutABody")
+{
+    LinkCall call = makeCall(1, "request-1");
+    call.head_.method_ = "HEAD";
+    call.body_ = std::make_shared<const std::string>();
+    startCall(link_, std::move(call));
+    Asio::ip::tcp::socket socket = acceptRequest();
+    Asio::write(socket, Asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")));
+    runUntil([this] { return ends_.contains(1); });
+    CHECK_FALSE(ends_[1]);
+    CHECK(bodies_[1].empty());
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Link_WhenACallIsCancelledWhileItStarts_NeverSendsIt")
 {
     Asio::ip::tcp::socket socket = completeFirstCall();
