Link: close the connection of an answer that does not name the call

A stream could go on at a second upstream while the first still worked on it (TWICE): an answer without Request-Id ended the send, but its connection was kept as idle, so that the upstream did not notice. The connection is closed at the end of such an answer.

--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -50,6 +50,9 @@
     call.isMismatched_ = [id = command.request_.id_](const HttpReply &reply) {
         return Platform::hasMismatchedRequestId(reply, id);
     };
+    call.namesRequest_ = [id = command.request_.id_](const HttpReply &reply) {
+        return Platform::namesRequest(reply, id);
+    };
     startCall(daemon.link_, std::move(call));
 }
 
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -72,8 +72,8 @@
 /// @return the use of a connection by its current call, if it has one.
 LinkUse useOf(const LinkConnection &connection)
 {
-    return { connection.number_, connection.carriedIds_.size() - std::min<size_t>(1, connection.carriedIds_.size()),
-        connection.requestWritten_ };
+    const size_t current = connection.carriedIds_.empty() ? 0 : 1; // none if the connection could not be made
+    return { connection.number_, connection.carriedIds_.size() - current, connection.requestWritten_ };
 }
 
 HttpReply makeHead(LinkParser &parser)
@@ -205,6 +205,8 @@
                 reportExtraAnswer(link, connection, ExtraAnswerPlace::BeforeAnswer, std::move(head));
             }
         } else {
+            const auto &namesRequest = connection.call_.namesRequest_;
+            connection.reusable_ = connection.reusable_ && (!namesRequest || namesRequest(head));
             connection.headCopyBytes_ = memoryOf(head);
             connection.progressAt_ = Clock::now();
             link.handlers_.onHead_(connection.call_.send_, std::move(head));
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -48,6 +48,9 @@
     bool retryable_ = false; ///< Whether the call may use a connection that the upstream might be closing.
     /// Tells by the header whether a response belongs to another call.
     std::function<bool(const HttpReply &)> isMismatched_;
+    /// Tells by the header whether a response names the call. The connection of one that does not is closed at its end,
+    /// so that the upstream stops working on the request. Empty if responses need not.
+    std::function<bool(const HttpReply &)> namesRequest_;
 };
 
 /// Answer, or other bytes, that no call was waiting for.
@@ -118,8 +121,8 @@
     boost::optional<LinkMessage> message_; ///< Current request.
     LinkCall call_; ///< Current call, or the last one if send_ is 0.
     uint64_t number_ = 0; ///< Number of the connection, see LinkUse.
-    /// Hashes of the ids of the requests that it has carried, in order, the current one included. Two ids with the same
-    /// hash cost no more than a new connection.
+    /// Hashes of the ids of the requests that it has carried, in order, the current one included. If two ids have the
+    /// same hash, a call opens a new connection needlessly.
     std::vector<uint32_t> carriedIds_;
     bool extraReported_ = false; ///< Whether an extra answer has been reported.
     bool connected_ = false;
