Link: an answer to HEAD has no body

Callers of HEAD waited until their deadline: the link took the announced length for that of a body to come, and would have taken a further answer's bytes for it.

--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -143,6 +143,7 @@
     connection.parser_->header_limit(responseHeaderLimit);
     connection.parser_->body_limit(boost::none);
     connection.parser_->eager(true);
+    connection.parser_->skip(connection.call_.head_.method_ == "HEAD"); // its answer has no body, whatever its length
     connection.headHandled_ = false;
     connection.discarding_ = false;
     connection.headBytes_ = 0;
