--- a/tests/upstream_link_reuse_test.cpp
+++ b/tests/upstream_link_reuse_test.cpp
@@ -545,6 +545,19 @@
     CHECK(link_.connectionsOpened_ == 1);
 }
 
+TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Check_WhenACallWasRefusedOnItsConnection_LeavesTheRequestANewOne")
+{
+    std::optional<std::error_code> end;
+    checkAddress(link_, address_, [&end](std::error_code error) { end = error; });
+    runUntil([&end] { return end.has_value(); });
+    Asio::ip::tcp::socket socket = refuseFirstCall();
+    REQUIRE(link_.connectionsOpened_ == 1);
+    start(2, "request-1");
+    io_.poll();
+    refuse(socket, "request-1");
+    checkSecondCallSucceedsOnNewConnection();
+}
+
 TEST_CASE_FIXTURE(UpstreamLinkReuseFixture, "Call_WhenNothingListens_EndsAsRefusedConnection")
 {
     acceptor_.close();
