Observability: say at which address and why a call is sent again

The log could not tell a call that goes to the instance that has replaced another one at its address from one that goes elsewhere, nor a send after a 421 from one after a refusal or a failed connection: sent named the instance only. sent now names address and cause, send-failed and hedged the address, and the metric sends_repeated counts the causes.

No logic changes. Log_WhenACallIsSentAgain_NamesTheAddressesAndTheCause.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -129,8 +129,8 @@
     const bool firstOfTwo = hasTwoSends(state, call) && !call.hedging_.ownSendIsHedge_;
     outbox.decisions_.push_back({ "send-failed",
         { { "request", call.request_.id_ }, { "upstream", lastUpstreamId(state, call) },
-            { "error", error ? error.message() : std::string("answer-refused") }, { "status", status },
-            { "not_run", isReportedNotRun(call) ? "yes" : "no" },
+            { "address", call.upstreamAddress_ }, { "error", error ? error.message() : std::string("answer-refused") },
+            { "status", status }, { "not_run", isReportedNotRun(call) ? "yes" : "no" },
             { "attempt", std::to_string(call.attempts_ - (firstOfTwo ? 1 : 0)) },
             { "events", std::to_string(call.events_) }, { "after_ms", millisecondsText(now - call.sentAt_) },
             { "connection", std::to_string(call.use_.number_) },
@@ -175,7 +175,7 @@
         return;
     }
     if (call.connectFailures_ < maxConnectFailures) {
-        requeue(state, now, id);
+        requeue(state, now, id, SendCause::NotConnected);
         return;
     }
     refuse(state, now, id, RefusalReason::NoUpstream, outbox);
@@ -200,7 +200,7 @@
     const bool retry
         = wrongInstance ? call.connectFailures_ < maxConnectFailures : consumeRetryIfAllowed(state, now, call);
     if (retry) {
-        requeue(state, now, id);
+        requeue(state, now, id, wrongInstance ? SendCause::WrongInstance : SendCause::Refused);
         return;
     }
     refuse(state, now, id, RefusalReason::UpstreamRefused, outbox);
@@ -229,7 +229,7 @@
         return;
     }
     if (call.retryable_ && consumeRetryIfAllowed(state, now, call)) {
-        requeue(state, now, id);
+        requeue(state, now, id, SendCause::Failed);
         return;
     }
     if (call.streamStarted_) {
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -112,6 +112,16 @@
     TimePoint removedAt_{}; ///< When it was removed.
 };
 
+/// Why a call is sent.
+enum class SendCause : uint8_t {
+    First, ///< It has not been sent before.
+    NotConnected, ///< No connection to the upstream before could be made.
+    WrongInstance, ///< Another instance has the address of the upstream before.
+    Refused, ///< The upstream before reported that it has not run it.
+    Failed, ///< The upstream before failed; it may have run there.
+    Silent, ///< The upstream before was silent; it may have run there.
+};
+
 /// Progress of a call.
 enum class CallStage : uint8_t {
     Waiting, ///< Queued until an upstream has free capacity.
@@ -158,6 +168,7 @@
     TimePoint waitUntil_{}; ///< Until when it may wait for an upstream with free capacity.
 
     CallStage stage_ = CallStage::Waiting; ///< Whether it waits or is in flight.
+    SendCause sendCause_ = SendCause::First; ///< Why it is sent next, or was sent last.
     CallSlotRequest slot_; ///< Request for a slot, while it waits.
     uint64_t send_ = 0; ///< Number of the latest send; every send to an upstream has its own.
     UpstreamId upstream_; ///< Upstream of the latest send.
--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -9,6 +9,8 @@
 #include "gateway_hedging_func.h"
 #include "gateway_placement_func.h"
 #include "gateway_rollout_func.h"
+#include "json_func.h"
+#include "table/send_cause_names.h"
 
 #include <algorithm>
 #include <set>
@@ -222,11 +224,16 @@
     state.callBySend_[call.send_] = id;
     SendCall command = makeSendCommand(state, now, call, upstream, call.send_);
     call.triedInstances_.push_back(upstream.id_);
+    const std::string cause(nameOf(call.sendCause_, sendCauseNames));
+    if (call.sendCause_ != SendCause::First) {
+        count(state.metrics_, "sends_repeated", cause);
+    }
     outbox.decisions_.push_back({ "sent",
-        { { "request", call.request_.id_ }, { "upstream", upstream.id_ }, { "attempt", std::to_string(call.attempts_) },
-            { "route", call.routeName_ }, { "rank", std::to_string(call.rank_) },
-            { "in_flight", std::to_string(inFlight) }, { "own", std::to_string(upstream.ownInFlight_) },
-            { "slots", std::to_string(upstream.slots_) }, { "broker", slot.number_ == 0 ? "self" : slot.broker_ },
+        { { "request", call.request_.id_ }, { "upstream", upstream.id_ }, { "address", upstream.address_ },
+            { "cause", cause }, { "attempt", std::to_string(call.attempts_) }, { "route", call.routeName_ },
+            { "rank", std::to_string(call.rank_) }, { "in_flight", std::to_string(inFlight) },
+            { "own", std::to_string(upstream.ownInFlight_) }, { "slots", std::to_string(upstream.slots_) },
+            { "broker", slot.number_ == 0 ? "self" : slot.broker_ },
             { "reply_ms", slot.number_ == 0 ? "0" : millisecondsText(now - slot.askedAt_) },
             { "waited_ms", millisecondsText(now - call.arrivedAt_) },
             { "left_ms", std::to_string(command.parameters_.wait_.count()) } } });
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -262,8 +262,8 @@
 /// Removes an ended call from the tables.
 void eraseCall(GatewayState &state, CallId id);
 
-/// Puts a call back into the queue and extends its wait.
-void requeue(GatewayState &state, TimePoint now, CallId id);
+/// Puts a call back into the queue and extends its wait. @param cause why it is sent again
+void requeue(GatewayState &state, TimePoint now, CallId id, SendCause cause);
 
 /// Adds one outcome to an upstream's failure rate.
 void recordOutcome(Upstream &upstream, TimePoint now, bool failed);
--- a/src/gateway_hedging_sends.cpp
+++ b/src/gateway_hedging_sends.cpp
@@ -63,7 +63,7 @@
     call.triedInstances_.insert(call.triedInstances_.end() - 1, upstream.id_); // the own send stays the last one
     const Upstream *first = findRow(state.upstreams_, call.upstream_);
     outbox.decisions_.push_back({ "hedged",
-        { { "request", call.request_.id_ }, { "upstream", upstream.id_ },
+        { { "request", call.request_.id_ }, { "upstream", upstream.id_ }, { "address", upstream.address_ },
             { "first_upstream", first == nullptr ? "gone" : first->id_ }, { "attempt", std::to_string(call.attempts_) },
             { "route", call.routeName_ }, { "in_flight", std::to_string(inFlight) },
             { "own", std::to_string(upstream.ownInFlight_) }, { "slots", std::to_string(upstream.slots_) },
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -121,7 +121,7 @@
     }
     eraseHedge(state, call);
     giveUpSilentSend(state, now, call, outbox);
-    requeue(state, now, id);
+    requeue(state, now, id, SendCause::Silent);
 }
 
 /// Reviews a stream without progress: it is moved once its upstream is known to be unreachable, or to notice that.
@@ -247,10 +247,11 @@
     std::string().swap(call.body_); // unlike clear(), frees the memory
 }
 
-void requeue(GatewayState &state, TimePoint now, CallId id)
+void requeue(GatewayState &state, TimePoint now, CallId id, SendCause cause)
 {
     Call &call = *findRow(state.calls_, id);
     clearAnswer(state, call);
+    call.sendCause_ = cause;
     // Refusing a stream that has started would abort it, so it may wait as long as its caller does.
     call.waitUntil_
         = call.streamStarted_ ? call.deadline_ : std::min(call.deadline_, std::max(call.waitUntil_, now + requeueWait));
--- a/tests/gateway_answer_test.cpp
+++ b/tests/gateway_answer_test.cpp
@@ -51,6 +51,25 @@
     CHECK(second.sends_[0].parameters_.instance_ != first.sends_[0].parameters_.instance_);
 }
 
+TEST_CASE_FIXTURE(GatewayFixture, "Log_WhenACallIsSentAgain_NamesTheAddressesAndTheCause")
+{
+    UpstreamsReceived change;
+    change.rows_ = { makeRow("desk-2", "desk") };
+    change.rows_[0].address_ = "10.0.1.2:80";
+    GatewayInbox inbox;
+    inbox.upstreams_.push_back(change);
+    tick(std::move(inbox));
+    const GatewayOutbox first = receiveCall("once", 1);
+    CHECK(findField(first, "sent", "cause") == "first");
+    AnswerHead head = makeHead(421);
+    head.wrongInstance_ = true;
+    const GatewayOutbox second = receiveAnswer(first.sends_.at(0).send_, head, "");
+    CHECK(findField(second, "send-failed", "address") == first.sends_.at(0).address_);
+    CHECK(findField(second, "sent", "address") == second.sends_.at(0).address_);
+    CHECK(findField(second, "sent", "cause") == "wrong-instance");
+    CHECK(state_.metrics_.counters_["sends_repeated"]["wrong-instance"] == 1);
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "NonIdempotentCall_WhenUpstreamReportsNotRun_IsRefusedAsNotRun")
 {
     state_.configuration_.routes_[1].attempts_ = 1;
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -192,6 +192,23 @@
         return broken.checks_.size() == 1 && broken.checks_[0].upstream_ == id;
     }
 
+    /// @return a field of a tick's first log line with an event, or an empty text.
+    static std::string findField(const GatewayOutbox &outbox, const std::string &event, const std::string &field)
+    {
+        for (const Decision &decision : outbox.decisions_) {
+            if (decision.event_ != event) {
+                continue;
+            }
+            for (const auto &[name, value] : decision.fields_) {
+                if (name == field) {
+                    return value;
+                }
+            }
+            return {};
+        }
+        return {};
+    }
+
     /// Runs a tick that receives a full update of a peer with its calls in flight.
     GatewayOutbox receivePeerCounts(const std::string &address, std::unordered_map<std::string, uint32_t> inFlight)
     {
