Soak: upstreams that are replaced at their addresses and copy their refusals

Gateways of many callers, calls with one attempt, upstreams that may not be called twice replaced by other instances at their addresses all the while; the row of the earlier one stays for up to three heartbeats.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -112,7 +112,7 @@
     process.name_ = name;
     process.address_ = listen;
     process.control_ = control;
-    process.command_ = { binary("burdockfieldd"), "--settings", file };
+    process.command_ = { fleet.daemon_.empty() ? binary("burdockfieldd") : fleet.daemon_, "--settings", file };
     fleet.processes_[name] = std::move(process);
 }
 
--- a/tests/fleet_func.h
+++ b/tests/fleet_func.h
@@ -56,6 +56,7 @@
 {
     FleetSpec spec_; ///< What it consists of.
     std::string folder_; ///< Settings, logs and ledgers.
+    std::string daemon_; ///< Program of the daemons; empty for the one built with the tests.
     std::map<std::string, FleetProcess> processes_; ///< Processes by name.
     std::vector<std::string> entries_; ///< Names of the entries.
     std::vector<std::string> agents_; ///< Names of the agents.
--- a/tests/soak_callers.cpp
+++ b/tests/soak_callers.cpp
@@ -77,14 +77,17 @@
     return !error;
 }
 
-SoakCall makeCall(SoakCaller &caller)
+SoakCall makeCall(const Soak &soak, SoakCaller &caller)
 {
     static constexpr std::array<const char *, 3> targets{ "/stream/x", "/read/x", "/once/x" };
     SoakCall call;
     call.id_ = caller.name_ + "-" + std::to_string(caller.number_++);
     call.task_ = call.id_;
-    call.target_
-        = targets[caller.random_() % targets.size()] + std::to_string(caller.random_() % 1000) + "-" + call.id_;
+    std::string target = targets[caller.random_() % targets.size()];
+    if (soak.spec_.replacements_ && caller.random_() % 4 != 0) {
+        target = "/once/x";
+    }
+    call.target_ = target + std::to_string(caller.random_() % 1000) + "-" + call.id_;
     return call;
 }
 
@@ -159,7 +162,7 @@
         caller.stream_.reset();
         caller.gateway_ = (caller.gateway_ + 1 + caller.random_() % (soak.spec_.gateways_ - 1)) % soak.spec_.gateways_;
     }
-    const bool sameId = way == 1 || way == 4;
+    const bool sameId = !soak.spec_.replacements_ && (way == 1 || way == 4);
     if (!sameId) {
         call.id_ = call.task_ + "." + std::to_string(repeats + 1);
     }
@@ -169,7 +172,7 @@
 void runBusy(Soak &soak, SoakCaller &caller, Asio::yield_context yield)
 {
     while (!soak.ended_) {
-        SoakCall call = makeCall(caller);
+        SoakCall call = makeCall(soak, caller);
         for (uint32_t repeats = 0; connect(soak, caller, yield); ++repeats) {
             const std::string text = serializeRequest(call, callerKey(soak));
             if (!finishCall(soak, caller, call, text, true, yield) || !prepareRepeat(soak, caller, repeats, call)) {
@@ -191,7 +194,7 @@
         }
         const TimePoint begun = Clock::now();
         sleepFor(draw(caller, Milliseconds(0), longestIdleTimeout + reconnectPause), yield);
-        SoakCall call = makeCall(caller);
+        SoakCall call = makeCall(soak, caller);
         const std::string text = serializeRequest(call, callerKey(soak));
         // Any timeout that was configured may be in force.
         const bool entitled = Clock::now() - begun < shortestIdleTimeout * reusableShare;
@@ -209,7 +212,7 @@
             sleepFor(reconnectPause, yield);
             continue;
         }
-        SoakCall call = makeCall(caller);
+        SoakCall call = makeCall(soak, caller);
         const std::string text = serializeRequest(call, callerKey(soak));
         const size_t cut = 1 + caller.random_() % (text.size() - 1);
         const TimePoint begun = Clock::now();
--- a/tests/soak_faults.cpp
+++ b/tests/soak_faults.cpp
@@ -31,12 +31,6 @@
     soak.report_.breaches_.push_back(std::move(breach));
 }
 
-void note(Soak &soak, const std::string &fault)
-{
-    const std::lock_guard lock(soak.mutex_);
-    soak.report_.faults_.push_back(fault);
-}
-
 std::string drawUpstream(Soak &soak)
 {
     return soak.fleet_.upstreams_[soak.random_() % soak.fleet_.upstreams_.size()];
@@ -99,7 +93,7 @@
     const auto gateway = static_cast<uint32_t>(soak.random_() % soak.spec_.gateways_);
     const std::string drawn = drawOne(soak, { "pause", "kill", "stop" });
     const std::string how = mayEnd(soak, gateway) ? drawn : "pause";
-    note(soak, how + " " + gatewayName(gateway));
+    noteFault(soak, how + " " + gatewayName(gateway));
     if (how == "pause") {
         pauseFor(soak, gateway, Milliseconds(200 + soak.random_() % 1500));
     } else if (how == "kill") {
@@ -117,14 +111,14 @@
 {
     const std::string upstream = drawUpstream(soak);
     if (soak.random_() % 3 == 0) {
-        note(soak, "kill " + upstream);
+        noteFault(soak, "kill " + upstream);
         signalProcess(soak.fleet_, upstream, SIGKILL);
         std::this_thread::sleep_for(Milliseconds(soak.random_() % 500));
         startProcess(soak.fleet_, upstream);
         return;
     }
     const std::string mode = drawOne(soak, { "mute", "reset", "failing", "full", "crossed", "good" });
-    note(soak, mode + " " + upstream);
+    noteFault(soak, mode + " " + upstream);
     controlStandin(soak.fleet_, upstream, R"({"mode":")" + mode + "\"}");
 }
 
@@ -133,11 +127,11 @@
     const std::string order = drawOne(soak, { "/silence", "/deafen", "/reset", "/slow", "/cut", "/mend" });
     if (soak.random_() % 2 == 0) {
         const std::string upstream = drawUpstream(soak);
-        note(soak, order + " link of " + upstream);
+        noteFault(soak, order + " link of " + upstream);
         controlUpstreamLink(soak.fleet_, upstream, order);
     } else {
         const std::string gateway = gatewayName(soak.random_() % soak.spec_.gateways_);
-        note(soak, order + " link of " + gateway + " to the store");
+        noteFault(soak, order + " link of " + gateway + " to the store");
         controlStoreLink(soak.fleet_, gateway, order);
     }
 }
@@ -145,7 +139,7 @@
 void strikeStore(Soak &soak)
 {
     const std::string mode = drawOne(soak, { "down", "busy", "silent", "lose-answers", "up" });
-    note(soak, "store " + mode);
+    noteFault(soak, "store " + mode);
     controlStandin(soak.fleet_, "platform",
         R"({"forget_history":)" + std::string(soak.random_() % 3 == 0 ? "true" : "false") + R"(,"mode":")" + mode
             + "\"}");
@@ -162,7 +156,7 @@
 {
     ++soak.version_;
     const uint64_t next = soak.key_ + 1;
-    note(soak, "configuration " + std::to_string(soak.version_) + " with " + keyName(next));
+    noteFault(soak, "configuration " + std::to_string(soak.version_) + " with " + keyName(next));
     writeConfiguration(soak.fleet_, soak.version_, keysUpTo(soak, next), soak.limits_, soak.unusedRoutes_);
     soak.key_ = next;
 }
@@ -171,7 +165,7 @@
 {
     const std::string upstream = drawUpstream(soak);
     const std::string state = drawOne(soak, { "draining", "ready" });
-    note(soak, state + " " + upstream);
+    noteFault(soak, state + " " + upstream);
     writeUpstreamRow(soak.fleet_, upstream, state, 4);
 }
 
@@ -180,7 +174,7 @@
     ++soak.version_;
     const auto range = static_cast<uint64_t>((longestIdleTimeout - shortestIdleTimeout).count());
     soak.limits_.idleTimeout_ = shortestIdleTimeout + Milliseconds(soak.random_() % (range + 1));
-    note(soak, "idle timeout " + std::to_string(soak.limits_.idleTimeout_.count()) + " ms");
+    noteFault(soak, "idle timeout " + std::to_string(soak.limits_.idleTimeout_.count()) + " ms");
     writeConfiguration(soak.fleet_, soak.version_, keysUpTo(soak, soak.key_), soak.limits_, soak.unusedRoutes_);
 }
 
@@ -189,7 +183,7 @@
 {
     const std::string upstream = drawUpstream(soak);
     if (!upstream.ends_with("-1")) {
-        note(soak, "leaving " + upstream);
+        noteFault(soak, "leaving " + upstream);
         controlStandin(soak.fleet_, upstream, R"({"leaving":true})");
     }
 }
@@ -199,7 +193,7 @@
 {
     const std::string upstream = drawUpstream(soak);
     const uint64_t pause = 200 + soak.random_() % 1500;
-    note(soak, "pause of " + std::to_string(pause) + " ms at " + upstream);
+    noteFault(soak, "pause of " + std::to_string(pause) + " ms at " + upstream);
     controlStandin(soak.fleet_, upstream, R"({"mode":"full","pause_ms":)" + std::to_string(pause) + "}");
 }
 
@@ -220,7 +214,7 @@
 
 void setAnswerFaults(Soak &soak, const std::string &upstream, const std::string &shares)
 {
-    note(soak, "answer faults " + shares + " of " + upstream);
+    noteFault(soak, "answer faults " + shares + " of " + upstream);
     controlAnswerFaults(soak.fleet_, upstream, shares);
 }
 
@@ -262,7 +256,7 @@
 void replaceInstance(Soak &soak)
 {
     const std::string upstream = drawUpstream(soak);
-    note(soak, "replace " + upstream);
+    noteFault(soak, "replace " + upstream);
     std::vector<std::string> &command = soak.fleet_.processes_.at(upstream).command_;
     const auto instance = std::find(command.begin(), command.end(), "--instance") + 1;
     for (const std::string &name : { upstream + "-replaced", upstream }) {
@@ -289,7 +283,7 @@
     const bool brief = soak.random_() % 2 == 0;
     std::map<uint32_t, bool> listening;
     for (const uint32_t gateway : gateways) {
-        note(soak, (brief ? "stop under brief pauses " : "stop under pauses ") + gatewayName(gateway));
+        noteFault(soak, (brief ? "stop under brief pauses " : "stop under pauses ") + gatewayName(gateway));
         pauseFor(soak, gateway, Milliseconds(soak.random_() % 1000));
         if (!listening.contains(gateway) && mayEnd(soak, gateway)) {
             listening[gateway] = beginStop(soak, gateway);
@@ -312,7 +306,7 @@
 /// Pauses all gateways at once, and causes other faults meanwhile.
 void pauseAll(Soak &soak)
 {
-    note(soak, "pause all gateways");
+    noteFault(soak, "pause all gateways");
     for (uint32_t gateway = 0; gateway < soak.spec_.gateways_; ++gateway) {
         signalProcess(soak.fleet_, gatewayName(gateway), SIGSTOP);
     }
@@ -347,12 +341,22 @@
 
 } // namespace
 
+void noteFault(Soak &soak, const std::string &fault)
+{
+    const std::lock_guard lock(soak.mutex_);
+    soak.report_.faults_.push_back(fault);
+}
+
 void strike(Soak &soak)
 {
     static constexpr std::array<Strike, 3> announcementStrikes{ announceLeaving, announcePause, resizeConfiguration };
     static constexpr std::array<Strike, 3> timeoutStrikes{ changeTimeouts, stopUnderPauses, pauseAll };
     static constexpr std::array<Strike, 6> answerStrikes{ spoilDesks, spoilDesks, spoilAnswers, floodAnswers, floodAll,
         replaceInstance };
+    if (soak.spec_.replacements_) {
+        replaceUpstream(soak);
+        return;
+    }
     if (soak.spec_.answerFaults_ && soak.random_() % 2 == 0) {
         answerStrikes[soak.random_() % answerStrikes.size()](soak);
     } else if (soak.spec_.announcements_ && soak.random_() % 3 == 0) {
@@ -372,7 +376,8 @@
 /// Ends all faults.
 void heal(Soak &soak)
 {
-    note(soak, "all faults end");
+    noteFault(soak, "all faults end");
+    restoreUpstreams(soak);
     controlStandin(soak.fleet_, "platform", R"({"mode":"up"})");
     for (const std::string &upstream : soak.fleet_.upstreams_) {
         controlStandin(soak.fleet_, upstream, R"({"mode":"good","pause_ms":0})");
--- a/tests/soak_fixture.cpp
+++ b/tests/soak_fixture.cpp
@@ -163,6 +163,8 @@
     fleet.seed_ = 0;
     fleet.linked_ = true;
     fleet.settings_ = "memory: " + std::to_string(soak.memoryMib_) + "MiB\n";
+    fleet.attempts_ = spec.replacements_ ? 1 : fleet.attempts_;
+    soak.fleet_.daemon_ = spec.daemon_;
     fleet.answerFaultsSeed_ = spec.answerFaults_ ? spec.seed_ + 1 : 0;
     if (!startGatewayFleet(soak.fleet_, fleet)) {
         soak.report_.breaches_.push_back({ "the fleet starts", soak.fleet_.folder_, "not ready" });
--- a/tests/soak_fixture.h
+++ b/tests/soak_fixture.h
@@ -28,6 +28,9 @@
                                  ///< grow large.
     bool answerFaults_ = false; ///< Whether upstreams refuse, copy refusals and answers, and answer without end, and
                                 ///< callers come back after a refusal.
+    bool replacements_ = false; ///< Whether upstreams that may not be called twice are replaced at their addresses all
+                                ///< the while and copy their refusals, and calls have one attempt; with answer faults.
+    std::string daemon_; ///< Gateways' program; empty for the one built with the soak.
     uint64_t memoryMib_ = 0; ///< Memory of each gateway in MiB; 0 for the default, or with answer faults and an even
                              ///< seed for that of the smallest machine.
 };
--- a/tests/soak_main.cpp
+++ b/tests/soak_main.cpp
@@ -26,8 +26,13 @@
         "Upstreams leave and ask for pauses by their answers; configurations grow large");
     app.add_flag("--answer-faults", spec.answerFaults_,
         "Upstreams refuse, send copies of refusals and answers late, and answer without end; callers come back");
+    app.add_flag("--replacements", spec.replacements_,
+        "Calls have one attempt; upstreams that may not be called twice are replaced at their addresses all the while");
+    app.add_option("--daemon", spec.daemon_, "Gateways' program, of another version");
+    app.add_option("--desks", spec.desks_, "Upstreams that may not be called twice");
     app.add_option("--memory-mib", spec.memoryMib_, "Memory of each gateway in MiB; 0 for the seed's");
     CLI11_PARSE(app, argc, argv);
+    spec.answerFaults_ = spec.answerFaults_ || spec.replacements_;
     spec.length_ = std::chrono::seconds(seconds);
     size_t breaches = 0;
     for (uint64_t index = 0; index < seeds; ++index, ++spec.seed_) {
--- a/tests/soak_parts_func.h
+++ b/tests/soak_parts_func.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <atomic>
+#include <map>
 #include <random>
 #include <thread>
 
@@ -18,6 +19,13 @@
 constexpr Milliseconds longestIdleTimeout{ 1500 }; ///< Greatest idle timeout that the soak configures.
 constexpr Milliseconds headerTimeout{ 10000 }; ///< Header timeout that the soak configures.
 
+/// Instance that runs at the address of an upstream.
+struct SoakInstance
+{
+    std::string name_; ///< Its id.
+    uint64_t starts_ = 0; ///< How often the upstream has been replaced.
+};
+
 /// State that the callers and the schedule share.
 struct Soak
 {
@@ -34,6 +42,8 @@
     Gateway::CallerLimits limits_; ///< Limits of the configuration.
     uint64_t memoryMib_ = 0; ///< Memory of each gateway in MiB.
     uint32_t unusedRoutes_ = 0; ///< Routes of the configuration that only make it larger.
+    std::map<std::string, SoakInstance> instances_; ///< Instances at the addresses of upstreams that were replaced.
+    std::map<std::string, TimePoint> endedInstances_; ///< Ended instances that are still listed, until when.
 };
 
 /// @return the API key with a number.
@@ -48,6 +58,16 @@
 /// Runs the connections to a gateway that idle and those that send requests slowly, until the soak ends.
 void runQuietCallers(Soak &soak, uint32_t gateway);
 
+/// Adds a line to the report's faults.
+void noteFault(Soak &soak, const std::string &fault);
+
+/// Replaces an upstream that may not be called twice by another instance at its address. The row of the earlier one
+/// stays for a time.
+void replaceUpstream(Soak &soak);
+
+/// Lets the upstreams that were replaced run under their own names again.
+void restoreUpstreams(Soak &soak);
+
 /// Draws a fault and causes it.
 void strike(Soak &soak);
 
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -114,6 +114,21 @@
     run(spec);
 }
 
+// The copy of a 421 was taken for the answer to the next send of the call, to the instance that had replaced the first.
+TEST_CASE_FIXTURE(SoakTestFixture, "Promises_WhenUpstreamsAreReplacedAtTheirAddressesAndCopyRefusals_Hold")
+{
+    SoakSpec spec;
+    spec.seed_ = 71001;
+    spec.length_ = std::chrono::seconds(12);
+    spec.gateways_ = 8;
+    spec.engines_ = 1;
+    spec.desks_ = 3;
+    spec.callers_ = 32;
+    spec.answerFaults_ = true;
+    spec.replacements_ = true;
+    run(spec);
+}
+
 TEST_CASE_FIXTURE(RunsCheckFixture, "RunsCheck_WhenARefusedRequestIsServedUnderTheSameId_AllowsOneRun")
 {
     addCall("c0-1", 503);
--- a/tests/standins/platform_upstream_faults.cpp
+++ b/tests/standins/platform_upstream_faults.cpp
@@ -136,7 +136,12 @@
     if (!connection.lastRefusal_.empty() && draw(faults, faults.shares_.refusalCopies_)) {
         const auto own = connection.refusals_.find(connection.request_);
         logFault(faults, connection, own == connection.refusals_.end() ? "copy of a refusal" : "copy of its refusal");
-        return own == connection.refusals_.end() ? connection.lastRefusal_ : own->second;
+        const std::string &refusal = own == connection.refusals_.end() ? connection.lastRefusal_ : own->second;
+        std::string copies;
+        for (uint64_t copy = 0; copy < faults.shares_.copies_; ++copy) {
+            copies += refusal;
+        }
+        return copies;
     }
     return {};
 }
@@ -294,6 +299,7 @@
     read(reader, "refused", shares.refused_, Presence::Optional);
     read(reader, "replaced", shares.replaced_, Presence::Optional);
     read(reader, "refusal_copies", shares.refusalCopies_, Presence::Optional);
+    read(reader, "copies", shares.copies_, Presence::Optional);
     read(reader, "answer_copies", shares.answerCopies_, Presence::Optional);
     read(reader, "endless", shares.endless_, Presence::Optional);
     faults.shares_ = shares;
