Membership: an upstream that was replaced at its address gets no more calls

Callers saw calls that must run once sent again after a 421: an upstream had ended, another instance of its service listened at its address, and the row of the earlier one was still listed.

The store's list tells: only one process listens at an address, so of two instances of one service the one whose first row is later has replaced the other. That one gets no more calls, its idle connections are closed, and what a new connection to its address finds no longer counts as its own life: streams resume, and answers that ended with their connection are not taken for complete. A row that is written again later takes the upstream back.

The 421 and the connections' memory of ids stay what the promise rests on.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -6,6 +6,7 @@
  * If a connection breaks within an event, another upstream can therefore resume after the last complete event.
  */
 #include "gateway_hedging_func.h"
+#include "gateway_replacement_func.h"
 #include "gateway_rollout_func.h"
 
 #include "error_type.h"
@@ -309,7 +310,7 @@
     for (const CallId id : verifying) {
         Call &call = *findRow(state.calls_, id);
         Upstream *upstream = findRow(state.upstreams_, call.upstream_);
-        if (event.error_) {
+        if (event.error_ || (upstream != nullptr && isReplaced(*upstream))) {
             handleBrokenAnswer(state, now, id, call, outbox);
         } else if (upstream != nullptr && call.endedAt_ > upstream->checkStartedAt_) {
             checkUpstream(now, *upstream, outbox); // the last check began before the end of this answer
--- a/src/gateway_command_type.h
+++ b/src/gateway_command_type.h
@@ -107,6 +107,8 @@
     std::vector<SendCall> sends_; ///< Requests to send to upstreams.
     std::vector<CheckUpstream> checks_; ///< Upstreams to check.
     std::vector<uint64_t> cancels_; ///< Numbers of the sends to cancel.
+    std::vector<std::string>
+        replacedAddresses_; ///< IP:PORT of upstreams whose idle connections lead to ended processes.
     std::vector<StartStream> streamStarts_; ///< Streams to start.
     std::vector<SendEvents> events_; ///< Events to send to callers.
     std::vector<ExchangeId> streamEnds_; ///< Streams to end, as they are complete.
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -128,6 +128,9 @@
         logLine(decision.failure_ ? LogLevel::Warning : LogLevel::Info, decision.event_, decision.fields_);
     }
     executeAnswers(daemon, outbox);
+    for (const std::string &address : outbox.replacedAddresses_) {
+        closeIdleConnections(daemon.link_, address);
+    }
     for (const uint64_t send : outbox.cancels_) {
         cancelCall(daemon.link_, send);
     }
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -3,6 +3,7 @@
  * @brief Systems that keep the configuration and the list of upstreams up to date.
  */
 #include "gateway_func.h"
+#include "gateway_replacement_func.h"
 #include "http_limit_type.h"
 
 #include <algorithm>
@@ -91,8 +92,10 @@
             }
         }
     });
-    state.upstreamById_[row.id_] = insertRow(state.upstreams_, std::move(upstream));
+    const UpstreamId id = insertRow(state.upstreams_, std::move(upstream));
+    state.upstreamById_[row.id_] = id;
     logUpstreamChange(row, row.draining_ ? "listed-draining" : "listed", source, outbox);
+    recordAddress(state, now, id, outbox);
     return true;
 }
 
@@ -126,6 +129,7 @@
     if (state.removedUpstreams_.size() >= maxUpstreams) {
         forgetOlderHalf(state);
     }
+    forgetAddress(state, *upstream);
     state.removedUpstreams_[id] = { upstream->startedAtMs_, upstream->announcement_, now };
     eraseRow(state.upstreams_, state.upstreamById_.at(id));
     state.upstreamById_.erase(id);
@@ -200,6 +204,7 @@
         upstream->versionKnown_ = true;
     }
     upstream->missingSince_ = noDeadline;
+    recordRowWritten(*upstream, row, outbox);
     upstream->slots_ = std::max(1U, row.slots_);
     if (upstream->draining_ != row.draining_) {
         upstream->draining_ = row.draining_;
--- a/src/gateway_placement.cpp
+++ b/src/gateway_placement.cpp
@@ -8,6 +8,7 @@
  */
 #include "gateway_placement_func.h"
 
+#include "gateway_replacement_func.h"
 #include "gateway_rollout_func.h"
 
 #include <algorithm>
@@ -151,7 +152,7 @@
 bool isAvailable(const Upstream &upstream, TimePoint now)
 {
     return !upstream.draining_ && !upstream.announcement_.leaving_ && upstream.announcement_.pausedUntil_ <= now
-        && upstream.avoidUntil_ <= now;
+        && upstream.avoidUntil_ <= now && !isReplaced(upstream);
 }
 
 uint64_t memoryCapacityOf(const GatewayState &state, const std::string &service)
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -573,6 +573,14 @@
     }
 }
 
+void closeIdleConnections(UpstreamLink &link, const std::string &address)
+{
+    if (const auto found = link.idle_.find(address); found != link.idle_.end()) {
+        std::for_each(found->second.begin(), found->second.end(), closeConnection);
+        link.idle_.erase(found);
+    }
+}
+
 void closeStaleConnections(UpstreamLink &link, TimePoint now)
 {
     for (auto &[address, idle] : link.idle_) {
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -181,6 +181,9 @@
 /// Ends a call as one whose response is malformed, and closes its connection.
 void giveUpCall(UpstreamLink &link, uint64_t send);
 
+/// Closes all idle connections to an address, whose process has been replaced by another one.
+void closeIdleConnections(UpstreamLink &link, const std::string &address);
+
 /// Closes idle connections that the upstream may close soon, or that have been idle for too long.
 void closeStaleConnections(UpstreamLink &link, TimePoint now);
 
