--- a/tests/gateway_replacement_test.cpp
+++ b/tests/gateway_replacement_test.cpp
@@ -144,3 +144,81 @@
     REQUIRE(outbox.sends_.size() == 1);
     CHECK(outbox.sends_[0].parameters_.instance_ == "engine-4");
 }
+
+TEST_CASE_FIXTURE(ReplacementFixture, "Upstream_WhenItAnswersForTheInstanceListedAfterIt_GetsCallsAgain")
+{
+    // Guards against an upstream that a row of another writer takes out of use: the refusal shows that it listens
+    // there.
+    listRow("desk-3", "desk", 21);
+    const GatewayOutbox sent = receiveCall("once", 1);
+    REQUIRE(sent.sends_.size() == 1);
+    REQUIRE(sent.sends_[0].parameters_.instance_ == "desk-3");
+    AnswerHead misdirected = makeHead(421);
+    misdirected.authentic_ = false;
+    misdirected.wrongInstance_ = true;
+    const GatewayOutbox outbox = receiveAnswer(sent.sends_[0].send_, misdirected, "");
+    REQUIRE(outbox.sends_.size() == 1);
+    CHECK(outbox.sends_[0].parameters_.instance_ == "desk-2");
+}
+
+TEST_CASE_FIXTURE(ReplacementFixture, "Upstream_WhenItStaysListedLongAfterTheInstanceThatReplacedIt_GetsCalls")
+{
+    // Guards against an upstream that is never used again: an ended instance's row expires after three heartbeats.
+    listRow("desk-3", "desk", 21);
+    listRow("desk-3", "desk", 22, true);
+    tickAfter(std::chrono::minutes(2));
+    CHECK(choose() == "desk-2");
+}
+
+TEST_CASE_FIXTURE(ReplacementFixture, "Upstream_WhenTheInstanceItReplacedIsListedLater_KeepsItsConnections")
+{
+    REQUIRE(choose() == "desk-2");
+    CHECK(listRow("desk-0", "desk", 5).replacedAddresses_.empty());
+}
+
+TEST_CASE_FIXTURE(
+    ReplacementFixture, "Upstream_WhenAnInstanceOfUnknownRowVersionIsListedBeforeIt_IsReplacedByALaterOne")
+{
+    listRow("desk-2", "desk", 22, true);
+    listRow("desk-old", "desk", 0);
+    listRow("desk-5", "desk", 30);
+    listRow("desk-6", "desk", 31);
+    listRow("desk-old", "desk", 0, true);
+    for (int call = 0; call < 4; ++call) {
+        CHECK(choose() == "desk-6");
+    }
+}
+
+TEST_CASE_FIXTURE(ReplacedEngineFixture, "Stream_WhenItsUpstreamIsHeardAfterItWasReplaced_StaysThere")
+{
+    // Guards against a second run beside the first: an upstream that pauses does not notice the close of its
+    // connection.
+    begin("stream");
+    receiveStreamBytes(send_, "id: 1\ndata: a\n\n");
+    const GatewayOutbox other = receiveCall("stream", 2);
+    REQUIRE(other.sends_.at(0).parameters_.instance_ == "engine-3");
+    listRow("engine-4", "engines", 31);
+    tickAfter(Milliseconds(300));
+    receiveStreamBytes(other.sends_[0].send_, "id: 1\ndata: b\n\n");
+    uint64_t event = 1;
+    for (int step = 0; step < 20; ++step) {
+        const GatewayOutbox outbox = tickAfter(Milliseconds(100));
+        CHECK(outbox.sends_.empty());
+        if (!outbox.checks_.empty()) {
+            reportCheck("engine-3", {});
+        }
+        ++event;
+        receiveBytes(other.sends_[0].send_, "id: " + std::to_string(event) + "\ndata: b\n\n");
+    }
+}
+
+TEST_CASE_FIXTURE(ReplacedEngineFixture, "AnswerWithoutLength_WhenAnotherServiceHasItsUpstreamsAddress_IsNotComplete")
+{
+    // Guards against an answer cut by a crash that is given out as complete, since another process lives there.
+    begin("read");
+    AnswerHead head = makeHead(200);
+    head.endsWithConnection_ = true;
+    CHECK(receiveAnswer(send_, head, "cut").answers_.empty());
+    listRow("desk-9", "desk", 31);
+    CHECK(reportCheck("engine-3", {}).answers_.empty());
+}
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -289,6 +289,19 @@
     CHECK(parseUpstream(row, upstream) == WireErrc::MalformedJson);
 }
 
+TEST_CASE("UpstreamRow_WhenAnotherWriterLeftOutAFieldOfEveryUpstream_IsRefused")
+{
+    // Guards against a row of another writer that names the address of a living upstream.
+    const std::string common = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready")";
+    for (const char *rest : { R"(,"coldRemainingMs":0,"sequence":4})", R"(,"born":5,"coldRemainingMs":0})",
+             R"(,"born":5,"coldRemainingMs":0,"sequence":"4"})", R"(,"born":5,"coldRemainingMs":"0","sequence":4})" }) {
+        Gateway::UpstreamRow upstream;
+        const TableRow row{ "servers", "i-1", common + rest };
+        CAPTURE(row.value_);
+        CHECK(parseUpstream(row, upstream));
+    }
+}
+
 TEST_CASE_FIXTURE(UpstreamRowFixture, "UpstreamRow_WhenItsValuesAreOutOfRange_IsRefused")
 {
     CHECK_FALSE(parse("10.0.0.1:65535", "8"));
