Membership: a replaced upstream is taken back when it lives

The list is evidence for placement only now: the finding lasts five seconds, ends with a later row, with an answer of the instance's own, or with a 421 of what listens at the address, and moves no stream. Addresses are compared across the services that the configuration names, as only one process listens at one. A 421 is no sign of life of the instance that it disowns.

Rollout tests list their upstreams at addresses of their own.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -189,6 +189,7 @@
     Upstream *upstream = findRow(state.upstreams_, call.upstream_);
     if (upstream != nullptr && wrongInstance) {
         upstream->avoidUntil_ = now + maxBackoff;
+        recordWrongInstance(state, *upstream, outbox);
     }
     detachFromUpstream(state, call);
     if (wrongInstance) {
@@ -310,7 +311,7 @@
     for (const CallId id : verifying) {
         Call &call = *findRow(state.calls_, id);
         Upstream *upstream = findRow(state.upstreams_, call.upstream_);
-        if (event.error_ || (upstream != nullptr && isReplaced(*upstream))) {
+        if (event.error_ || (upstream != nullptr && isReplaced(*upstream, now))) {
             handleBrokenAnswer(state, now, id, call, outbox);
         } else if (upstream != nullptr && call.endedAt_ > upstream->checkStartedAt_) {
             checkUpstream(now, *upstream, outbox); // the last check began before the end of this answer
@@ -332,9 +333,11 @@
         event.head_.reply_.headers_ = call->head_.reply_.headers_;
     }
     call->head_ = std::move(event.head_);
-    if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
+    Upstream *upstream = findRow(state.upstreams_, call->upstream_);
+    if (upstream != nullptr && !call->head_.wrongInstance_) { // else another instance speaks
         upstream->connectFailures_ = 0;
         recordReached(now, *upstream);
+        recordSignOfLife(*upstream, outbox);
         recordReportedLoad(state, now, call->head_, *upstream, outbox);
         recordAnsweringStart(state, now, *call, *upstream, outbox);
     }
@@ -424,8 +427,10 @@
     if (call == nullptr) {
         return;
     }
-    if (Upstream *upstream = findRow(state.upstreams_, call->upstream_); upstream != nullptr) {
+    Upstream *upstream = findRow(state.upstreams_, call->upstream_);
+    if (upstream != nullptr && !call->head_.wrongInstance_) {
         recordReached(now, *upstream);
+        recordSignOfLife(*upstream, outbox);
     }
     call->lastBytesAt_ = now;
     const size_t scanned = call->body_.size();
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -100,8 +100,9 @@
     TimePoint nextCheckAt_{ noDeadline }; ///< When the next of these checks begins; noDeadline if none is scheduled.
     Milliseconds checkInterval_{ 0 }; ///< Time from the end of a check to the next one.
     TimePoint missingSince_{ noDeadline }; ///< Since when its row is missing after a store outage; else noDeadline.
-    /// Store's version of the first row of the instance that has its address now; 0 while none is known.
-    uint64_t replacedAtVersion_ = 0;
+    /// Until when it gets no calls because another instance was listed later at its address; zero if none was.
+    TimePoint replacedUntil_{};
+    uint64_t replacedAtVersion_ = 0; ///< Store's version of the first row of that instance.
 };
 
 using UpstreamId = PoolId<Upstream>; ///< Index of an upstream.
@@ -350,8 +351,7 @@
 
     Pool<Upstream> upstreams_; ///< Upstreams of all services.
     std::unordered_map<std::string, UpstreamId> upstreamById_; ///< Index of upstreams_ by id.
-    /// Instance that was listed last at each address, by service and address.
-    std::map<std::pair<std::string, std::string>, UpstreamId> latestUpstreamByPlace_;
+    std::unordered_map<std::string, UpstreamId> latestUpstreamByAddress_; ///< Instance listed last at each address.
     std::unordered_map<std::string, RemovedUpstream> removedUpstreams_; ///< Recently removed upstreams by id.
     uint64_t upstreamsVersion_ = 0; ///< Version of the store's list; 0 when none is known yet.
     std::map<std::string, Rollout> rollouts_; ///< Newest rollout of each service that has had an order.
--- a/src/gateway_placement.cpp
+++ b/src/gateway_placement.cpp
@@ -152,7 +152,7 @@
 bool isAvailable(const Upstream &upstream, TimePoint now)
 {
     return !upstream.draining_ && !upstream.announcement_.leaving_ && upstream.announcement_.pausedUntil_ <= now
-        && upstream.avoidUntil_ <= now && !isReplaced(upstream);
+        && upstream.avoidUntil_ <= now && !isReplaced(upstream, now);
 }
 
 uint64_t memoryCapacityOf(const GatewayState &state, const std::string &service)
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -3,7 +3,6 @@
  * @brief Tick of a gateway, deadlines of calls, and functions that several systems share.
  */
 #include "gateway_hedging_func.h"
-#include "gateway_replacement_func.h"
 #include "gateway_rollout_func.h"
 #include "json_func.h"
 #include "table/gateway_refusal_names.h"
@@ -129,8 +128,7 @@
 void reviewSilentStream(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
 {
     Upstream *upstream = findRow(state.upstreams_, call.upstream_);
-    const bool unreachable
-        = upstream != nullptr && (upstream->unreachableSince_ != noDeadline || isReplaced(*upstream));
+    const bool unreachable = upstream != nullptr && upstream->unreachableSince_ != noDeadline;
     const bool writing = now - call.lastBytesAt_ < writingUpstreamTime;
     if ((unreachable || writing) && now - call.lastReceivedAt_ >= silenceTimeout(call)) {
         retrySilentCall(state, now, id, call, outbox);
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -37,6 +37,7 @@
 UpstreamRow makeVersionRow(const std::string &id, const std::string &version, uint64_t rowVersion)
 {
     UpstreamRow row = GatewayFixture::makeRow(id, "engines");
+    row.address_ = id == "old" ? "10.0.1.2:80" : "10.0.1.3:80"; // upstreams that live have an address each
     row.version_ = version;
     row.rowVersion_ = rowVersion;
     return row;
