Gateway: a stream that is given up for memory is not resumed beside its pausing upstream

Cause: limitAnswers and giveUpCall close the connection of the answer that makes no progress and takes the most memory. The call was then handled as one whose connection broke: a resumable stream went on at another upstream at once.

Change: the link ends a given-up call as NoMemory instead of Malformed; the gateway retries a stream after that, or after limitAnswers, only if its upstream sent bytes within the last 200 ms. Else the stream is aborted, or refused as possibly run. Idempotent calls are sent again as before. A send given up by this side is no longer evidence of a crash of its upstream. Link_WhenACallIsGivenUp_* expects the more exact error.

--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -375,15 +375,25 @@
     return costliest;
 }
 
-/// Ends a send whose answer is malformed or too long.
-void breakOffSend(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+/// Handles the end of a send whose connection this side closes before the upstream has ended its answer. A stream whose
+/// upstream pauses is not resumed elsewhere: the upstream would not notice the close, and go on with it, too.
+void handleGivenUpSend(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
 {
-    logFailedSend(state, call, TransportErrc::Malformed, now, outbox);
-    outbox.cancels_.push_back(call.send_);
+    const bool workEnds = call.stage_ == CallStage::Verifying || isUpstreamWriting(call, now);
+    call.retryable_ = call.retryable_ && (call.kind_ != CallKind::Streaming || workEnds);
     clearAnswer(state, call);
     handleFailure(state, now, id, call, false, outbox);
 }
 
+/// Ends a send whose answer is malformed or too long, or takes the memory of others.
+void breakOffSend(
+    GatewayState &state, TimePoint now, CallId id, Call &call, std::error_code error, GatewayOutbox &outbox)
+{
+    logFailedSend(state, call, error, now, outbox);
+    outbox.cancels_.push_back(call.send_);
+    handleGivenUpSend(state, now, id, call, outbox);
+}
+
 /// Appends to a buffer that takes at most a quarter more than its bytes, whereas std::string would double it.
 void appendBytes(std::string &buffer, std::string bytes)
 {
@@ -413,7 +423,7 @@
         if (call == nullptr) {
             return;
         }
-        breakOffSend(state, now, id, *call, outbox);
+        breakOffSend(state, now, id, *call, TransportErrc::NoMemory, outbox);
     }
 }
 
@@ -437,7 +447,7 @@
     }
     const bool valid = !streamed || forwardEvents(state, now, *call, scanned, outbox);
     if (!valid || call->body_.size() > bufferLimit(*call)) {
-        breakOffSend(state, now, id, *call, outbox);
+        breakOffSend(state, now, id, *call, TransportErrc::Malformed, outbox);
     } else {
         limitAnswers(state, now, outbox);
     }
@@ -492,6 +502,8 @@
         handleNotRun(state, now, id, *call, outbox);
     } else if (event.error_ == TransportErrc::NotSent || event.error_ == TransportErrc::ConnectionRefused) {
         handleUnreachable(state, now, id, *call, event.error_, outbox);
+    } else if (event.error_ == TransportErrc::NoMemory) {
+        handleGivenUpSend(state, now, id, *call, outbox);
     } else if (event.error_) {
         handleBrokenAnswer(state, now, id, *call, outbox);
     } else if (call->head_.endsWithConnection_ && (!isStreamed(*call) || call->sendEvents_ > 0)) {
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -247,6 +247,9 @@
 /// Ends a call with a refusal by the gateway itself; a stream that has started is aborted instead.
 void refuse(GatewayState &state, TimePoint now, CallId id, RefusalReason reason, GatewayOutbox &outbox);
 
+/// @return whether the upstream of a call has sent bytes so recently that it notices the close of the connection.
+bool isUpstreamWriting(const Call &call, TimePoint now);
+
 /// Detaches a call from the upstream that it was sent to, if any, after the send has ended.
 void detachFromUpstream(GatewayState &state, Call &call);
 
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -131,8 +131,7 @@
     Upstream *upstream = findRow(state.upstreams_, call.upstream_);
     const bool unreachable
         = upstream != nullptr && (upstream->unreachableSince_ != noDeadline || isReplaced(*upstream));
-    const bool writing = now - call.lastBytesAt_ < writingUpstreamTime;
-    if ((unreachable || writing) && now - call.lastReceivedAt_ >= silenceTimeout(call)) {
+    if ((unreachable || isUpstreamWriting(call, now)) && now - call.lastReceivedAt_ >= silenceTimeout(call)) {
         retrySilentCall(state, now, id, call, outbox);
         return;
     }
@@ -175,6 +174,11 @@
     return movable ? std::min(call.deadline_, call.lastReceivedAt_ + silenceUntilReview(call)) : call.deadline_;
 }
 
+bool isUpstreamWriting(const Call &call, TimePoint now)
+{
+    return now - call.lastBytesAt_ < writingUpstreamTime;
+}
+
 void runDeadlines(GatewayState &state, TimePoint now, GatewayOutbox &outbox)
 {
     for (const CallId id : popDue(state.deadlines_, now)) {
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -569,7 +569,7 @@
 {
     if (const auto found = link.busy_.find(send); found != link.busy_.end()) {
         const LinkPointer connection = found->second;
-        endCall(link, connection, TransportErrc::Malformed);
+        endCall(link, connection, TransportErrc::NoMemory);
     }
 }
 
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -178,7 +178,7 @@
 /// @return what the responses of all calls hold, with their last progress.
 std::vector<SendHolding> listHoldings(const UpstreamLink &link);
 
-/// Ends a call as one whose response is malformed, and closes its connection.
+/// Ends a call with NoMemory, and closes its connection.
 void giveUpCall(UpstreamLink &link, uint64_t send);
 
 /// Closes all idle connections to an address, whose process has been replaced by another one.
--- a/tests/gateway_endless_answer_test.cpp
+++ b/tests/gateway_endless_answer_test.cpp
@@ -249,3 +249,55 @@
     tick(std::move(inbox));
     CHECK(state_.answerBytes_ == 0);
 }
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Stream_WhenItsUnfinishedEventTakesTheMemoryOfOthers_IsNotSentElsewhere")
+{
+    // Guards against a second run: an upstream that pauses doesn't notice the close, and goes on with the stream.
+    state_.bounds_.answerBytes_ = 10 * pieceBytes;
+    const uint64_t paused = receiveCall("stream", 1).sends_.at(0).send_;
+    const uint64_t other = receiveCall("read", 2).sends_.at(0).send_;
+    receiveStreamBytes(paused, "id: 1\ndata: a\n\n");
+    receiveBytes(paused, std::string(9 * pieceBytes, 'a'));
+    receiveHead(other, makeHead(200));
+    now_ += Milliseconds(300);
+    const GatewayOutbox outbox = receiveBytes(other, std::string(2 * pieceBytes, 'a'));
+    CHECK(outbox.cancels_ == std::vector<uint64_t>{ paused });
+    CHECK(outbox.sends_.empty());
+    CHECK(outbox.abortedExchanges_ == std::vector<ExchangeId>{ ExchangeId{ 1 } });
+    CHECK(endSend(other, {}).answers_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Stream_WhenItsSendIsGivenUpForMemoryWhileItPauses_IsNotSentElsewhere")
+{
+    const uint64_t paused = receiveCall("stream", 1).sends_.at(0).send_;
+    receiveStreamBytes(paused, "id: 1\ndata: a\n\n");
+    now_ += Milliseconds(300);
+    const GatewayOutbox outbox = endSend(paused, TransportErrc::NoMemory);
+    CHECK(outbox.sends_.empty());
+    CHECK(outbox.abortedExchanges_ == std::vector<ExchangeId>{ ExchangeId{ 1 } });
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Stream_WhenItsSendIsGivenUpBeforeItBegins_IsRefusedAsPossiblyRun")
+{
+    const uint64_t paused = receiveCall("stream", 1).sends_.at(0).send_;
+    now_ += Milliseconds(300);
+    const GatewayOutbox outbox = endSend(paused, TransportErrc::NoMemory);
+    CHECK(outbox.sends_.empty());
+    REQUIRE(outbox.refusals_.size() == 1);
+    CHECK_FALSE(outbox.refusals_[0].notRun_);
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "Stream_WhenItsSendIsGivenUpWhileItsUpstreamSends_ResumesElsewhere")
+{
+    const uint64_t writing = receiveCall("stream", 1).sends_.at(0).send_;
+    receiveStreamBytes(writing, "id: 1\ndata: a\n\n");
+    now_ += Milliseconds(100);
+    CHECK(endSend(writing, TransportErrc::NoMemory).sends_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(EndlessAnswerFixture, "IdempotentCall_WhenItsSendIsGivenUpForMemory_IsSentElsewhere")
+{
+    const uint64_t send = receiveCall("read", 1).sends_.at(0).send_;
+    now_ += Milliseconds(300);
+    CHECK(endSend(send, TransportErrc::NoMemory).sends_.size() == 1);
+}
--- a/tests/upstream_link_test.cpp
+++ b/tests/upstream_link_test.cpp
@@ -294,7 +294,7 @@
 {
     send(okHead);
     giveUpCall(link_, 1);
-    CHECK(end_ == make_error_code(TransportErrc::Malformed));
+    CHECK(end_ == make_error_code(TransportErrc::NoMemory));
     runUntil([this] { return isClosed(); });
     CHECK(listHoldings(link_).empty());
     giveUpCall(link_, 1);
