--- a/tests/gateway_refusal_process_test.cpp
+++ b/tests/gateway_refusal_process_test.cpp
@@ -80,9 +80,10 @@
 /// A gateway without upstreams of the service "desk", which the test lists.
 struct GatewayRefusalFixture : ProcessFixture
 {
-    void start(uint32_t attempts)
+    void start(uint32_t attempts, const std::string &settings = {})
     {
         GatewayFleetSpec spec;
+        spec.settings_ = settings;
         spec.gateways_ = 1;
         spec.desks_ = 0;
         spec.attempts_ = attempts;
@@ -100,6 +101,18 @@
         }));
     }
 
+    /// Removes the rows of the engines that the fleet began with.
+    void unlistEngines()
+    {
+        for (const char *instance : { "engines-1", "engines-2" }) {
+            writeUpstreamRow(fleet_, instance, "ready", 4, true);
+            REQUIRE(waitUntil([&] {
+                const std::string upstreams = readStatusField(fleet_, "gateway-1", "upstreams");
+                return upstreams.find('"' + std::string(instance) + '"') == std::string::npos;
+            }));
+        }
+    }
+
     /// @return the first line of the gateway's log that has all texts, or an empty text.
     std::string awaitLine(const std::vector<std::string> &texts)
     {
@@ -120,7 +133,17 @@
 
     HttpReply call(const std::string &id)
     {
-        return callGateway(fleet_, "gateway-1", { id, "/once/x", "body", "key-1", Milliseconds(4000), {} });
+        return callRoute("/once/x", id);
+    }
+
+    HttpReply callRoute(const std::string &target, const std::string &id)
+    {
+        return callGateway(fleet_, "gateway-1", { id, target, "body", "key-1", Milliseconds(4000), {} });
+    }
+
+    std::string readMetrics()
+    {
+        return callNode(fleet_.processes_.at("gateway-1").control_, "GET", "/metrics").body_;
     }
 };
 
@@ -257,13 +280,68 @@
     list("engines-3", upstream);
     for (int number = 0; number < mostCalls && upstream.requests_ == 0; ++number) {
         const std::string id = "r" + std::to_string(number);
-        CHECK(callGateway(fleet_, "gateway-1", { id, "/stream/x", "body", "key-1", Milliseconds(4000), {} }).status_
-            == 200);
+        CHECK(callRoute("/stream/x", id).status_ == 200);
     }
     REQUIRE(upstream.requests_ > 0);
     CHECK(waitUntil([&] { return upstream.working_ == 0; }, Milliseconds(400)));
 }
 
+TEST_CASE_FIXTURE(GatewayRefusalFixture, "HedgedCall_WhenTheRefusalsOfBothItsSendsAreCopied_IsNotRefusedThoughItRuns")
+{
+    // The third send goes to an upstream that has refused the call, and keeps the connection of that refusal.
+    constexpr int learntCalls = 100;
+    constexpr int mostCalls = 12;
+    const Milliseconds slowness{ 400 };
+    start(3, "hedging: { share: 0.2 }\n");
+    for (int number = 0; number < learntCalls; ++number) {
+        REQUIRE(callRoute("/read/x", "r" + std::to_string(number)).status_ == 200);
+    }
+    unlistEngines();
+    CopyingRules rules;
+    rules.refusedPrefix_ = "slow";
+    CopyingUpstream quick(unavailable, 0, rules);
+    rules.refusalDelay_ = slowness;
+    CopyingUpstream slow(unavailable, 0, rules);
+    list("engines-3", quick);
+    list("engines-4", slow);
+    const std::string failedHedge = "burdockfield_hedges{kind=\"failed\"} 1\n";
+    for (int number = 0; number < mostCalls && readMetrics().find(failedHedge) == std::string::npos; ++number) {
+        const std::string id = "slow" + std::to_string(number);
+        const HttpReply reply = callRoute("/read/x", id);
+        CHECK(reply.status_ == 200);
+        CHECK(quick.runsOf(id) + slow.runsOf(id) == 1);
+    }
+    CHECK(readMetrics().find(failedHedge) != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(GatewayRefusalFixture, "Stream_WhenAStreamWithItsIdIsCopied_HasItsOwnEvents")
+{
+    start(3);
+    unlistEngines();
+    const std::string streamHead = succeeded + "Content-Type: text/event-stream\r\n";
+    CopyingUpstream upstream(streamHead, 1, { streamHead, "id: 1\ndata: first\n\n", "id: 1\ndata: own\n\n", {}, {} });
+    list("engines-3", upstream);
+    CHECK(callRoute("/stream/x", "r1").body_ == "id: 1\ndata: first\n\n");
+    const HttpReply reply = callRoute("/stream/x", "r1");
+    CHECK(reply.status_ == 200);
+    CHECK(reply.body_ == "id: 1\ndata: own\n\n");
+}
+
+TEST_CASE_FIXTURE(GatewayRefusalFixture, "Stream_WhenARefusalOfItsFirstAttemptIsCopied_RunsOnce")
+{
+    start(3);
+    unlistEngines();
+    CopyingRules rules;
+    rules.answerHead_ = succeeded + "Content-Type: text/event-stream\r\n";
+    rules.answerBody_ = "id: 1\ndata: own\n\n";
+    CopyingUpstream upstream(unavailable, 1, rules);
+    list("engines-3", upstream);
+    const HttpReply reply = callRoute("/stream/x", "r1");
+    CHECK(reply.status_ == 200);
+    CHECK(reply.body_ == "id: 1\ndata: own\n\n");
+    CHECK(upstream.runsOf("r1") == 1);
+}
+
 TEST_CASE_FIXTURE(GatewayRefusalFixture, "ExtraAnswer_WhenARefusalOfAnotherCallIsCopied_IsLoggedWithBothIds")
 {
     start(1);
@@ -279,6 +357,5 @@
                               R"("received":"r1")", R"("status":"503")", R"("not_run":"yes")" })
                     .empty());
     CHECK_FALSE(awaitLine({ R"("event":"answered")", R"("request":"r2")", R"("connection":"1")" }).empty());
-    const std::string metrics = callNode(fleet_.processes_.at("gateway-1").control_, "GET", "/metrics").body_;
-    CHECK(metrics.find("burdockfield_extra_answers{kind=\"before-answer\"} 1\n") != std::string::npos);
+    CHECK(readMetrics().find("burdockfield_extra_answers{kind=\"before-answer\"} 1\n") != std::string::npos);
 }
--- a/tests/gateway_slot_test.cpp
+++ b/tests/gateway_slot_test.cpp
@@ -22,7 +22,8 @@
         now_ += std::chrono::seconds(1);
         GatewayInbox inbox;
         UpstreamsReceived list;
-        list.rows_ = { makeRow("engine-1", "engines"), makeRow("engine-9", "engines", "zone-2") };
+        list.rows_
+            = { makeRow("engine-1", "engines"), makeRow("engine-9", "engines", "zone-2"), makeRow("desk-1", "desk") };
         list.fullList_ = true;
         list.version_ = 20;
         inbox.upstreams_.push_back(list);
@@ -107,7 +108,12 @@
     /// Receives a call and @return the request for a slot that it leads to.
     SlotRequest requestFor(uint64_t exchange)
     {
-        const SlotMessage message = messageTo(receiveCall("read", exchange), peerAddress);
+        return requestFor("read", exchange);
+    }
+
+    SlotRequest requestFor(const std::string &route, uint64_t exchange)
+    {
+        const SlotMessage message = messageTo(receiveCall(route, exchange), peerAddress);
         return message.requests_.empty() ? SlotRequest{} : message.requests_[0];
     }
 };
@@ -168,6 +174,51 @@
     CHECK(outbox.updates_[0].update_.grantsReceived_.at(5) == 1);
 }
 
+TEST_CASE_FIXTURE(RequesterFixture, "Grant_WhenItComesTwice_SendsItsCallOnce")
+{
+    const uint64_t number = requestFor("once", 1).number_;
+    CHECK(receiveGrant(number, "desk-1").sends_.size() == 1);
+    const GatewayOutbox again = receiveGrant(number, "desk-1");
+    CHECK(again.sends_.empty());
+    CHECK(state_.callBySend_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(RequesterFixture, "Grants_WhenTwoForOneRequestComeInOneMessage_SendItsCallOnce")
+{
+    const uint64_t number = requestFor("once", 1).number_;
+    SlotMessage message;
+    message.address_ = peerAddress;
+    message.incarnation_ = 5;
+    message.replies_ = { { number, 1, "desk-1", 1 }, { number, 2, "desk-1", 1 } };
+    CHECK(receiveSlots(message).sends_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(RequesterFixture, "Grant_WhenItComesOnceItsCallIsRequeued_DoesNotSendIt")
+{
+    // A call that waits again after a refusal has a request of its own; two grants would make two sends.
+    const uint64_t number = requestFor("once", 1).number_;
+    const uint64_t send = receiveGrant(number, "desk-1").sends_.at(0).send_;
+    AnswerHead refusal = makeHead(503);
+    refusal.notRun_ = true;
+    const SlotMessage renewed = messageTo(receiveAnswer(send, refusal, ""), peerAddress);
+    REQUIRE(renewed.requests_.size() == 1);
+    CHECK(renewed.requests_[0].number_ != number);
+    CHECK(receiveGrant(number, "desk-1").sends_.empty());
+    CHECK(receiveGrant(renewed.requests_[0].number_, "desk-1").sends_.size() == 1);
+    CHECK(receiveGrant(number, "desk-1").sends_.empty());
+}
+
+TEST_CASE_FIXTURE(RequesterFixture, "Grant_WhenItComesOnceTheCallWasSentWithoutIt_DoesNotSendItAgain")
+{
+    const uint64_t number = requestFor("once", 1).number_;
+    size_t sends = 0;
+    for (int step = 0; step < 20 && sends == 0; ++step) { // the broker doesn't reply
+        sends = tickAfter(Milliseconds(41)).sends_.size();
+    }
+    REQUIRE(sends == 1);
+    CHECK(receiveGrant(number, "desk-1").sends_.empty());
+}
+
 TEST_CASE_FIXTURE(SlotFixture, "Request_WhenASlotIsFree_IsGrantedAndCounted")
 {
     receivePeer(peerAddress, "region-1", 1);
