--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -4,11 +4,9 @@
  */
 #include "explain_func.h"
 
-#include "json_func.h"
 #include "table/explain_names.h"
 
 #include <algorithm>
-#include <istream>
 #include <set>
 #include <sstream>
 
@@ -20,22 +18,6 @@
 constexpr std::string_view extraAnswerEvent = "extra-answer"; ///< Event of an answer that no call was waiting for.
 constexpr size_t dateTimeLength = 19; ///< Of YYYY-MM-DDThh:mm:ss; the last 8 characters are the time of day.
 
-std::string toText(const Json::value &value)
-{
-    return value.is_string() ? std::string(value.get_string().data(), value.get_string().size())
-                             : Json::serialize(value);
-}
-
-std::string findField(const LogLine &line, std::string_view name)
-{
-    for (const auto &[key, value] : line.fields_) {
-        if (key == name) {
-            return value;
-        }
-    }
-    return {};
-}
-
 bool isEarlier(const LogLine &left, const LogLine &right)
 {
     return left.time_ < right.time_;
@@ -118,32 +100,6 @@
 
 } // namespace
 
-bool parseLogLine(std::string_view text, LogLine &line)
-{
-    const size_t open = text.find('{');
-    if (open == std::string_view::npos) {
-        return false;
-    }
-    std::error_code error;
-    const Json::value document = parseJson(text.substr(open), error);
-    if (error || !document.is_object()) {
-        return false;
-    }
-    for (const auto &item : document.get_object()) {
-        const std::string_view name(item.key().data(), item.key().size());
-        if (name == "time") {
-            line.time_ = toText(item.value());
-        } else if (name == "node") {
-            line.node_ = toText(item.value());
-        } else if (name == "event") {
-            line.event_ = toText(item.value());
-        } else {
-            line.fields_.emplace_back(name, toText(item.value()));
-        }
-    }
-    return !line.time_.empty() && !line.event_.empty();
-}
-
 Explanation explainRequest(const std::string &request, const std::vector<LogLine> &lines)
 {
     Explanation explanation;
@@ -175,17 +131,6 @@
     return explanation;
 }
 
-std::vector<LogLine> readLog(std::istream &stream)
-{
-    std::vector<LogLine> lines;
-    for (std::string text; std::getline(stream, text);) {
-        if (LogLine line; parseLogLine(text, line)) {
-            lines.push_back(std::move(line));
-        }
-    }
-    return lines;
-}
-
 std::string formatExplanation(const Explanation &explanation)
 {
     std::ostringstream text;
