Command line: "sends" finds requests that were sent more than once in logs

When a caller says that a booking ran twice, operators have only the logs, and explain needs the id and leaves the judgement to the reader. "burdockfield sends LOG..." reports each further send of an id with its cause, what the gateway took as proof that the send before had not run, and a verdict (doubtful, unknown, repeatable, proved), calls that must run once first, then summaries by cause and address. Exit status 1 if a send is doubtful.

The logs are read twice as streams of lines: small counters (64 MiB) find the ids that were sent again, and only those are kept, up to 100,000 requests.

--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -4,6 +4,7 @@
  */
 #include "cli_func.h"
 #include "explain_func.h"
+#include "sends_func.h"
 
 #include "changes_file.h"
 #include "configuration_wire.h"
@@ -14,7 +15,9 @@
 #include "where_wire.h"
 
 #include <fstream>
+#include <functional>
 #include <iostream>
+#include <limits>
 #include <sstream>
 
 namespace Burdockfield {
@@ -47,6 +50,54 @@
     return static_cast<bool>(stream);
 }
 
+/// Visits the lines of a log, up to @p limit of them. @param lines number of lines visited
+bool readLogFile(
+    const std::string &file, uint64_t limit, const std::function<void(const LogLine &)> &visit, uint64_t &lines)
+{
+    std::ifstream stream(file);
+    if (!stream) {
+        std::cerr << file << ": " << make_error_code(SettingsErrc::CannotRead).message() << '\n';
+        return false;
+    }
+    lines = 0;
+    visitLog(stream, [&](const LogLine &line) {
+        if (lines < limit) { // the rest was written after the first reading
+            visit(line);
+            ++lines;
+        }
+    });
+    return true;
+}
+
+/// Reads logs twice: only requests that the first reading finds to be sent again are kept by the second.
+bool readSends(const std::vector<std::string> &files, Sends::SendTable &table)
+{
+    Sends::SendFilter filter = Sends::makeFilter();
+    std::vector<uint64_t> lines(files.size());
+    for (size_t i = 0; i < files.size(); ++i) {
+        const auto count = [&filter](const LogLine &line) {
+            Sends::countSends(filter, line);
+        };
+        if (!readLogFile(files[i], std::numeric_limits<uint64_t>::max(), count, lines[i])) {
+            return false;
+        }
+    }
+    for (size_t i = 0; i < files.size(); ++i) {
+        uint64_t again = 0;
+        const auto keep = [&](const LogLine &line) {
+            Sends::readLine(table, filter, line);
+        };
+        if (!readLogFile(files[i], lines[i], keep, again)) {
+            return false;
+        }
+        if (again < lines[i]) {
+            std::cerr << files[i] << ": lines are missing when it is read again (accepted: a file, not a pipe)\n";
+            return false;
+        }
+    }
+    return true;
+}
+
 /// Sends an HTTP request and prints an error unless the response has status 200.
 ExitStatus sendRequest(const std::string &address, HttpRequest request, std::string &body)
 {
@@ -109,13 +160,13 @@
 {
     std::vector<LogLine> lines;
     for (const std::string &file : files) {
-        std::ifstream stream(file);
-        if (!stream) {
-            std::cerr << file << ": " << make_error_code(SettingsErrc::CannotRead).message() << '\n';
+        uint64_t count = 0;
+        const auto keep = [&lines](const LogLine &line) {
+            lines.push_back(line);
+        };
+        if (!readLogFile(file, std::numeric_limits<uint64_t>::max(), keep, count)) {
             return ExitStatus::Usage;
         }
-        std::vector<LogLine> read = readLog(stream);
-        std::move(read.begin(), read.end(), std::back_inserter(lines));
     }
     const Explanation explanation = explainRequest(request, lines);
     if (explanation.cause_.empty()) {
@@ -126,6 +177,20 @@
     return ExitStatus::Done;
 }
 
+ExitStatus sendsCommand(const SendsCommand &command)
+{
+    Sends::SendTable table;
+    if (!readSends(command.files_, table)) {
+        return ExitStatus::Usage;
+    }
+    Sends::SendReport report = Sends::makeReport(std::move(table));
+    if (command.doubtful_) {
+        Sends::keepDoubtful(report);
+    }
+    std::cout << (command.json_ ? Sends::serializeReport(report) + "\n" : Sends::formatReport(report));
+    return report.doubtful_ == 0 && !report.incomplete_ ? ExitStatus::Done : ExitStatus::Refused;
+}
+
 ExitStatus statusCommand(const std::string &address)
 {
     std::string body;
--- a/src/cli_func.h
+++ b/src/cli_func.h
@@ -16,7 +16,8 @@
 /// Exit status of the command-line program.
 enum class ExitStatus : int {
     Done = 0, ///< The command succeeded.
-    Refused = 1, ///< A node refused the request, a replay missed an expected outcome, or no log line matched.
+    Refused = 1, ///< A node refused the request, a replay missed an expected outcome, no log line matched, or sends
+                 ///< are doubtful.
     Usage = 2, ///< An argument or a file is invalid.
     Unreachable = 3, ///< A node did not respond, or its response could not be parsed.
 };
@@ -33,6 +34,20 @@
 /// Prints what the log files of several processes say about a request.
 ExitStatus explainCommand(const std::string &request, const std::vector<std::string> &files);
 
+/// Arguments of the sends command.
+struct SendsCommand
+{
+    std::vector<std::string> files_; ///< Paths of the log files; each is read twice.
+    bool json_ = false; ///< Whether to print JSON.
+    bool doubtful_ = false; ///< Whether to list only doubtful sends.
+};
+
+/**
+ * Prints which requests were sent more than once, and whether the send before each further one can have run.
+ * @return Refused if a send is doubtful, or if not all requests were examined
+ */
+ExitStatus sendsCommand(const SendsCommand &command);
+
 /// Prints the configuration that an entry has applied, as JSON.
 ExitStatus configurationCommand(const std::string &control);
 
--- a/src/cli_main.cpp
+++ b/src/cli_main.cpp
@@ -36,6 +36,7 @@
     bool endDrain_ = false; ///< Whether to end a drain instead of starting one.
     Gateway::WhereQuery where_; ///< Request that where is about.
     bool json_ = false; ///< Whether where prints JSON.
+    SendsCommand sends_;
     ReplayCommand replay_;
     ExitStatus status_ = ExitStatus::Done; ///< Set by the command that ran.
 };
@@ -200,6 +201,13 @@
     explain->add_option("request", arguments.name_, "Id of the request")->required();
     explain->add_option("files", arguments.files_, "Log files of the processes")->required();
     explain->callback([&arguments] { arguments.status_ = explainCommand(arguments.name_, arguments.files_); });
+    CLI::App *sends
+        = addCommand(app, "sends", "Show from the logs of gateways which requests were sent more than once, and why");
+    sends->add_option("files", arguments.sends_.files_, "Log files of the gateways, those of each in order of time")
+        ->required();
+    sends->add_flag("--json", arguments.sends_.json_, "Print JSON instead of text");
+    sends->add_flag("--doubtful", arguments.sends_.doubtful_, "List only sends whose call may have run before");
+    sends->callback([&arguments] { arguments.status_ = sendsCommand(arguments.sends_); });
     CLI::App *where = addCommand(app, "where", "Show where a gateway would send a request now, and why");
     where->add_option("address", arguments.address_, "Metrics IP:PORT of a gateway")->required();
     where->add_option("--host", arguments.where_.host_, "Requested host")->required();
