Observability: "sent" says whether the call may run more than once

No logic changes. Log_WhenACallIsSentAgain_NamesTheAddressesAndTheCause checks it; it failed with the field taken out.

--- a/src/gateway_dispatch.cpp
+++ b/src/gateway_dispatch.cpp
@@ -231,9 +231,9 @@
     outbox.decisions_.push_back({ "sent",
         { { "request", call.request_.id_ }, { "upstream", upstream.id_ }, { "address", upstream.address_ },
             { "cause", cause }, { "attempt", std::to_string(call.attempts_) }, { "route", call.routeName_ },
-            { "rank", std::to_string(call.rank_) }, { "in_flight", std::to_string(inFlight) },
-            { "own", std::to_string(upstream.ownInFlight_) }, { "slots", std::to_string(upstream.slots_) },
-            { "broker", slot.number_ == 0 ? "self" : slot.broker_ },
+            { "repeatable", call.retryable_ ? "yes" : "no" }, { "rank", std::to_string(call.rank_) },
+            { "in_flight", std::to_string(inFlight) }, { "own", std::to_string(upstream.ownInFlight_) },
+            { "slots", std::to_string(upstream.slots_) }, { "broker", slot.number_ == 0 ? "self" : slot.broker_ },
             { "reply_ms", slot.number_ == 0 ? "0" : millisecondsText(now - slot.askedAt_) },
             { "waited_ms", millisecondsText(now - call.arrivedAt_) },
             { "left_ms", std::to_string(command.parameters_.wait_.count()) } } });
--- a/tests/gateway_answer_test.cpp
+++ b/tests/gateway_answer_test.cpp
@@ -67,6 +67,7 @@
     CHECK(findField(second, "send-failed", "address") == first.sends_.at(0).address_);
     CHECK(findField(second, "sent", "address") == second.sends_.at(0).address_);
     CHECK(findField(second, "sent", "cause") == "wrong-instance");
+    CHECK(findField(second, "sent", "repeatable") == "no");
     CHECK(state_.metrics_.counters_["sends_repeated"]["wrong-instance"] == 1);
 }
 
