Calls between nodes are numbered, and replies to other calls are dropped

Callers could see (older roles): a booking ran twice. An entry ordered it, the agent refused, the entry ordered it again on the same connection, and a copy of the refusal counted as the reply to the second order, which ran; the entry then ordered it a third time. The HTTP client drops a reply that names another call, logs extra-reply once for each connection, counts extra_replies, waits on for its own reply and closes the connection. Replies without number count as before, for nodes of earlier releases. Bytes on an idle connection or behind a reply, which were dropped in silence, are logged and counted, too.

--- a/src/agent_daemon.cpp
+++ b/src/agent_daemon.cpp
@@ -186,6 +186,8 @@
     };
     HttpRequest request;
     request.target_ = daemon.settings_.loadPath_;
+    // The engine's replies name no call. Runs keep no connection, so that a reply too many on this one is an earlier
+    // load, which is out of date until the next.
     fetch(daemon.client_, daemon.settings_.upstream_.address_, std::move(request), loadTimeout, ConnectionUse::Reuse,
         done);
 }
@@ -306,6 +308,7 @@
     ServerLimits limits;
     limits.bodyBytes_ = size_t{ 64 } << 20U; // holds a caller's body, escaped as JSON, and the rest of the run order
     daemon.server_ = std::make_unique<HttpServer>(daemon.io_, limits, makeHandlers(daemon));
+    daemon.server_->servesNodes_ = true;
     setBudgetMemory(*daemon.server_->budget_, settings.serverMemoryBytes_);
     if (const std::error_code error = listen(*daemon.server_, settings.listenAddress_); error) {
         return logListenFailure(settings, error);
--- a/src/agent_event_type.h
+++ b/src/agent_event_type.h
@@ -83,7 +83,8 @@
 
 /// Any event of an agent.
 using AgentEvent = std::variant<RunOrdered, AnswerRequested, CancelRequested, ReportRequested, LeaveNoticeReceived,
-    ClientDisconnected, EngineDeltas, EngineEnded, EngineLoad, StoreReplied, VmsListed, StatusRequested, StopRequested>;
+    ClientDisconnected, EngineDeltas, EngineEnded, EngineLoad, StoreReplied, VmsListed, StatusRequested, ExtraReply,
+    StopRequested>;
 
 /// Events of one tick, by kind; in order of arrival within a kind.
 struct AgentInbox
@@ -99,6 +100,7 @@
     std::vector<StoreReplied> storeReplies_; ///< Replies of the table service.
     std::vector<VmsListed> vmLists_; ///< Received VM lists.
     std::vector<StatusRequested> statusRequests_;
+    std::vector<ExtraReply> extraReplies_; ///< Replies that were dropped.
     bool leave_ = false; ///< Whether a leave notice was received.
     bool stop_ = false; ///< Whether a planned stop was requested.
 };
--- a/src/agent_tick.cpp
+++ b/src/agent_tick.cpp
@@ -4,7 +4,9 @@
  */
 #include "agent_func.h"
 #include "error_type.h"
+#include "json_func.h"
 #include "status_wire.h"
+#include "table/extra_answer_names.h"
 
 #include <algorithm>
 
@@ -74,6 +76,11 @@
     inbox.statusRequests_.push_back(event);
 }
 
+void put(AgentInbox &inbox, ExtraReply event)
+{
+    inbox.extraReplies_.push_back(std::move(event));
+}
+
 void put(AgentInbox &inbox, StopRequested /*event*/)
 {
     inbox.stop_ = true;
@@ -162,6 +169,9 @@
 
 void runAgentStatus(AgentState &state, TimePoint now, const AgentInbox &inbox, AgentOutbox &outbox)
 {
+    for (const ExtraReply &event : inbox.extraReplies_) {
+        count(state.metrics_, "extra_replies", std::string(nameOf(event.place_, extraAnswerNames)));
+    }
     for (const StatusRequested &event : inbox.statusRequests_) {
         std::error_code error;
         if (event.kind_ == StatusKind::Ready && !isAgentReady(state)) {
--- a/src/entry_daemon.cpp
+++ b/src/entry_daemon.cpp
@@ -100,7 +100,8 @@
         postEvent(daemon.loop_, EntryEvent(std::move(event)));
     };
     // The answer to an order that was sent before may say that the agent never runs it, although the first one did.
-    fetch(daemon.client_, command.address_, std::move(request), orderTimeout, ConnectionUse::ReuseOnce, onReply);
+    fetchFromNode(
+        daemon.client_, command.address_, std::move(request), orderTimeout, ConnectionUse::ReuseOnce, onReply);
 }
 
 std::string runTarget(std::string_view path, const RunName &name)
@@ -204,7 +205,7 @@
         }
         postEvent(daemon.loop_, EntryEvent(event));
     };
-    fetch(daemon.client_, command.address_, std::move(request), cancelTimeout, ConnectionUse::Reuse, onReply);
+    fetchFromNode(daemon.client_, command.address_, std::move(request), cancelTimeout, ConnectionUse::Reuse, onReply);
 }
 
 void execute(EntryDaemon &daemon, const SendLeaveNotice &command)
@@ -214,7 +215,8 @@
     request.target_ = leavePath;
     const auto ignoreReply = [](std::error_code /*error*/, const HttpReply & /*reply*/) {
     };
-    fetch(daemon.client_, command.address_, std::move(request), cancelTimeout, ConnectionUse::Reuse, ignoreReply);
+    fetchFromNode(
+        daemon.client_, command.address_, std::move(request), cancelTimeout, ConnectionUse::Reuse, ignoreReply);
 }
 
 void execute(EntryDaemon &daemon, const FetchReport &command)
@@ -231,7 +233,7 @@
         postEvent(daemon.loop_, EntryEvent(std::move(event)));
     };
     const Milliseconds timeout = command.maxWait_ + reportTimeoutMargin;
-    fetch(daemon.client_, command.address_, std::move(request), timeout, ConnectionUse::Reuse, onReply);
+    fetchFromNode(daemon.client_, command.address_, std::move(request), timeout, ConnectionUse::Reuse, onReply);
 }
 
 void fetchPeerConfiguration(EntryDaemon &daemon, const std::string &address)
@@ -245,7 +247,7 @@
         }
         postEvent(daemon.loop_, EntryEvent(std::move(event)));
     };
-    fetch(daemon.client_, address, std::move(request), peerTimeout, ConnectionUse::Reuse, onReply);
+    fetchFromNode(daemon.client_, address, std::move(request), peerTimeout, ConnectionUse::Reuse, onReply);
 }
 
 void fetchPeerChanges(EntryDaemon &daemon, const FetchPeerChanges &command)
@@ -259,7 +261,7 @@
         }
         postEvent(daemon.loop_, EntryEvent(std::move(event)));
     };
-    fetch(daemon.client_, command.address_, std::move(request), peerTimeout, ConnectionUse::Reuse, onReply);
+    fetchFromNode(daemon.client_, command.address_, std::move(request), peerTimeout, ConnectionUse::Reuse, onReply);
 }
 
 void execute(EntryDaemon &daemon, const FetchPeerChanges &command)
@@ -417,6 +419,7 @@
 {
     daemon.callerServer_ = std::make_unique<HttpServer>(daemon.io_, daemon.settings_.limits_, callerHandlers(daemon));
     daemon.controlServer_ = std::make_unique<HttpServer>(daemon.io_, ServerLimits{}, controlHandlers(daemon));
+    daemon.controlServer_->servesNodes_ = true;
     daemon.controlServer_->nextExchange_ = firstControlExchange;
     daemon.controlServer_->budget_ = daemon.callerServer_->budget_;
     setBudgetMemory(*daemon.callerServer_->budget_, daemon.settings_.serverMemoryBytes_);
--- a/src/entry_event_type.h
+++ b/src/entry_event_type.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "configuration_type.h"
+#include "link_use_type.h"
 #include "request_base.h"
 #include "run_type.h"
 #include "store_type.h"
@@ -132,7 +133,7 @@
 /// Any event of an entry.
 using EntryEvent = std::variant<CallerRequest, CallerDisconnected, RunReplied, AnswerFrameReceived, AnswerStreamClosed,
     CancelReplied, ReportReceived, VmsListed, StoreReplied, PeerChangesReceived, PeerConfigurationReceived,
-    PlanRequested, ConfirmRequested, StatusRequested, StopRequested>;
+    PlanRequested, ConfirmRequested, StatusRequested, ExtraReply, StopRequested>;
 
 /// Events of one tick, grouped by kind; in order of arrival within each kind.
 struct EntryInbox
@@ -151,6 +152,7 @@
     std::vector<PlanRequested> plans_; ///< Plans to test.
     std::vector<ConfirmRequested> confirmations_; ///< Plans to confirm.
     std::vector<StatusRequested> statusRequests_;
+    std::vector<ExtraReply> extraReplies_; ///< Replies that were dropped.
     bool stop_ = false; ///< Whether a stop was requested.
 };
 
--- a/src/entry_status.cpp
+++ b/src/entry_status.cpp
@@ -6,7 +6,9 @@
 #include "entry_configuration_sync_func.h"
 #include "entry_func.h"
 #include "error_type.h"
+#include "json_func.h"
 #include "status_wire.h"
+#include "table/extra_answer_names.h"
 
 #include <algorithm>
 
@@ -38,6 +40,9 @@
 
 void runStatus(EntryState &state, TimePoint now, const EntryInbox &inbox, EntryOutbox &outbox)
 {
+    for (const ExtraReply &event : inbox.extraReplies_) {
+        count(state.metrics_, "extra_replies", std::string(nameOf(event.place_, extraAnswerNames)));
+    }
     for (const StatusRequested &event : inbox.statusRequests_) {
         std::error_code error;
         if (event.kind_ == StatusKind::Ready && !isReady(state)) {
--- a/src/entry_tick.cpp
+++ b/src/entry_tick.cpp
@@ -81,6 +81,11 @@
     inbox.statusRequests_.push_back(event);
 }
 
+void append(EntryInbox &inbox, ExtraReply event)
+{
+    inbox.extraReplies_.push_back(std::move(event));
+}
+
 void append(EntryInbox &inbox, StopRequested /*event*/)
 {
     inbox.stop_ = true;
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -469,6 +469,10 @@
     , link_(io_, linkHandlers(*this))
     , follower_(client_, settings_.platformAddress_, followerHandlers(*this))
 {
+    peerServer_.servesNodes_ = true;
+    client_.onExtraReply_ = [this](const ExtraReply &reply) {
+        count(state_.metrics_, "extra_replies", std::string(nameOf(reply.place_, extraAnswerNames)));
+    };
 }
 
 int runGatewayDaemon(const Settings &settings, const std::string &file)
--- a/src/gateway_peer_io.cpp
+++ b/src/gateway_peer_io.cpp
@@ -167,7 +167,7 @@
             { { "peer", address }, { "bytes", std::to_string(reply.body_.size()) }, { "took_ms", took } });
         applySnapshot(daemon, address, reply);
     };
-    fetch(daemon.client_, command.address_, std::move(request), snapshotTimeout, ConnectionUse::Reuse, done);
+    fetchFromNode(daemon.client_, command.address_, std::move(request), snapshotTimeout, ConnectionUse::Reuse, done);
 }
 
 std::string encodeSnapshot(GatewayDaemon &daemon, std::optional<SnapshotPart> part)
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -4,11 +4,11 @@
  */
 #include "http_client.h"
 
-#include "address_func.h"
+#include "call_number_func.h"
 #include "coroutine_func.h"
 #include "error_type.h"
+#include "http_client_connection.h"
 #include "http_fields_func.h"
-#include "socket_func.h"
 
 #include <algorithm>
 #include <array>
@@ -20,23 +20,19 @@
 namespace {
 
 namespace Http = Beast::http;
-using Tcp = Asio::ip::tcp;
 using StreamPointer = std::unique_ptr<Beast::tcp_stream>;
 
-constexpr size_t maxIdlePerAddress = 16; ///< Idle connections kept for each address.
-constexpr std::chrono::seconds maxIdleTime{ 20 }; ///< Below the idle timeouts of servers.
-constexpr Milliseconds connectTimeout{ 1000 };
 constexpr size_t streamBodyLimit = 64U << 20U; ///< Longest body of a stream.
 /// Most bytes buffered while the rest of a header, a chunk's header or trailers is missing.
 constexpr size_t maxUnparsedBytes = 32U << 10U;
 constexpr size_t timedBytes = 32U << 10U; ///< Bytes of a response for which its timeout starts again.
 constexpr int firstFinalStatus = 200; ///< Lower statuses (1xx) are interim responses.
 constexpr int maxInterimResponses = 8; ///< Interim responses after which a response is malformed.
+constexpr int maxExtraReplies = 8; ///< Replies to other calls after which a call ends as malformed.
 constexpr size_t streamBufferBytes = 16U << 10U; ///< Most bytes passed to onBytes_ at once.
 constexpr double replyShare = 0.03; ///< Longest reply as a share of the memory; twice a large configuration on 88 MiB.
 constexpr double repliesShare = 0.05; ///< Share of the memory for all replies being received.
 constexpr size_t minReplyBytes = 1U << 20U; ///< Longest reply with little memory; a page of the store is as long.
-constexpr int receiveBufferBytes = 128 << 10; ///< Most bytes that the kernel keeps unread; 0.1 s at 10 Mbit/s.
 
 Http::request<Http::string_body> makeMessage(const std::string &address, const HttpRequest &request)
 {
@@ -71,65 +67,6 @@
     return isMalformed(error) ? TransportErrc::Malformed : TransportErrc::Lost;
 }
 
-/// @return whether the peer has neither closed the connection nor sent anything on it since its last call.
-bool isQuiet(Beast::tcp_stream &stream)
-{
-    std::array<char, 1> byte{};
-    boost::system::error_code error;
-    stream.socket().receive(Asio::buffer(byte), Asio::socket_base::message_peek, error);
-    return error == Asio::error::would_block;
-}
-
-StreamPointer takeIdleConnection(HttpClient &client, const std::string &address)
-{
-    auto &idle = client.idle_[address];
-    while (!idle.empty()) {
-        IdleConnection connection = std::move(idle.back());
-        idle.pop_back();
-        if (isQuiet(*connection.stream_) && Clock::now() - connection.idleSince_ < maxIdleTime) {
-            return std::move(connection.stream_);
-        }
-    }
-    return nullptr;
-}
-
-void keepIdleConnection(HttpClient &client, const std::string &address, StreamPointer stream)
-{
-    auto &idle = client.idle_[address];
-    std::erase_if(idle, [](const auto &item) { return Clock::now() - item.idleSince_ >= maxIdleTime; });
-    if (idle.size() < maxIdlePerAddress) {
-        stream->expires_never();
-        idle.push_back({ std::move(stream), Clock::now() });
-    }
-}
-
-/// Opens a socket whose unread bytes are bounded; without this the kernel may keep megabytes of each connection.
-void boundUnreadBytes(Tcp::socket &socket, const Tcp::endpoint &endpoint)
-{
-    boost::system::error_code ignored;
-    socket.open(endpoint.protocol(), ignored);
-    socket.set_option(Asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
-}
-
-/// Connects. @return false on failure; the peer has received nothing then.
-bool connect(Beast::tcp_stream &stream, const std::string &address, Milliseconds timeout, Asio::yield_context yield)
-{
-    const auto endpoint = parseEndpoint(address);
-    if (!endpoint) {
-        return false;
-    }
-    boost::system::error_code error;
-    boundUnreadBytes(stream.socket(), *endpoint);
-    stream.expires_after(std::min(timeout, connectTimeout));
-    stream.async_connect(*endpoint, yield[error]);
-    if (!error) {
-        configureSocket(stream.socket(), outgoingUserTimeout);
-        boost::system::error_code ignored;
-        stream.socket().non_blocking(true, ignored); // for isQuiet()
-    }
-    return !error;
-}
-
 /// Reads a header; interim responses are skipped.
 template<typename Body>
 void readHeader(Beast::tcp_stream &stream, Beast::flat_buffer &buffer, size_t bodyLimit,
@@ -182,19 +119,12 @@
     return reply;
 }
 
-CallResult callOnConnection(Beast::tcp_stream &stream, const std::string &address, const HttpRequest &request,
-    Milliseconds timeout, const HttpClient &client, Asio::yield_context yield)
+/// Reads the next reply on a connection.
+CallResult readReply(Beast::tcp_stream &stream, Beast::flat_buffer &buffer, Milliseconds timeout,
+    const HttpClient &client, Asio::yield_context yield)
 {
     CallResult result;
     boost::system::error_code error;
-    const auto message = makeMessage(address, request);
-    stream.expires_after(timeout);
-    Http::async_write(stream, message, yield[error]);
-    if (error) {
-        result.error_ = classifyError(error);
-        return result;
-    }
-    Beast::flat_buffer buffer(maxUnparsedBytes);
     std::optional<Http::response_parser<Http::string_body>> parser;
     readHeader(stream, buffer, client.responseBodyLimit_, parser, error, yield);
     if (!error) {
@@ -211,18 +141,58 @@
     return result;
 }
 
+CallResult callOnConnection(Beast::tcp_stream &stream, const std::string &address, const HttpRequest &request,
+    Milliseconds timeout, const HttpClient &client, Asio::yield_context yield)
+{
+    CallResult result;
+    boost::system::error_code error;
+    const auto message = makeMessage(address, request);
+    const uint64_t number = findCallNumber(request.headers_).value_or(0);
+    const TimePoint deadline = Clock::now() + timeout; // until the header of the reply
+    stream.expires_at(deadline);
+    Http::async_write(stream, message, yield[error]);
+    if (error) {
+        result.error_ = classifyError(error);
+        return result;
+    }
+    Beast::flat_buffer buffer(maxUnparsedBytes);
+    result = readReply(stream, buffer, timeout, client, yield);
+    int extra = 0;
+    for (; !result.error_ && isExtraReply(number, result.reply_.headers_); ++extra) {
+        if (extra == 0) {
+            const uint64_t received = findCallNumber(result.reply_.headers_).value_or(0);
+            reportExtraReply(client, { address, ExtraAnswerPlace::BeforeAnswer, number, received });
+        }
+        if (extra == maxExtraReplies) {
+            result = {};
+            result.error_ = TransportErrc::Malformed;
+            break;
+        }
+        stream.expires_at(deadline);
+        result = readReply(stream, buffer, timeout, client, yield);
+    }
+    if (extra == 0 && buffer.size() > 0 && !result.error_) {
+        reportExtraReply(client, { address, ExtraAnswerPlace::BehindAnswer, number, 0 });
+    }
+    result.keepAlive_ = result.keepAlive_ && extra == 0;
+    return result;
+}
+
 CallResult call(HttpClient &client, const std::string &address, const HttpRequest &request, Milliseconds timeout,
     ConnectionUse use, Asio::yield_context yield)
 {
     CallResult result;
+    const ConnectionPool pool{ address, request.channel_ };
+    const uint64_t number = findCallNumber(request.headers_).value_or(0);
     const bool keepsConnection = use != ConnectionUse::Fresh;
-    if (StreamPointer reused = keepsConnection ? takeIdleConnection(client, address) : nullptr; reused != nullptr) {
+    if (StreamPointer reused = keepsConnection ? takeIdleConnection(client, pool) : nullptr; reused != nullptr) {
         result = callOnConnection(*reused, address, request, timeout, client, yield);
         if (!result.error_ && result.keepAlive_) {
-            keepIdleConnection(client, address, std::move(reused));
+            keepIdleConnection(client, pool, std::move(reused), number);
         }
         if (result.error_ == TransportErrc::TimedOut) {
-            client.idle_.erase(address); // the peer's other idle connections may be dead too
+            // The peer's other idle connections may be dead too.
+            std::erase_if(client.idle_, [&address](const auto &item) { return item.first.first == address; });
         }
         if (result.error_ != TransportErrc::Lost || use == ConnectionUse::ReuseOnce) {
             return result;
@@ -236,7 +206,7 @@
     }
     result = callOnConnection(*fresh, address, request, timeout, client, yield);
     if (!result.error_ && result.keepAlive_ && keepsConnection) {
-        keepIdleConnection(client, address, std::move(fresh));
+        keepIdleConnection(client, pool, std::move(fresh), number);
     }
     return result;
 }
@@ -347,6 +317,13 @@
     startCoroutine(client.io_, "fetch", body, [] {});
 }
 
+void fetchFromNode(HttpClient &client, std::string address, HttpRequest request, Milliseconds timeout,
+    ConnectionUse use, FetchHandler done)
+{
+    request.headers_.emplace_back(callNumberHeader, std::to_string(client.nextCall_++));
+    fetch(client, std::move(address), std::move(request), timeout, use, std::move(done));
+}
+
 uint64_t openStream(
     HttpClient &client, std::string address, HttpRequest request, Milliseconds silenceTimeout, StreamHandlers handlers)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "http_type.h"
+#include "link_use_type.h"
 #include "reply_budget_func.h"
 #include "time_type.h"
 
@@ -18,6 +19,7 @@
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <utility>
 #include <vector>
 
 namespace Burdockfield {
@@ -38,8 +40,12 @@
 {
     std::unique_ptr<Beast::tcp_stream> stream_;
     TimePoint idleSince_{}; ///< When its last call ended.
+    uint64_t lastCall_ = 0; ///< Number of that call; 0 if it has none.
 };
 
+/// Kept connections that calls share: those to one address (IP:PORT) of one HttpRequest::channel_.
+using ConnectionPool = std::pair<std::string, std::string>;
+
 /// Call whose response body is read in pieces.
 struct ClientStream
 {
@@ -71,7 +77,9 @@
     Asio::io_context &io_; ///< Runs all I/O and handlers.
     size_t responseBodyLimit_ = 16U << 20U; ///< 16 MiB: longest response body of fetch().
     std::shared_ptr<ClientReplies> replies_ = std::make_shared<ClientReplies>(); ///< Replies of fetch() under way.
-    std::map<std::string, std::vector<IdleConnection>> idle_; ///< Idle connections by address (IP:PORT).
+    std::map<ConnectionPool, std::vector<IdleConnection>> idle_; ///< Idle connections.
+    std::function<void(const ExtraReply &)> onExtraReply_; ///< Counts a reply that was dropped, if set.
+    uint64_t nextCall_ = 1; ///< Number of the next call to another node of this system.
     std::map<uint64_t, std::shared_ptr<ClientStream>> streams_; ///< Open streams by number.
     uint64_t nextStream_ = 1;
 };
@@ -118,6 +126,13 @@
 void fetch(HttpClient &client, std::string address, HttpRequest request, Milliseconds timeout, ConnectionUse use,
     FetchHandler done);
 
+/**
+ * Sends a request to another node of this system, as fetch() does. The request carries a number. A reply that names
+ * another one, such as the copy of the reply to an earlier call, is dropped, and the call waits on for its own.
+ */
+void fetchFromNode(HttpClient &client, std::string address, HttpRequest request, Milliseconds timeout,
+    ConnectionUse use, FetchHandler done);
+
 /**
  * Sends a request on a new connection and passes the response on as it arrives.
  * @param silence longest time without a received byte, after which the stream ends with TransportErrc::Silent
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -5,6 +5,7 @@
 #include "http_server.h"
 
 #include "address_func.h"
+#include "call_number_func.h"
 #include "coroutine_func.h"
 #include "error_type.h"
 #include "http_limit_type.h"
@@ -88,6 +89,7 @@
     const ExchangeId exchange{ server.nextExchange_++ };
     startPhase(server.budget_->table_, Clock::now(), connection->holding_, HoldingPhase::Exchange);
     connection->exchange_ = exchange;
+    connection->callNumber_ = server.servesNodes_ ? findCallNumber(request.headers_).value_or(0) : 0;
     connection->output_.clear();
     server.exchanges_[exchange] = connection;
     watchForClose(server, connection);
@@ -95,6 +97,7 @@
     const bool complete = writeResponse(server, *connection, yield);
     server.exchanges_.erase(exchange);
     connection->exchange_ = ExchangeId{};
+    connection->callNumber_ = 0;
     if (!complete && !connection->peerClosed_) {
         server.handlers_.onDisconnect_(exchange);
     }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -85,6 +85,7 @@
     HoldingId holding_; ///< What the budget counts for this connection.
     bool timedOut_ = false; ///< Whether readTimeout_ or the budget has ended a read.
     std::error_code refusal_; ///< Why the budget has ended a read.
+    uint64_t callNumber_ = 0; ///< Number that the response to the request in progress repeats; 0 for none.
     bool closeAfterExchange_ = false; ///< Whether the connection closes after this exchange.
 };
 
@@ -112,6 +113,7 @@
     /// Connections between the first byte of a request and the end of its exchange or rejection.
     std::set<std::shared_ptr<ServerConnection>> busy_;
     uint64_t nextExchange_ = 1;
+    bool servesNodes_ = false; ///< Whether its peers are nodes of this system, whose call numbers it repeats.
     bool announceClose_ = false; ///< Whether responses carry "Connection: close".
     bool stopping_ = false; ///< Whether connections close after their current exchange.
 };
--- a/src/http_server_output.cpp
+++ b/src/http_server_output.cpp
@@ -4,6 +4,8 @@
  */
 #include "http_server_output.h"
 
+#include "call_number_func.h"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
@@ -16,19 +18,22 @@
 constexpr size_t maxJoinedBytes = 64U << 10U; ///< Chunks are joined up to this size, so that writes show progress.
 
 template<typename Body>
-void fillHeader(Http::response<Body> &message, const HttpReply &reply)
+void fillHeader(Http::response<Body> &message, const ServerConnection &connection, const HttpReply &reply)
 {
     message.version(11); // HTTP/1.1
     message.result(static_cast<unsigned>(reply.status_));
     for (const auto &[name, value] : reply.headers_) {
         message.insert(name, value);
     }
+    if (connection.callNumber_ != 0) {
+        message.set(callNumberHeader, std::to_string(connection.callNumber_));
+    }
 }
 
 boost::system::error_code writeHead(ServerConnection &connection, const HttpReply &reply, Asio::yield_context yield)
 {
     Http::response<Http::empty_body> message;
-    fillHeader(message, reply);
+    fillHeader(message, connection, reply);
     message.keep_alive(!connection.closeAfterExchange_);
     message.chunked(true);
     Http::response_serializer<Http::empty_body> serializer(message);
@@ -112,7 +117,7 @@
 boost::system::error_code writeReply(ServerConnection &connection, HttpReply &reply, Asio::yield_context yield)
 {
     Http::response<Http::string_body> message;
-    fillHeader(message, reply);
+    fillHeader(message, connection, reply);
     message.keep_alive(!connection.closeAfterExchange_);
     message.body() = std::move(reply.body_);
     message.prepare_payload();
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -22,6 +22,7 @@
     std::string target_; ///< Path and query.
     HttpHeaders headers_;
     std::string body_;
+    std::string channel_{}; ///< Of a sent request: it shares kept connections with those of the same channel only.
     Milliseconds age_{ 0 }; ///< Of a received request: time for which its last bytes waited to be read; 0 if unknown.
 };
 
--- a/src/link_use_type.h
+++ b/src/link_use_type.h
@@ -1,11 +1,12 @@
 /**
  * @file link_use_type.h
- * @brief What a connection to an upstream has been used for.
+ * @brief What a connection to an upstream or another peer has been used for, and what came on it unasked.
  */
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace Burdockfield {
 
@@ -24,4 +25,13 @@
     BehindAnswer, ///< Together with the end of the answer that was due.
 };
 
+/// Reply that no call was waiting for. It is dropped, and its connection carries no further call.
+struct ExtraReply
+{
+    std::string address_; ///< IP:PORT of the peer.
+    ExtraAnswerPlace place_ = ExtraAnswerPlace::Idle; ///< When it came.
+    uint64_t expected_ = 0; ///< Number of the call under way, else of the last one; 0 if it has none.
+    uint64_t received_ = 0; ///< Number that the reply names; 0 if it names none or was not read.
+};
+
 } // namespace Burdockfield
--- a/src/node_daemon_type.h
+++ b/src/node_daemon_type.h
@@ -58,10 +58,14 @@
     }
 }
 
-/// Sets up the loop to log the decisions of each tick and to execute the rest of its outbox on the network thread.
+/// Sets up the loop to log the decisions of each tick and to execute the rest of its outbox on the network thread, and
+/// the client to pass on the replies that it drops.
 template<typename Daemon>
 void setUpLoop(Daemon &daemon, void (*executeOutbox)(Daemon &, const typename Daemon::Outbox &))
 {
+    daemon.client_.onExtraReply_ = [&daemon](const ExtraReply &reply) {
+        postEvent(daemon.loop_, typename Daemon::Event(reply));
+    };
     daemon.loop_.execute_ = [&daemon, executeOutbox](typename Daemon::Outbox outbox) {
         for (const auto &decision : outbox.decisions_) {
             logDecision(decision);
--- a/tests/promise_process_test.cpp
+++ b/tests/promise_process_test.cpp
@@ -2,6 +2,7 @@
  * @file promise_process_test.cpp
  * @brief Promises held by real processes under kills, freezes, cuts, silence and store trouble.
  */
+#include "copying_agent.h"
 #include "json_func.h"
 #include "process_fixture.h"
 
@@ -141,6 +142,23 @@
     CHECK(starts(fleet_, booking) == 1);
 }
 
+TEST_CASE_FIXTURE(ProcessFixture, "UnkeyedBooking_WhenTheRefusalOfItsFirstOrderIsCopied_RunsOnce")
+{
+    FleetSpec spec = makeBookingFleet(300);
+    spec.entries_ = 1;
+    spec.linked_ = true;
+    REQUIRE(startFleet(fleet_, spec));
+    const std::string link = std::string(bookingAgent) + "-link";
+    signalProcess(fleet_, link, SIGKILL);
+    CopyingAgent agent(fleet_.processes_.at(link).address_, fleet_.processes_.at(bookingAgent).address_);
+    const CallSpec booking = makeBooking("seats for 48", "");
+    CHECK(call(fleet_, "entry-1", booking).status_ == 201);
+    CHECK(agent.copies_ == 1);
+    CHECK(starts(fleet_, booking) == 1);
+    const std::string metrics = callNode(fleet_.processes_.at("entry-1").control_, "GET", "/metrics").body_;
+    CHECK(metrics.find("extra_replies{kind=\"before-answer\"} 1\n") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(ProcessFixture, "Key_WhenUsedAgain_GivesTheKeptAnswerAndRefusesAnotherPayload")
 {
     REQUIRE(startFleet(fleet_, makeBookingFleet(20)));
