Store: a reply to an earlier call does not count for another one

The store's replies name no call. A copy on a kept connection could count as the state of another row, as a whole table (whose other rows were then gone), or raise the version of another table's polls, which hid a change; polls applied states older than those received.

--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -75,6 +75,18 @@
         }
     }
 
+    /// @return how often a request with this text in its path was received.
+    size_t countRequests(const std::string &path) const
+    {
+        size_t requests = 0;
+        for (const StoreConnection &connection : connections_) {
+            for (size_t at = connection.received_.find(path); at != std::string::npos; ++requests) {
+                at = connection.received_.find(path, at + 1);
+            }
+        }
+        return requests;
+    }
+
     size_t countTransactions() const
     {
         return static_cast<size_t>(std::count_if(connections_.begin(), connections_.end(), receivedTransaction));
@@ -97,8 +109,13 @@
         boost::asio::write(connection.socket_, boost::asio::buffer(text), ignored);
     }
 
-    inline static const std::string readReply
-        = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 19\r\n\r\n{\"rows\":[],\"ver\":7}";
+    static std::string makeReply(const std::string &body)
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+    }
+
+    inline static const std::string readReply = makeReply(R"({"rows":[],"ver":7})");
     HttpClient client_{ io_ };
     std::list<StoreConnection> connections_; ///< All connections, in the order in which they were accepted.
     std::optional<StoreResult> read_; ///< Result of the read.
@@ -132,3 +149,67 @@
     runUntil([this] { return written_.has_value(); });
     CHECK(written_ == make_error_code(StoreErrc::Ambiguous));
 }
+
+TEST_CASE_FIXTURE(StoreClientFixture, "Row_WhenAnEarlierReplyComesAgainOnItsConnection_IsReadFromItsOwn")
+{
+    read_.reset();
+    readStoreRow(client_, address_, { "claims", "a" }, [this](const StoreResult &result) { read_ = result; });
+    runUntil([this] {
+        receive();
+        return countRequests("rows-get") == 2;
+    });
+    reply(connections_.front(), readReply);
+    runFor(Milliseconds(50));
+    reply(connections_.back(),
+        makeReply(R"({"rows":[{"table":"claims","part":"","key":"a","value":"YQ==","ver":9}],"ver":9})"));
+    runUntil([this] { return read_.has_value(); });
+    CHECK(read_->rows_.at(0).version_ == 9);
+}
+
+TEST_CASE_FIXTURE(StoreClientFixture, "Table_WhenAnEarlierReplyComesAgainOnItsConnection_IsReadFromItsOwn")
+{
+    uint64_t version = 0;
+    const auto startRead = [this, &version] {
+        const size_t reads = countRequests("rows-get") + 1;
+        readTable(client_, address_, "servers", Milliseconds(2000),
+            [&version](std::error_code /*error*/, const TableRead &read) { version = read.version_; });
+        runUntil([this, reads] {
+            receive();
+            return countRequests("rows-get") == reads;
+        });
+    };
+    startRead();
+    StoreConnection &first = connections_.back();
+    reply(first, readReply);
+    runUntil([&version] { return version == 7; });
+    startRead();
+    reply(first, readReply);
+    runFor(Milliseconds(50));
+    reply(connections_.back(), makeReply(R"({"rows":[],"ver":9})"));
+    runUntil([&version] { return version == 9; });
+}
+
+// The version of one table says nothing about the changes of another.
+TEST_CASE_FIXTURE(StoreClientFixture, "Poll_WhenTheReplyToAPollOfAnotherTableComesAgain_IsNotAnsweredByIt")
+{
+    uint64_t version = 0;
+    for (const char *table : { "servers", "op" }) {
+        version = 0;
+        pollTableChanges(client_, address_, table, 1, Milliseconds(0), Milliseconds(2000),
+            [&version](std::error_code /*error*/, const TableRead &read) { version = read.version_; });
+        const size_t polls = countRequests("rows-feed") + 1;
+        runUntil([this, polls] {
+            receive();
+            return countRequests("rows-feed") == polls;
+        });
+        for (StoreConnection &connection : connections_) {
+            if (connection.received_.find("table=servers") != std::string::npos) {
+                reply(connection, makeReply(R"({"rows":[],"ver":60})"));
+            }
+        }
+        runFor(Milliseconds(50));
+    }
+    CHECK(version == 0);
+    reply(connections_.back(), makeReply(R"({"rows":[],"ver":61})"));
+    runUntil([&version] { return version == 61; });
+}
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -214,6 +214,20 @@
     CHECK(follower_.statuses_.name_ == statusTable);
 }
 
+// The store's replies name no call, so that one to an earlier poll may count as the reply to this one.
+TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenTheReplyToAnEarlierPollComesAgain_KeepsTheNewerState")
+{
+    answer(nextCall(), makeRows(makeConfiguration(2), 2));
+    answer(nextCall(), makeRows(makeConfiguration(3), 3));
+    const size_t passedOn = rollouts_.size();
+    answer(nextCall(), makeRows(makeConfiguration(2), 2));
+    answer(nextCall(), makeRows(makeConfiguration(3), 3));
+    const Call next = nextCall();
+    CHECK(next.target_.find("after=3&") != std::string::npos);
+    CHECK(versions_ == std::vector<uint64_t>{ 1, 2, 3 });
+    CHECK(rollouts_.size() == passedOn + 1); // with the first reply of version 3
+}
+
 // Until the next regular poll ends, a new version would get no calls, which may take most of a short rollout.
 TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenANewVersionIsListed_ReadsTheOperatorsTableAtOnce")
 {
