Stand-in: copies of refusals that come late on an idle connection, or in two parts

The relay before an upstream sent copies of refusals only where the answer to the next request was due, and whole. Now a drawn share of the refusals, 421s of the upstream's own among them, come once more 0 to 100 ms after the first, on the idle connection or before the answer to the next request; and a drawn share of all copies come in two parts that are cut within the head, up to 15 ms apart. What else is sent on the connection waits for the second part, so that answers stay whole.

--- a/tests/standins/platform_upstream_faults.cpp
+++ b/tests/standins/platform_upstream_faults.cpp
@@ -35,6 +35,9 @@
 constexpr size_t floodPieceBytes = 65536; ///< Bytes of an answer without end that are sent at once.
 constexpr Milliseconds floodPieceInterval{ 2 }; ///< Time between them.
 constexpr Milliseconds floodTime{ 10000 }; ///< Longest time for which they are sent, as a silent link never closes.
+constexpr uint64_t mostIdleLateness = 100; ///< Longest time in ms from a refusal to its copy on an idle connection.
+constexpr uint64_t longestGap = 15; ///< Longest time in ms between the two parts of a copy.
+constexpr Milliseconds partStep{ 1 }; ///< Time between two looks at whether a copy has been sent.
 constexpr Milliseconds lateness{ 5 }; ///< Time into the run of a request after which every second copy is sent.
 
 /// Connection of a gateway, and that to the upstream which it is relayed to.
@@ -47,6 +50,8 @@
     std::string lastAnswer_{}; ///< Latest answer that isn't a refusal.
     std::string lastRefusal_{}; ///< Latest refusal.
     std::map<std::string, std::string> refusals_{}; ///< Refusals by the id of their request.
+    uint64_t requests_ = 0; ///< Count of requests.
+    bool copying_ = false; ///< Whether a part of a copy has been sent and the rest is due; all else waits for it.
     bool flooding_ = false; ///< Whether an answer without end is sent; the upstream's own are dropped.
 };
 
@@ -99,19 +104,53 @@
     return makeHead(faults, status, id) + std::string(Platform::notRunHeader) + ": 1\r\nContent-Length: 0\r\n\r\n";
 }
 
-/// Sends bytes that are few enough for the socket's buffer.
-void sendNow(FaultyConnection &connection, const std::string &bytes)
+void sleepFor(Milliseconds time, Asio::yield_context yield)
 {
+    boost::system::error_code ignored;
+    Asio::steady_timer timer(yield.get_executor(), time);
+    timer.async_wait(yield[ignored]);
+}
+
+void awaitCopy(const FaultyConnection &connection, Asio::yield_context yield)
+{
+    while (connection.copying_) {
+        sleepFor(partStep, yield);
+    }
+}
+
+/// Sends bytes that are few enough for the socket's buffer, once a copy that is being sent has ended.
+void send(FaultyConnection &connection, const std::string &bytes, Asio::yield_context yield)
+{
+    awaitCopy(connection, yield);
     boost::system::error_code ignored;
     Asio::write(connection.near_, Asio::buffer(bytes), ignored);
 }
 
+/// Sends a copy, a share of them in two parts that are cut within the head.
+void sendCopy(AnswerFaults &faults, FaultyConnection &connection, const std::string &copy, Asio::yield_context yield)
+{
+    size_t sent = 0;
+    if (faults.shares_.split_ > 0 && draw(faults, faults.shares_.split_)) {
+        sent = 1 + faults.random_() % (copy.find("\r\n\r\n") + 2);
+        send(connection, copy.substr(0, sent), yield);
+        connection.copying_ = true;
+        sleepFor(Milliseconds(1 + faults.random_() % longestGap), yield);
+        connection.copying_ = false;
+    }
+    send(connection, copy.substr(sent), yield);
+}
+
 void keepRefusal(FaultyConnection &connection, std::string bytes)
 {
     connection.refusals_[connection.request_] = bytes;
     connection.lastRefusal_ = std::move(bytes);
 }
 
+bool isRefusal(const std::string &answer)
+{
+    return answer.find(std::string(Platform::notRunHeader) + ": ") != std::string::npos;
+}
+
 /// Keeps the answer to the latest request for copies.
 void keepAnswer(FaultyConnection &connection)
 {
@@ -119,13 +158,33 @@
     if (answer.empty() || answer.size() > copiedBytes) {
         return;
     }
-    if (answer.find(std::string(Platform::notRunHeader) + ": ") != std::string::npos) {
+    if (isRefusal(answer)) {
         keepRefusal(connection, std::move(answer));
     } else {
         connection.lastAnswer_ = std::move(answer);
     }
 }
 
+/// Lets a share of the refusals come once more after a pause, unless the answer to a later request has begun.
+void copyLate(AnswerFaults &faults, const FaultyConnectionPointer &connection, const std::string &refusal)
+{
+    if (faults.shares_.idleCopies_ == 0 || !draw(faults, faults.shares_.idleCopies_)) {
+        return;
+    }
+    const Milliseconds pause(faults.random_() % (mostIdleLateness + 1));
+    const auto body
+        = [&faults, connection, refusal, pause, requests = connection->requests_](Asio::yield_context yield) {
+              sleepFor(pause, yield);
+              awaitCopy(*connection, yield);
+              const bool idle = connection->requests_ == requests;
+              if (!connection->flooding_ && (idle || connection->answer_.empty())) {
+                  logFault(faults, *connection, idle ? "late copy of its refusal" : "late copy of a refusal");
+                  sendCopy(faults, *connection, refusal, yield);
+              }
+          };
+    Asio::spawn(faults.io_, body, Asio::detached);
+}
+
 /// @return the answer too many that comes where the answer to the latest request is due, or an empty text.
 std::string drawCopy(AnswerFaults &faults, const FaultyConnection &connection)
 {
@@ -147,7 +206,7 @@
 }
 
 /// Relays answers from the upstream.
-void relayAnswers(const FaultyConnectionPointer &connection, Asio::yield_context yield)
+void relayAnswers(AnswerFaults &faults, const FaultyConnectionPointer &connection, Asio::yield_context yield)
 {
     std::array<char, relayBytes> bytes{};
     boost::system::error_code error;
@@ -159,7 +218,11 @@
         if (connection->answer_.size() <= copiedBytes) {
             connection->answer_.append(bytes.data(), count);
         }
+        awaitCopy(*connection, yield);
         Asio::async_write(connection->near_, Asio::buffer(bytes, count), yield[error]);
+        if (isRefusal(connection->answer_) && connection->answer_.ends_with("\r\n\r\n")) {
+            copyLate(faults, connection, connection->answer_);
+        }
     }
     if (!connection->flooding_) {
         closeConnection(*connection);
@@ -213,15 +276,14 @@
     const std::string copy = drawCopy(faults, connection);
     const bool late = draw(faults, 0.5);
     if (!copy.empty() && !late) {
-        sendNow(connection, copy);
+        sendCopy(faults, connection, copy, yield);
     }
     boost::system::error_code error;
     Asio::async_write(connection.far_, Asio::buffer(bytes), yield[error]);
     if (!copy.empty() && late) {
-        Asio::steady_timer timer(yield.get_executor(), lateness);
-        timer.async_wait(yield);
+        sleepFor(lateness, yield);
         if (connection.answer_.empty()) {
-            sendNow(connection, copy);
+            sendCopy(faults, connection, copy, yield);
         }
     }
     return !error;
@@ -239,6 +301,7 @@
         }
         const Request request = parser.release();
         keepAnswer(*connection);
+        ++connection->requests_;
         connection->request_ = std::string(request[std::string(Platform::requestIdHeader)]);
         const bool refused = draw(faults, faults.shares_.refused_);
         if (refused || draw(faults, faults.shares_.replaced_)) {
@@ -246,7 +309,8 @@
             keepRefusal(*connection,
                 makeRefusal(
                     faults, refused ? "503 Service Unavailable" : "421 Misdirected Request", connection->request_));
-            sendNow(*connection, connection->lastRefusal_);
+            send(*connection, connection->lastRefusal_, yield);
+            copyLate(faults, connection, connection->lastRefusal_);
             continue;
         }
         connection->flooding_ = draw(faults, faults.shares_.endless_);
@@ -271,7 +335,8 @@
             connection->near_.set_option(Tcp::no_delay(true), error);
             connection->far_.set_option(Tcp::no_delay(true), error);
             Asio::spawn(
-                faults.io_, [connection](Asio::yield_context inner) { relayAnswers(connection, inner); },
+                faults.io_,
+                [&faults, connection](Asio::yield_context inner) { relayAnswers(faults, connection, inner); },
                 Asio::detached);
             serveConnection(faults, connection, yield);
         }
@@ -300,6 +365,8 @@
     read(reader, "replaced", shares.replaced_, Presence::Optional);
     read(reader, "refusal_copies", shares.refusalCopies_, Presence::Optional);
     read(reader, "copies", shares.copies_, Presence::Optional);
+    read(reader, "idle_copies", shares.idleCopies_, Presence::Optional);
+    read(reader, "split", shares.split_, Presence::Optional);
     read(reader, "answer_copies", shares.answerCopies_, Presence::Optional);
     read(reader, "endless", shares.endless_, Presence::Optional);
     faults.shares_ = shares;
--- a/tests/standins/platform_upstream_faults.h
+++ b/tests/standins/platform_upstream_faults.h
@@ -27,14 +27,17 @@
     double replaced_ = 0; ///< Refused with 421 by another instance, and not run.
     double refusalCopies_ = 0; ///< Run, but a copy of an earlier refusal on the connection comes first.
     uint64_t copies_ = 1; ///< How often each copy of a refusal comes, one right behind the other.
+    double idleCopies_ = 0; ///< Refused, and a copy of the refusal comes on the connection 0 to 100 ms later.
+    double split_ = 0; ///< Of the copies of refusals: come in two parts, the first one cut within the head.
     double answerCopies_ = 0; ///< Run, but a copy of an earlier answer on the connection comes first.
     double endless_ = 0; ///< Run and answered with a head, chunk header, body or trailers that don't end.
 };
 
 /**
  * Runs the relay until it is told to stop. A POST to its control sets the shares, by the names `refused`, `replaced`,
- * `refusal_copies`, `copies`, `answer_copies` and `endless`; those left out become zero, `copies` one. A copy of the
- * refusal of the same request is preferred to that of another. Each fault is a line of its standard output.
+ * `refusal_copies`, `copies`, `idle_copies`, `split`, `answer_copies` and `endless`; those left out become zero,
+ * `copies` one. A copy of the refusal of the same request is preferred to that of another. Each fault is a line of its
+ * standard output.
  * @return exit status of the process
  */
 int runAnswerFaults(const AnswerFaultPlace &place);
