Soak: no stream may be run by two engines at once for over 400 ms

The ledgers of the upstreams' stand-ins now name the time of each line, and runs that end with their caller's connection get a line. Streams of gateways that were paused or ended, or near faults of links, the store or upstreams, aren't judged; neither are runs that ended with their engine's process, which have no end in the ledger.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -238,6 +238,9 @@
         read(reader, "prompt", line.prompt_);
         read(reader, "prefill_tokens", line.prefillTokens_, Presence::Optional);
         read(reader, "resume_tokens", line.resumeTokens_, Presence::Optional);
+        Milliseconds clock{ 0 };
+        read(reader, "clock_ms", clock, Presence::Optional);
+        line.at_ = TimePoint(clock);
         lines.push_back(std::move(line));
     }
     return lines;
--- a/tests/fleet_func.h
+++ b/tests/fleet_func.h
@@ -72,6 +72,7 @@
     std::string prompt_; ///< Hash of the prompt or body.
     uint64_t prefillTokens_ = 0; ///< Prompt tokens worked through.
     uint64_t resumeTokens_ = 0; ///< Answer tokens that the caller had already.
+    TimePoint at_{}; ///< When, by the upstreams of the platform.
 };
 
 /// @return three unlike engines, a plain service, tiers, workspaces and routes.
--- a/tests/soak_fixture.cpp
+++ b/tests/soak_fixture.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds recovery{ 6000 }; ///< Time in which all has to work again after the last fault.
 constexpr uint64_t defaultMemoryMib = 128; ///< Memory of a gateway.
 constexpr uint64_t leastMemoryMib = 88; ///< Memory of a gateway on the smallest machine.
+constexpr Milliseconds contactTime{ 3000 }; ///< Time after a disturbance in which rules with a bound don't hold.
+constexpr Milliseconds mostOverlap{ 400 }; ///< Longest time for which two upstreams may work on one stream.
 constexpr int calmCalls = 30; ///< Calls after the faults, which all have to be served.
 
 /// After recovery every gateway serves by the newest configuration, and no longer by a key that was taken away.
@@ -89,8 +91,65 @@
     }
 }
 
+/// Run of a request, as the ledger of its upstream tells.
+struct SoakRun
+{
+    std::string upstream_; ///< Where.
+    TimePoint from_{}; ///< When it began.
+    TimePoint until_{}; ///< When it ended; as from_ if its upstream ended first.
+};
+
+std::map<std::string, std::vector<SoakRun>> collectRuns(const std::vector<LedgerLine> &ledger)
+{
+    std::map<std::string, std::vector<SoakRun>> runs;
+    for (const LedgerLine &line : ledger) {
+        std::vector<SoakRun> &own = runs[line.request_];
+        if (line.event_ == "started") {
+            own.push_back({ line.upstream_, line.at_, line.at_ });
+        } else if (!own.empty() && own.back().upstream_ == line.upstream_) {
+            own.back().until_ = line.at_;
+        }
+    }
+    return runs;
+}
+
+bool isDisturbed(const SoakCall &call, TimePoint until, const std::vector<SoakDisturbance> &disturbances)
+{
+    return std::any_of(disturbances.begin(), disturbances.end(), [&](const SoakDisturbance &disturbance) {
+        const bool own = disturbance.gateway_.empty() || call.gateway_.starts_with(disturbance.gateway_ + "/");
+        return own && disturbance.from_ <= until && call.sentAt_ < disturbance.until_ + contactTime;
+    });
+}
+
 } // namespace
 
+std::vector<SoakBreach> judgeStreams(const std::vector<SoakCall> &calls, const std::vector<LedgerLine> &ledger,
+    const std::vector<SoakDisturbance> &disturbances)
+{
+    const std::map<std::string, std::vector<SoakRun>> runs = collectRuns(ledger);
+    std::vector<SoakBreach> breaches;
+    for (const SoakCall &call : calls) {
+        const auto found = runs.find(call.id_);
+        if (found == runs.end() || call.gateway_.empty() || !call.target_.starts_with("/stream/")) {
+            continue;
+        }
+        for (const SoakRun &first : found->second) {
+            for (const SoakRun &second : found->second) {
+                const TimePoint until = std::min(first.until_, second.until_);
+                const bool atOnce
+                    = &first != &second && first.from_ <= second.from_ && until - second.from_ > mostOverlap;
+                if (atOnce && !isDisturbed(call, until, disturbances)) {
+                    const auto time = std::chrono::duration_cast<Milliseconds>(until - second.from_);
+                    breaches.push_back({ "a stream is run by one upstream", call.id_,
+                        first.upstream_ + " and " + second.upstream_ + " for " + std::to_string(time.count())
+                            + " ms" });
+                }
+            }
+        }
+    }
+    return breaches;
+}
+
 bool isRefused(const SoakCall &call)
 {
     return call.whole_ && (call.status_ == 408 || call.status_ == 421 || call.status_ == 429 || call.status_ == 503);
@@ -196,7 +255,11 @@
     checkMemory(soak);
     checkRunning(soak);
     checkLogs(soak);
-    std::vector<SoakBreach> breaches = judgeCalls(soak.report_.calls_, readLedgers(soak.fleet_));
+    const std::vector<LedgerLine> ledger = readLedgers(soak.fleet_);
+    std::vector<SoakBreach> breaches = judgeCalls(soak.report_.calls_, ledger);
+    std::move(breaches.begin(), breaches.end(), std::back_inserter(soak.report_.breaches_));
+    breaches = spec.replacements_ ? judgeStreams(soak.report_.calls_, ledger, soak.disturbances_)
+                                  : std::vector<SoakBreach>{};
     std::move(breaches.begin(), breaches.end(), std::back_inserter(soak.report_.breaches_));
     breaches = judgeLeaving(soak.report_.calls_);
     std::move(breaches.begin(), breaches.end(), std::back_inserter(soak.report_.breaches_));
--- a/tests/soak_fixture.h
+++ b/tests/soak_fixture.h
@@ -28,8 +28,8 @@
                                  ///< grow large.
     bool answerFaults_ = false; ///< Whether upstreams refuse, copy refusals and answers, and answer without end, and
                                 ///< callers come back after a refusal.
-    bool replacements_ = false; ///< Whether upstreams that may not be called twice are replaced at their addresses all
-                                ///< the while and copy their refusals, and calls have one attempt; with answer faults.
+    bool replacements_ = false; ///< Whether upstreams are replaced at their addresses all the while, also under other
+                                ///< faults, and copy their refusals, and calls have one attempt; with answer faults.
     std::string daemon_; ///< Gateways' program; empty for the one built with the soak.
     uint64_t memoryMib_ = 0; ///< Memory of each gateway in MiB; 0 for the default, or with answer faults and an even
                              ///< seed for that of the smallest machine.
@@ -54,6 +54,14 @@
     TimePoint answeredAt_{}; ///< When the answer ended.
 };
 
+/// Time in which a gateway or anything else wasn't sound.
+struct SoakDisturbance
+{
+    std::string gateway_; ///< Gateway that was paused or ended; empty for links, the store and upstreams.
+    TimePoint from_{}; ///< When it began.
+    TimePoint until_{}; ///< When it ended.
+};
+
 /// Broken promise.
 struct SoakBreach
 {
@@ -77,6 +85,14 @@
 /// Checks that no gateway uses an upstream after it has passed on that the upstream leaves. @return the breaches
 std::vector<SoakBreach> judgeLeaving(const std::vector<SoakCall> &calls);
 
+/**
+ * Checks that no stream is run by two upstreams at once for longer than a gateway may need to end the earlier run.
+ * Runs that ended with their upstream's process, and streams within three seconds of a disturbance, aren't judged.
+ * @return the breaches
+ */
+std::vector<SoakBreach> judgeStreams(const std::vector<SoakCall> &calls, const std::vector<LedgerLine> &ledger,
+    const std::vector<SoakDisturbance> &disturbances);
+
 /// @return whether an answer states that the request has not run and never will.
 bool isRefused(const SoakCall &call);
 
--- a/tests/soak_parts_func.h
+++ b/tests/soak_parts_func.h
@@ -43,6 +43,7 @@
     uint64_t memoryMib_ = 0; ///< Memory of each gateway in MiB.
     uint32_t unusedRoutes_ = 0; ///< Routes of the configuration that only make it larger.
     std::map<std::string, SoakInstance> instances_; ///< Instances at the addresses of upstreams that were replaced.
+    std::vector<SoakDisturbance> disturbances_; ///< Faults besides replacements, where upstreams are replaced.
     std::map<std::string, TimePoint> endedInstances_; ///< Ended instances that are still listed, until when.
 };
 
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -165,6 +165,27 @@
     CHECK(findBreach() == "a whole answer is the request's own");
 }
 
+TEST_CASE_FIXTURE(RunsCheckFixture, "StreamCheck_WhenTwoUpstreamsRunItAtOnce_FindsItUnlessItsGatewayWasDisturbed")
+{
+    const TimePoint start{ std::chrono::hours(1) };
+    addCall("c0-1", 200);
+    calls_[0].target_ = "/stream/x1";
+    calls_[0].gateway_ = "gateway-1/0";
+    calls_[0].sentAt_ = start;
+    const auto addLine = [&](const char *upstream, const char *event, Milliseconds time) {
+        ledger_.push_back({ upstream, event, "c0-1", "", 0, 0, start + time });
+    };
+    addLine("engines-1", "started", Milliseconds(0));
+    addLine("engines-1", "abandoned", Milliseconds(600));
+    addLine("engines-2", "started", Milliseconds(200));
+    addLine("engines-2", "finished", Milliseconds(900));
+    CHECK(judgeStreams(calls_, ledger_, {}).empty());
+    ledger_[1].at_ = start + Milliseconds(601);
+    CHECK(judgeStreams(calls_, ledger_, {}).size() == 1);
+    CHECK(judgeStreams(calls_, ledger_, { { "gateway-2", start, start } }).size() == 1);
+    CHECK(judgeStreams(calls_, ledger_, { { "gateway-1", start, start } }).empty());
+}
+
 TEST_CASE_FIXTURE(SoakTestFixture, "LeavingCheck_WhenAnUpstreamIsUsedAfterItSaidThatItLeaves_FindsIt")
 {
     const TimePoint start{ std::chrono::hours(1) };
--- a/tests/standins/platform_upstream.cpp
+++ b/tests/standins/platform_upstream.cpp
@@ -33,11 +33,12 @@
 constexpr std::string_view instanceHeader = "Instance-Id"; ///< Upstream that made a response.
 constexpr std::string_view streamPathPart = "/stream/"; ///< Requests with it in their target get a stream of events.
 
-/// Adds a line about a run to the ledger.
-void writeLedger(StandinOutbox &outbox, const UpstreamRun &run, const char *event)
+/// Adds a line about a run to the ledger, with the time of the clock that all processes share.
+void writeLedger(StandinOutbox &outbox, TimePoint now, const UpstreamRun &run, const char *event)
 {
     outbox.ledger_.push_back(
-        Json::serialize(Json::object{ { "event", event }, { "request", run.id_ }, { "prompt", run.echo_ } }));
+        Json::serialize(Json::object{ { "event", event }, { "request", run.id_ }, { "prompt", run.echo_ },
+            { "clock_ms", std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()).count() } }));
 }
 
 HttpReply makeReply(int status, const UpstreamRun &run)
@@ -86,7 +87,7 @@
     run.deadly_ = findHeader(request.headers_, Platform::promptPartsHeader).find(deadlyPart) != std::string_view::npos;
     run.nextEvent_ = parseNumberOr(findHeader(request.headers_, Platform::lastEventIdHeader), 0) + 1;
     run.dueAt_ = now + state.stepDelay_;
-    writeLedger(outbox, run, "started");
+    writeLedger(outbox, now, run, "started");
     const TimePoint due = run.dueAt_;
     pushDeadline(state.deadlines_, due, insertRow(state.runs_, std::move(run)));
 }
@@ -96,9 +97,9 @@
     return "id: " + std::to_string(number) + "\ndata: " + text + "-" + std::to_string(number) + "\n\n";
 }
 
-void finishRun(UpstreamStandinState &state, PoolId<UpstreamRun> id, StandinOutbox &outbox)
+void finishRun(UpstreamStandinState &state, TimePoint now, PoolId<UpstreamRun> id, StandinOutbox &outbox)
 {
-    writeLedger(outbox, *findRow(state.runs_, id), "finished");
+    writeLedger(outbox, now, *findRow(state.runs_, id), "finished");
     eraseRow(state.runs_, id);
 }
 
@@ -107,7 +108,7 @@
 {
     if (run.nextEvent_ > state.events_) {
         outbox.outputs_.push_back({ run.exchange_, ServerOutput::Kind::End, {}, {} });
-        finishRun(state, id, outbox);
+        finishRun(state, now, id, outbox);
         return;
     }
     if (run.dueAt_ != TimePoint{}) {
@@ -167,19 +168,19 @@
         stepDeadly(state, now, id, *run, outbox);
     } else if (run->mode_ == UpstreamMode::Failing) {
         outbox.outputs_.push_back({ run->exchange_, ServerOutput::Kind::Full, makeReply(500, *run), {} });
-        finishRun(state, id, outbox);
+        finishRun(state, now, id, outbox);
     } else if (run->mode_ == UpstreamMode::Endless) {
         stepEndless(state, now, id, *run, outbox);
     } else if (run->streamed_) {
         stepStream(state, now, id, *run, outbox);
     } else if (run->mode_ == UpstreamMode::Reset) {
         outbox.outputs_.push_back({ run->exchange_, ServerOutput::Kind::Abort, {}, {} });
-        finishRun(state, id, outbox);
+        finishRun(state, now, id, outbox);
     } else {
         HttpReply reply = makeReply(200, *run);
         reply.body_ = run->echo_ + std::string(state.padding_, '.');
         outbox.outputs_.push_back({ run->exchange_, ServerOutput::Kind::Full, std::move(reply), {} });
-        finishRun(state, id, outbox);
+        finishRun(state, now, id, outbox);
     }
 }
 
@@ -212,11 +213,12 @@
     }
 }
 
-void eraseAbandonedRuns(UpstreamStandinState &state, const StandinInbox &inbox)
+void eraseAbandonedRuns(UpstreamStandinState &state, TimePoint now, const StandinInbox &inbox, StandinOutbox &outbox)
 {
     for (const Departure &departure : inbox.disconnects_) {
         forEachRow(state.runs_, [&](PoolId<UpstreamRun> id, const UpstreamRun &run) {
             if (run.exchange_ == departure.exchange_) {
+                writeLedger(outbox, now, run, "abandoned");
                 eraseRow(state.runs_, id);
             }
         });
@@ -247,7 +249,7 @@
 StandinOutbox tickUpstream(UpstreamStandinState &state, TimePoint now, StandinInbox inbox)
 {
     StandinOutbox outbox;
-    eraseAbandonedRuns(state, inbox);
+    eraseAbandonedRuns(state, now, inbox, outbox);
     for (const Arrival &arrival : inbox.arrivals_) {
         if (arrival.request_.target_ == "/control") {
             handleControl(state, arrival, outbox);
