Soak: other faults while upstreams are replaced, late rows, engines in mid-stream

--replacements only replaced upstreams. Now half of the strikes also pause, kill or stop a gateway, or spoil links, the store and upstreams, up to three at once, while up to three upstreams are replaced; or an upstream ends while it works and returns under the same id with a later start. The first row of a new instance comes up to 200 ms late, a quarter of the earlier rows are written once more after it, and every fourth replaced upstream is an engine with streams of up to 0.75 s. Routes to engines keep three attempts, so that streams go on elsewhere. All upstreams refuse and copy refusals, also late and in two parts.

--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr const char *platform = "platform";
+constexpr uint32_t engineAttempts = 3; ///< Attempts of routes to engines, whose calls may be repeated.
 constexpr size_t addressesPerUpstream = 5; ///< Of the upstream, its link, its answer faults and the controls of both.
 
 std::string readyAddress(const Fleet &fleet, const std::string &gateway)
@@ -120,10 +121,11 @@
 void writeConfiguration(const Fleet &fleet, uint64_t version, const std::vector<std::string> &keys,
     const Gateway::CallerLimits &limits, uint32_t unusedRoutes, uint32_t attempts)
 {
-    Json::array routes{ makeRoute("stream", "streaming", "engines", attempts),
-        makeRoute("read", "idempotent", "engines", attempts), makeRoute("once", "non_idempotent", "desk", attempts) };
+    Json::array routes{ makeRoute("stream", "streaming", "engines", engineAttempts),
+        makeRoute("read", "idempotent", "engines", engineAttempts),
+        makeRoute("once", "non_idempotent", "desk", attempts) };
     for (uint32_t index = 0; index < unusedRoutes; ++index) {
-        routes.push_back(makeRoute("unused-" + std::to_string(index), "idempotent", "engines", attempts));
+        routes.push_back(makeRoute("unused-" + std::to_string(index), "idempotent", "engines", engineAttempts));
     }
     const Json::array services{ Json::object{ { "name", "engines" }, { "engine", Json::object() } },
         Json::object{ { "name", "desk" } } };
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -24,7 +24,7 @@
     uint32_t desks_ = 1; ///< Count of upstreams of the service "desk", which is not a model engine.
     uint32_t slots_ = 4; ///< Requests that each upstream runs at once.
     uint64_t seed_ = 1; ///< Gateways seed their random numbers with this plus their index; 0 for new ones each start.
-    uint32_t attempts_ = 3; ///< Attempts that each route allows.
+    uint32_t attempts_ = 3; ///< Attempts that the route allows whose calls may run once only; others allow three.
     bool linked_ = false; ///< Whether gateways reach each upstream through a link.
     std::string settings_; ///< Further lines of the gateways' settings.
     uint64_t answerFaultsSeed_ = 0; ///< If not 0, upstreams are reached through links and through runAnswerFaults().
@@ -49,7 +49,7 @@
  * Writes the operator's configuration into the store.
  * @param keys API keys of the only workspace
  * @param unusedRoutes further routes, which make the configuration large
- * @param attempts attempts that each route allows
+ * @param attempts attempts that the route allows whose calls may run once only; others allow three
  */
 void writeConfiguration(const Fleet &fleet, uint64_t version, const std::vector<std::string> &keys,
     const Gateway::CallerLimits &limits = {}, uint32_t unusedRoutes = 0, uint32_t attempts = 3);
--- a/tests/soak_faults.cpp
+++ b/tests/soak_faults.cpp
@@ -53,6 +53,8 @@
     return soak.spec_.quietCallers_ == 0 || Clock::now() - soak.started_[gateway] > leastRun;
 }
 
+} // namespace
+
 void startAgain(Soak &soak, uint32_t gateway)
 {
     ++soak.stops_[gateway];
@@ -60,7 +62,6 @@
     startProcess(soak.fleet_, gatewayName(gateway));
 }
 
-/// Asks a gateway to stop. @return whether it had begun to listen
 bool beginStop(Soak &soak, uint32_t gateway)
 {
     const bool listening = answersAtAll(soak.fleet_, gatewayName(gateway));
@@ -70,7 +71,6 @@
     return listening;
 }
 
-/// Waits for the end of a planned stop, and starts the gateway again. @param listening what beginStop() returned
 void endStop(Soak &soak, uint32_t gateway, bool listening)
 {
     const int status = awaitExit(soak.fleet_, gatewayName(gateway), stopWait);
@@ -81,6 +81,8 @@
     startAgain(soak, gateway);
 }
 
+namespace {
+
 void pauseFor(Soak &soak, uint32_t gateway, Milliseconds time)
 {
     signalProcess(soak.fleet_, gatewayName(gateway), SIGSTOP);
@@ -107,6 +109,8 @@
     }
 }
 
+} // namespace
+
 void strikeUpstream(Soak &soak)
 {
     const std::string upstream = drawUpstream(soak);
@@ -145,6 +149,8 @@
             + "\"}");
 }
 
+namespace {
+
 /// @return the keys of a configuration: that of callers, the one in force and the one that comes next.
 std::vector<std::string> keysUpTo(const Soak &soak, uint64_t next)
 {
@@ -354,7 +360,7 @@
     static constexpr std::array<Strike, 6> answerStrikes{ spoilDesks, spoilDesks, spoilAnswers, floodAnswers, floodAll,
         replaceInstance };
     if (soak.spec_.replacements_) {
-        replaceUpstream(soak);
+        strikeReplacing(soak);
         return;
     }
     if (soak.spec_.answerFaults_ && soak.random_() % 2 == 0) {
@@ -373,23 +379,29 @@
     }
 }
 
-/// Ends all faults.
-void heal(Soak &soak)
+void mendAll(Soak &soak)
 {
-    noteFault(soak, "all faults end");
-    restoreUpstreams(soak);
     controlStandin(soak.fleet_, "platform", R"({"mode":"up"})");
     for (const std::string &upstream : soak.fleet_.upstreams_) {
         controlStandin(soak.fleet_, upstream, R"({"mode":"good","pause_ms":0})");
         controlUpstreamLink(soak.fleet_, upstream, "/mend");
+    }
+    for (const std::string &gateway : soak.fleet_.entries_) {
+        controlStoreLink(soak.fleet_, gateway, "/mend");
+    }
+}
+
+void heal(Soak &soak)
+{
+    noteFault(soak, "all faults end");
+    restoreUpstreams(soak);
+    mendAll(soak);
+    for (const std::string &upstream : soak.fleet_.upstreams_) {
         if (soak.spec_.answerFaults_) {
             controlAnswerFaults(soak.fleet_, upstream, "{}");
         }
         writeUpstreamRow(soak.fleet_, upstream, "ready", 4);
     }
-    for (const std::string &gateway : soak.fleet_.entries_) {
-        controlStoreLink(soak.fleet_, gateway, "/mend");
-    }
 }
 
 void checkMemory(Soak &soak)
--- a/tests/soak_main.cpp
+++ b/tests/soak_main.cpp
@@ -27,7 +27,7 @@
     app.add_flag("--answer-faults", spec.answerFaults_,
         "Upstreams refuse, send copies of refusals and answers late, and answer without end; callers come back");
     app.add_flag("--replacements", spec.replacements_,
-        "Calls have one attempt; upstreams that may not be called twice are replaced at their addresses all the while");
+        "Calls have one attempt; upstreams are replaced at their addresses all the while, also under other faults");
     app.add_option("--daemon", spec.daemon_, "Gateways' program, of another version");
     app.add_option("--desks", spec.desks_, "Upstreams that may not be called twice");
     app.add_option("--memory-mib", spec.memoryMib_, "Memory of each gateway in MiB; 0 for the seed's");
--- a/tests/soak_parts_func.h
+++ b/tests/soak_parts_func.h
@@ -62,16 +62,40 @@
 /// Adds a line to the report's faults.
 void noteFault(Soak &soak, const std::string &fault);
 
-/// Replaces an upstream that may not be called twice by another instance at its address. The row of the earlier one
-/// stays for a time.
+/// Replaces an upstream by another instance at its address. The row of the earlier one stays for a time, and is seldom
+/// written again after the first row of the new one.
 void replaceUpstream(Soak &soak);
 
+/// Replaces upstreams, or causes another fault meanwhile.
+void strikeReplacing(Soak &soak);
+
 /// Lets the upstreams that were replaced run under their own names again.
 void restoreUpstreams(Soak &soak);
 
 /// Draws a fault and causes it.
 void strike(Soak &soak);
 
+/// Kills an upstream and starts it again, or draws how it handles requests.
+void strikeUpstream(Soak &soak);
+
+/// Spoils the link before an upstream, or between a gateway and the store.
+void strikeLink(Soak &soak);
+
+/// Draws how the store answers.
+void strikeStore(Soak &soak);
+
+/// Asks a gateway to stop. @return whether it had begun to listen
+bool beginStop(Soak &soak, uint32_t gateway);
+
+/// Waits for the end of a planned stop, and starts the gateway again. @param listening what beginStop() returned
+void endStop(Soak &soak, uint32_t gateway, bool listening);
+
+/// Starts a gateway that has ended.
+void startAgain(Soak &soak, uint32_t gateway);
+
+/// Ends the faults of the store, the links and the upstreams' modes.
+void mendAll(Soak &soak);
+
 /// Ends all faults.
 void heal(Soak &soak);
 
