Report of second sends: a refusal that comes first on its connection is no copy

A genuine first 421 was called doubtful if its upstream copied it later, as the copy was logged as an extra answer with that id. In the logs of a soak 19 of 104 sends after a 421 were listed so. A copy comes on the connection of what it copies, so that the first answer of a connection is none. The case of an extra answer now has a connection that carried calls before; a new case holds the other.

--- a/tests/sends_test.cpp
+++ b/tests/sends_test.cpp
@@ -72,12 +72,21 @@
 TEST_CASE_FIXTURE(SendsFixture, "Refusal_WhenAnExtraAnswerWithItsIdCameFromItsAddress_IsDoubtful")
 {
     addSent("c1", "desk-1", "first");
-    addFailed("c1", "desk-1", "421", "4");
+    addFailed("c1", "desk-1", "421", "4", "3");
     addExtraAnswer("c1", "10.0.0.1:80");
     addSent("c1", "desk-2", "wrong-instance");
     CHECK(finding() == Finding::ExtraAnswer);
 }
 
+TEST_CASE_FIXTURE(SendsFixture, "Refusal_WhenItIsTheFirstAnswerOfAConnectionThatCopiesItLater_IsProof")
+{
+    addSent("c1", "desk-1", "first");
+    addFailed("c1", "desk-1", "421", "4");
+    addExtraAnswer("c1", "10.0.0.1:80");
+    addSent("c1", "desk-2", "wrong-instance");
+    CHECK(finding() == Finding::FirstOnConnection);
+}
+
 TEST_CASE_FIXTURE(SendsFixture, "Refusal_WhenAnExtraAnswerCameFromAnotherAddress_IsProof")
 {
     addExtraAnswer("c1", "10.0.0.2:80");
