--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -26,7 +26,7 @@
 {
 public:
     Fleet(Store &store, Processes &processes, std::string program, const std::string &folder, std::string recordFile)
-        : heartbeats_(store)
+        : heartbeats_(*new Heartbeats(store))
         , processes_(processes)
         , program_(std::move(program))
         , log_(folder + "/runners.log")
@@ -68,7 +68,7 @@
         heartbeats_.add(runner);
     }
 
-    Heartbeats heartbeats_;
+    Heartbeats &heartbeats_; ///< Never destroyed, as its threads go on until the process ends.
     Processes &processes_;
     std::string program_;
     std::string log_;
@@ -99,7 +99,7 @@
 {
     const bool trouble = std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
     const Record record(recordFile);
-    Store store;
+    Store &store = *new Store; // never destroyed: its threads go on until the process ends
     Processes processes;
     Fleet fleet(store, processes, program, folder, recordFile);
     store.put("op", "config",
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -119,9 +119,9 @@
 {
     const bool trouble = std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
     const Record record(recordFile);
-    Store store;
-    Path path(store.port());
-    Heartbeats heartbeats(store);
+    Store &store = *new Store; // never destroyed: its threads go on until the process ends
+    Path &path = *new Path(store.port()); // the same
+    Heartbeats &heartbeats = *new Heartbeats(store); // the same
     Processes processes;
     const std::vector<int> ports = freePorts(runnerCount);
     for (size_t index = 0; index < ports.size(); ++index) {
