--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -14,10 +14,12 @@
 #include "metrics_type.h"
 #include "pool_type.h"
 #include "rollout_type.h"
+#include "store_type.h"
 
 #include <array>
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -72,7 +74,7 @@
     uint32_t slots_ = 1; ///< Requests that the server runs at once.
     uint64_t startedAtMs_ = 0; ///< Start of the server in Unix milliseconds, 0 if unknown.
     std::string version_; ///< Version of its software; empty if it has none.
-    uint64_t rowVersion_ = 0; ///< Store's version of the first row seen of this start.
+    StoreVersion rowVersion_; ///< Store's version of the first row seen of this start.
     bool versionKnown_ = true; ///< See UpstreamRow::versionKnown_.
     bool draining_ = false; ///< Whether its row says that it leaves; it gets no new calls.
     UpstreamAnnouncement announcement_; ///< What it has said itself; no row of the same start takes that back.
@@ -102,7 +104,7 @@
     TimePoint missingSince_{ noDeadline }; ///< Since when its row is missing after a store outage; else noDeadline.
     /// Until when it gets no calls because another instance was listed later at its address; zero if none was.
     TimePoint replacedUntil_{};
-    uint64_t replacedAtVersion_ = 0; ///< Store's version of the first row of that instance.
+    StoreVersion replacedAtVersion_; ///< Store's version of the first row of that instance.
 };
 
 using UpstreamId = PoolId<Upstream>; ///< Index of an upstream.
@@ -243,7 +245,9 @@
     TimePoint lastReceivedAt_{}; ///< When an update was last received from it; the epoch if never.
     TimePoint addedAt_{}; ///< When its address became known.
     uint64_t configurationVersion_ = 0; ///< Version of the configuration that it holds.
-    uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that it holds.
+    uint64_t configurationEra_ = 0; ///< Era of the store in which it received that configuration.
+    StoreVersion upstreamsVersion_; ///< Version of the store that its list of upstreams shows.
+    std::optional<uint32_t> upstreamsDigest_; ///< Digest of that list; the release before doesn't tell it.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< Its calls in flight, by upstream id.
     std::unordered_map<std::string, uint64_t> memoryTokens_; ///< Tokens of memory that they may take, by upstream id.
     std::unordered_map<std::string, uint64_t> chargedUnits_; ///< Units charged since its start, by workspace.
@@ -291,7 +295,7 @@
     bool missing_
         = false; ///< In a peer's list: whether the row is missing since an outage of the store, see missingSince_.
     std::string version_; ///< Version of the server's software; empty if it has none.
-    uint64_t rowVersion_ = 0; ///< Store's version of the row; 0 if unknown.
+    StoreVersion rowVersion_; ///< Store's version of the row; 0 if unknown.
     bool versionKnown_ = true; ///< False for a row from a peer of a release that does not send versions.
 };
 
@@ -347,18 +351,21 @@
 
     Configuration configuration_; ///< Configuration in force.
     std::string configurationText_; ///< The same as the operator wrote it, for snapshots to peers.
+    uint64_t configurationEra_ = 0; ///< Era of the store in which it was received.
     TimePoint configurationAppliedAt_{}; ///< When it took effect.
 
     Pool<Upstream> upstreams_; ///< Upstreams of all services.
     std::unordered_map<std::string, UpstreamId> upstreamById_; ///< Index of upstreams_ by id.
     std::unordered_map<std::string, UpstreamId> latestUpstreamByAddress_; ///< Instance listed last at each address.
     std::unordered_map<std::string, RemovedUpstream> removedUpstreams_; ///< Recently removed upstreams by id.
-    uint64_t upstreamsVersion_ = 0; ///< Version of the store's list; 0 when none is known yet.
+    /// Version of the store that upstreams_ shows. It rises with each read, also if no row has changed.
+    StoreVersion upstreamsVersion_;
+    uint32_t upstreamsDigest_ = 0; ///< Digest of the listed rows, see digestUpstreams().
     std::map<std::string, Rollout> rollouts_; ///< Newest rollout of each service that has had an order.
     std::map<std::string, RolloutStatus> rolloutStatuses_; ///< Newest status row by service.
     std::map<std::string, std::set<std::string>>
         establishedVersions_; ///< Versions in use by service, see isHeldBack().
-    uint64_t operatorVersion_ = 0; ///< Version of the store up to which all orders are known.
+    StoreVersion operatorVersion_; ///< Version of the store up to which all orders are known.
     TimePoint storeUnreachableSince_{ noDeadline }; ///< Start of the store's outage; noDeadline without one.
     TimePoint storeReachableSince_{}; ///< When the store last became reachable again.
 
--- a/src/gateway_daemon_type.h
+++ b/src/gateway_daemon_type.h
@@ -30,6 +30,7 @@
 struct EncodedConfiguration
 {
     uint64_t version_ = 0; ///< Version of the configuration.
+    uint64_t era_ = 0; ///< Era of the store in which it was received.
     std::string body_; ///< Body of the reply.
 };
 
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -65,6 +65,7 @@
     std::string text_; ///< The same as the operator wrote it.
     std::string source_; ///< Where it was received from, for log lines.
     Duration decodeTime_{}; ///< Time that decoding it took, for log lines.
+    uint64_t era_ = 0; ///< Era of the store that it was read in.
 };
 
 /// Rows of the list of upstreams were received from the store or from a peer.
@@ -72,7 +73,7 @@
 {
     std::vector<UpstreamRow> rows_; ///< New, changed and removed rows, or the full list.
     bool fullList_ = false; ///< Whether rows_ is the full list, so that upstreams without a row are gone.
-    uint64_t version_ = 0; ///< Version of the list.
+    StoreVersion version_; ///< Version of the store that the rows show, which also covers removed rows.
     std::string source_; ///< Where they were received from, for log lines.
     bool fromPeer_ = false; ///< Whether a peer sent them; the peer's list may be older than this gateway's.
 };
@@ -117,7 +118,9 @@
     uint64_t sequence_ = 0; ///< Number of this update, rising within an incarnation.
     std::optional<Milliseconds> uptime_; ///< Time since the sender's start; only in its first quota window.
     uint64_t configurationVersion_ = 0; ///< Version of the configuration that the sender holds.
-    uint64_t upstreamsVersion_ = 0; ///< Version of the upstream list that the sender holds.
+    uint64_t configurationEra_ = 0; ///< Era of the store in which the sender received it.
+    StoreVersion upstreamsVersion_; ///< Version of the store that the sender's list of upstreams shows.
+    std::optional<uint32_t> upstreamsDigest_; ///< Digest of that list; the release before doesn't tell it.
     bool hasCounts_ = true; ///< Whether the next four members are sent; only brokers and their standbys need them.
     std::unordered_map<std::string, uint32_t> inFlight_; ///< The sender's calls in flight, by upstream id.
     /// Tokens of memory that they may take, by upstream id, of services that limit them.
@@ -131,7 +134,7 @@
     std::map<Trait, Milliseconds> answered_; ///< Suspects answered there, with the time since then; full updates only.
     std::map<Trait, PeerVerdict> verdicts_; ///< Verdicts that the sender knows; in full updates only.
     std::vector<PeerRollout> rollouts_; ///< Rollouts that the sender knows; in full updates only.
-    uint64_t operatorVersion_ = 0; ///< Version up to which they are all orders; in full updates with rollouts only.
+    StoreVersion operatorVersion_; ///< Version up to which they are all orders; in full updates with rollouts only.
     std::vector<std::string> peers_; ///< Addresses of the sender's peers; in some full updates only.
 };
 
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -30,6 +30,12 @@
 /// @return whether the load balancer may send new connections to this node.
 bool isReady(const GatewayState &state);
 
+/**
+ * @return whether a configuration that the store had in @p era is newer than the one in force. The operator's versions
+ * go on rising when the store comes back from a copy, so that an older one is not taken in a new era either.
+ */
+bool isNewerConfiguration(const GatewayState &state, uint64_t version, uint64_t era);
+
 /// Applies received configurations that are newer than the one in force.
 void runConfiguration(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox);
 
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -2,11 +2,13 @@
  * @file gateway_membership.cpp
  * @brief Systems that keep the configuration and the list of upstreams up to date.
  */
+#include "digest_func.h"
 #include "gateway_func.h"
 #include "gateway_replacement_func.h"
 #include "http_limit_type.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Burdockfield::Gateway {
 
@@ -19,11 +21,15 @@
 
 void applyConfiguration(GatewayState &state, TimePoint now, ConfigurationReceived &event, GatewayOutbox &outbox)
 {
-    if (event.configuration_.version_ <= state.configuration_.version_) {
+    if (event.text_ == state.configurationText_ && state.configuration_.version_ != 0) {
+        state.configurationEra_ = std::max(state.configurationEra_, event.era_); // written again by the operator
+        return;
+    }
+    if (!isNewerConfiguration(state, event.configuration_.version_, event.era_)) {
         return;
     }
     outbox.decisions_.push_back({ "configuration",
-        { { "version", std::to_string(event.configuration_.version_) },
+        { { "version", std::to_string(event.configuration_.version_) }, { "era", std::to_string(event.era_) },
             { "before", std::to_string(state.configuration_.version_) }, { "source", event.source_ },
             { "routes", std::to_string(event.configuration_.routes_.size()) },
             { "bytes", std::to_string(event.text_.size()) }, { "decode_ms", millisecondsText(event.decodeTime_) } } });
@@ -33,6 +39,7 @@
     }
     state.configuration_ = std::move(event.configuration_);
     state.configurationText_ = std::move(event.text_);
+    state.configurationEra_ = event.era_;
     state.configurationAppliedAt_ = now;
     indexConfiguration(state.configuration_);
     markPeerUpdatesPending(state, {});
@@ -165,7 +172,7 @@
 void applyMissingRow(
     GatewayState &state, TimePoint now, const UpstreamRow &row, const std::string &source, GatewayOutbox &outbox)
 {
-    const bool knowsBetter = state.upstreamsVersion_ != 0 && !isStoreRecovering(state, now);
+    const bool knowsBetter = state.upstreamsVersion_.version_ != 0 && !isStoreRecovering(state, now);
     if (knowsBetter || findUpstream(state, row.id_) != nullptr) {
         return;
     }
@@ -230,19 +237,83 @@
     }
 }
 
+/// @return a digest of the listed upstreams, the same for the same rows in any order.
+uint32_t digestUpstreams(const GatewayState &state)
+{
+    uint64_t sum = 0;
+    forEachRow(state.upstreams_, [&sum](UpstreamId /*id*/, const Upstream &upstream) {
+        if (upstream.missingSince_ != noDeadline) {
+            return; // not a row of the store
+        }
+        const char separator = '\n';
+        sum += fastHash(upstream.id_ + separator + upstream.service_ + separator + upstream.address_ + separator
+                + std::to_string(upstream.slots_),
+            upstream.startedAtMs_ * 2 + (upstream.draining_ ? 1 : 0));
+    });
+    return static_cast<uint32_t>(sum ^ (sum >> 32U));
+}
+
+/**
+ * @return whether a list or change shows an older state of the store than the list in use. A reply of the store may be
+ * overtaken by the list of a peer that has read it later.
+ */
+bool isOutdated(const GatewayState &state, const UpstreamsReceived &event)
+{
+    if (event.fromPeer_) {
+        return event.version_ <= state.upstreamsVersion_;
+    }
+    return event.version_.version_ != 0 && event.version_ < state.upstreamsVersion_;
+}
+
+/// Counts the return of the store from a copy as the end of an outage, so that rows have time to be written again.
+void recordEra(GatewayState &state, TimePoint now, const UpstreamsReceived &event, GatewayOutbox &outbox)
+{
+    const StoreVersion &before = state.upstreamsVersion_;
+    if (before.version_ == 0 || event.version_.era_ <= before.era_) {
+        return;
+    }
+    state.storeReachableSince_ = now;
+    count(state.metrics_, "store_eras", event.fromPeer_ ? "peer" : "store");
+    outbox.decisions_.push_back({ "store-era",
+        { { "era", std::to_string(event.version_.era_) }, { "before", std::to_string(before.era_) },
+            { "version", std::to_string(event.version_.version_) },
+            { "version_before", std::to_string(before.version_) }, { "source", event.source_ },
+            { "rows", std::to_string(event.rows_.size()) } },
+        true });
+}
+
+void logList(const GatewayState &state, const UpstreamsReceived &event, const char *change, GatewayOutbox &outbox)
+{
+    outbox.decisions_.push_back({ "upstream-list",
+        { { "change", change }, { "source", event.source_ }, { "era", std::to_string(event.version_.era_) },
+            { "version", std::to_string(event.version_.version_) },
+            { "own_era", std::to_string(state.upstreamsVersion_.era_) },
+            { "own_version", std::to_string(state.upstreamsVersion_.version_) },
+            { "rows", std::to_string(event.rows_.size()) } } });
+}
+
 void applyUpstreams(GatewayState &state, TimePoint now, const UpstreamsReceived &event, GatewayOutbox &outbox)
 {
-    if (event.fromPeer_ && event.version_ <= state.upstreamsVersion_) {
+    const bool news = !event.rows_.empty() || event.fullList_;
+    if (isOutdated(state, event)) {
+        if (news) {
+            logList(state, event, "outdated", outbox);
+        }
         return;
     }
+    if (event.fullList_) {
+        logList(state, event, "read", outbox);
+    }
+    recordEra(state, now, event, outbox);
     for (const UpstreamRow &row : event.rows_) {
         applyUpstreamRow(state, now, row, event.source_, outbox);
     }
     if (event.fullList_) {
         handleUnlistedUpstreams(state, now, event, outbox);
     }
-    if (event.version_ > state.upstreamsVersion_) {
-        state.upstreamsVersion_ = event.version_;
+    state.upstreamsVersion_ = std::max(state.upstreamsVersion_, event.version_);
+    const uint32_t digest = news ? digestUpstreams(state) : state.upstreamsDigest_;
+    if (std::exchange(state.upstreamsDigest_, digest) != digest) {
         markPeerUpdatesPending(state, {});
     }
 }
@@ -340,6 +411,15 @@
     }
 }
 
+bool isNewerConfiguration(const GatewayState &state, uint64_t version, uint64_t era)
+{
+    const uint64_t current = state.configuration_.version_;
+    if (current == 0 || era == state.configurationEra_) {
+        return version > current;
+    }
+    return era > state.configurationEra_ && version >= current;
+}
+
 UpstreamRow makeUpstreamRow(const Upstream &upstream)
 {
     return { upstream.id_, upstream.service_, upstream.address_, upstream.zone_, upstream.slots_, upstream.startedAtMs_,
--- a/src/gateway_peer_io.cpp
+++ b/src/gateway_peer_io.cpp
@@ -20,8 +20,8 @@
 /// @return whether a snapshot may have a newer configuration than the one in force, so that it has to be decoded.
 bool mayBeNewer(const GatewayState &state, const Snapshot &snapshot)
 {
-    const uint64_t current = state.configuration_.version_;
-    return !snapshot.configurationText_.empty() && snapshot.configurationVersion_.value_or(current + 1) > current;
+    const uint64_t version = snapshot.configurationVersion_.value_or(state.configuration_.version_ + 1);
+    return !snapshot.configurationText_.empty() && isNewerConfiguration(state, version, snapshot.configurationEra_);
 }
 
 void applySnapshot(GatewayDaemon &daemon, const std::string &address, const HttpReply &reply)
@@ -31,6 +31,7 @@
     if (!error && mayBeNewer(daemon.state_, snapshot)) {
         ConfigurationReceived event;
         error = Platform::parseConfigurationEvent(snapshot.configurationText_, address, event);
+        event.era_ = snapshot.configurationEra_;
         if (!error) {
             daemon.inbox_.configurations_.push_back(std::move(event));
         }
@@ -176,8 +177,11 @@
         return serializeSnapshot(makeSnapshot(daemon.state_, part));
     }
     EncodedConfiguration &encoded = daemon.encodedConfiguration_;
-    if (encoded.body_.empty() || encoded.version_ != daemon.state_.configuration_.version_) {
-        encoded.version_ = daemon.state_.configuration_.version_;
+    const GatewayState &state = daemon.state_;
+    if (encoded.body_.empty() || encoded.version_ != state.configuration_.version_
+        || encoded.era_ != state.configurationEra_) {
+        encoded.version_ = state.configuration_.version_;
+        encoded.era_ = state.configurationEra_;
         encoded.body_ = serializeSnapshot(makeSnapshot(daemon.state_, part));
     }
     return encoded.body_;
--- a/src/gateway_peer_updates.cpp
+++ b/src/gateway_peer_updates.cpp
@@ -60,7 +60,9 @@
         update.uptime_ = std::chrono::duration_cast<Milliseconds>(now - state.startedAt_);
     }
     update.configurationVersion_ = state.configuration_.version_;
+    update.configurationEra_ = state.configurationEra_;
     update.upstreamsVersion_ = state.upstreamsVersion_;
+    update.upstreamsDigest_ = state.upstreamsDigest_;
     update.hasCounts_ = false;
     for (const auto &[workspace, quota] : state.quotaByWorkspace_) {
         const bool recent = now - quota.ownChargedAt_ <= usageRepetition;
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -26,7 +26,10 @@
 constexpr std::string_view sequenceField = "n";
 constexpr std::string_view uptimeField = "t";
 constexpr std::string_view configurationField = "c";
+constexpr std::string_view configurationEraField = "ce";
 constexpr std::string_view upstreamsField = "u";
+constexpr std::string_view upstreamsEraField = "e";
+constexpr std::string_view upstreamsDigestField = "d";
 constexpr std::string_view inFlightField = "f";
 constexpr std::string_view memoryTokensField = "k";
 constexpr std::string_view grantsReceivedField = "g";
@@ -43,6 +46,22 @@
     { "upstreams", SnapshotPart::Upstreams },
 } };
 
+/// Adds a version of the store. The era is left out if it is 0, as gateways of the release before don't know it.
+void addVersion(Json::object &object, std::string_view field, std::string_view eraField, const StoreVersion &version)
+{
+    object[field] = version.version_;
+    if (version.era_ != 0) {
+        object[eraField] = version.era_;
+    }
+}
+
+void readVersion(JsonReader &reader, std::string_view field, std::string_view eraField, StoreVersion &version,
+    Presence presence = Presence::Required)
+{
+    read(reader, field, version.version_, presence);
+    read(reader, eraField, version.era_, Presence::Optional);
+}
+
 template<typename Map>
 Json::object serializeCounts(const Map &counts)
 {
@@ -250,7 +269,8 @@
 }
 
 /// Adds rollouts; outcomes of a route are four counts, as there may be many routes in a datagram.
-void serializeRollouts(const std::vector<PeerRollout> &rollouts, uint64_t operatorVersion, Json::object &object)
+void serializeRollouts(
+    const std::vector<PeerRollout> &rollouts, const StoreVersion &operatorVersion, Json::object &object)
 {
     Json::array items;
     for (const PeerRollout &rollout : rollouts) {
@@ -259,12 +279,14 @@
             evidence[route] = Json::array{ outcomes.newVersion_.answers_, outcomes.newVersion_.failures_,
                 outcomes.others_.answers_, outcomes.others_.failures_ };
         }
-        items.push_back(Json::object{ { "service", rollout.order_.service_ }, { "version", rollout.order_.version_ },
-            { "duration_ms", rollout.order_.duration_.count() }, { "order", rollout.order_.rowVersion_ },
-            { "state", std::string(nameOfState(rollout.state_)) }, { "outcomes", std::move(evidence) } });
+        Json::object item{ { "service", rollout.order_.service_ }, { "version", rollout.order_.version_ },
+            { "duration_ms", rollout.order_.duration_.count() }, { "state", std::string(nameOfState(rollout.state_)) },
+            { "outcomes", std::move(evidence) } };
+        addVersion(item, "order", "order_era", rollout.order_.rowVersion_);
+        items.push_back(std::move(item));
     }
     object["rollouts"] = std::move(items);
-    object["orders_version"] = operatorVersion;
+    addVersion(object, "orders_version", "orders_era", operatorVersion);
 }
 
 std::error_code parseOutcomes(const Json::value &value, RouteEvidence &outcomes)
@@ -291,7 +313,7 @@
     read(reader, "service", rollout.order_.service_);
     read(reader, "version", rollout.order_.version_);
     read(reader, "duration_ms", rollout.order_.duration_);
-    read(reader, "order", rollout.order_.rowVersion_);
+    readVersion(reader, "order", "order_era", rollout.order_.rowVersion_);
     std::string name;
     read(reader, "state", name);
     if (const auto state = parseStateName(name); state) {
@@ -308,13 +330,13 @@
     return reader.error_;
 }
 
-void parseRollouts(JsonReader &reader, std::vector<PeerRollout> &rollouts, uint64_t &operatorVersion)
+void parseRollouts(JsonReader &reader, std::vector<PeerRollout> &rollouts, StoreVersion &operatorVersion)
 {
     const Json::array *items = readArray(reader, "rollouts", Presence::Optional);
     for (const Json::value &value : items == nullptr ? Json::array() : *items) {
         fail(reader, parseRollout(value, rollouts.emplace_back()));
     }
-    read(reader, "orders_version", operatorVersion, Presence::Optional);
+    readVersion(reader, "orders_version", "orders_era", operatorVersion, Presence::Optional);
 }
 
 void parseCompressed(JsonReader &reader, std::string_view field, std::string &text)
@@ -337,7 +359,7 @@
         { "missing", row.missing_ } };
     if (row.versionKnown_) {
         object["version"] = row.version_;
-        object["row_version"] = row.rowVersion_;
+        addVersion(object, "row_version", "row_era", row.rowVersion_);
     }
     return object;
 }
@@ -355,7 +377,7 @@
     read(reader, "missing", row.missing_, Presence::Optional);
     row.versionKnown_ = readValue(reader, "version", Presence::Optional) != nullptr; // not sent before rollouts
     read(reader, "version", row.version_, Presence::Optional);
-    read(reader, "row_version", row.rowVersion_, Presence::Optional);
+    readVersion(reader, "row_version", "row_era", row.rowVersion_, Presence::Optional);
     return reader.error_;
 }
 
@@ -364,8 +386,15 @@
 std::string serializePeerUpdate(const PeerUpdate &update)
 {
     Json::object object{ { incarnationField, update.incarnation_ }, { sequenceField, update.sequence_ },
-        { configurationField, update.configurationVersion_ }, { upstreamsField, update.upstreamsVersion_ },
+        { configurationField, update.configurationVersion_ },
         { chargedUnitsField, serializeCounts(update.chargedUnits_) } };
+    addVersion(object, upstreamsField, upstreamsEraField, update.upstreamsVersion_);
+    if (update.upstreamsDigest_) {
+        object[upstreamsDigestField] = *update.upstreamsDigest_;
+    }
+    if (update.configurationEra_ != 0) {
+        object[configurationEraField] = update.configurationEra_;
+    }
     if (update.hasCounts_) {
         object[inFlightField] = serializeCounts(update.inFlight_);
         if (!update.memoryTokens_.empty()) {
@@ -404,7 +433,11 @@
         read(reader, uptimeField, update.uptime_.emplace());
     }
     read(reader, configurationField, update.configurationVersion_);
-    read(reader, upstreamsField, update.upstreamsVersion_);
+    read(reader, configurationEraField, update.configurationEra_, Presence::Optional);
+    readVersion(reader, upstreamsField, upstreamsEraField, update.upstreamsVersion_);
+    if (readValue(reader, upstreamsDigestField, Presence::Optional) != nullptr) {
+        read(reader, upstreamsDigestField, update.upstreamsDigest_.emplace());
+    }
     update.hasCounts_ = readValue(reader, inFlightField, Presence::Optional) != nullptr;
     parseCounts(reader, inFlightField, update.inFlight_);
     parseCounts(reader, memoryTokensField, update.memoryTokens_);
@@ -424,6 +457,7 @@
     if (part != SnapshotPart::Upstreams) {
         snapshot.configurationText_ = state.configurationText_;
         snapshot.configurationVersion_ = state.configuration_.version_;
+        snapshot.configurationEra_ = state.configurationEra_;
     }
     if (part == SnapshotPart::Configuration) {
         return snapshot;
@@ -468,13 +502,14 @@
     }
     if (snapshot.configurationVersion_) {
         object["configuration_version"] = *snapshot.configurationVersion_;
+        object["configuration_era"] = snapshot.configurationEra_;
     }
     if (snapshot.upstreams_) {
         Json::array rows;
         for (const UpstreamRow &row : snapshot.upstreams_->rows_) {
             rows.push_back(serializeRow(row));
         }
-        object["version"] = snapshot.upstreams_->version_;
+        addVersion(object, "version", "era", snapshot.upstreams_->version_);
         object["upstreams"] = std::move(rows);
         object["quotas"] = serializeCounts(snapshot.quotas_);
         if (snapshot.rollouts_) {
@@ -492,6 +527,7 @@
     if (readValue(reader, "configuration_version", Presence::Optional) != nullptr) {
         read(reader, "configuration_version", snapshot.configurationVersion_.emplace());
     }
+    read(reader, "configuration_era", snapshot.configurationEra_, Presence::Optional);
     parseCompressed(reader, "configuration_deflated", snapshot.configurationText_);
     parseCounts(reader, "quotas", snapshot.quotas_);
     const Json::array *rows = readArray(reader, "upstreams", Presence::Optional);
@@ -503,7 +539,7 @@
     UpstreamsReceived &list = snapshot.upstreams_.emplace();
     list.fullList_ = true;
     list.fromPeer_ = true;
-    read(reader, "version", list.version_);
+    readVersion(reader, "version", "era", list.version_);
     for (const Json::value &value : *rows) {
         UpstreamRow row;
         fail(reader, parseRow(value, row));
--- a/src/gateway_peer_wire.h
+++ b/src/gateway_peer_wire.h
@@ -21,6 +21,7 @@
 {
     std::string configurationText_; ///< Configuration as the operator wrote it; empty if there is none.
     std::optional<uint64_t> configurationVersion_; ///< Its version; the release before doesn't tell it.
+    uint64_t configurationEra_ = 0; ///< Era of the store in which it was received.
     std::optional<UpstreamsReceived> upstreams_; ///< Full list of upstreams, if the snapshot has it.
     std::optional<RolloutsReceived> rollouts_; ///< Rollouts, with the list of upstreams.
     QuotaLevels quotas_; ///< Units left of each workspace's quota.
--- a/src/gateway_peers.cpp
+++ b/src/gateway_peers.cpp
@@ -289,7 +289,9 @@
     peer->incarnation_ = update.incarnation_;
     peer->sequence_ = update.sequence_;
     peer->configurationVersion_ = update.configurationVersion_;
+    peer->configurationEra_ = update.configurationEra_;
     peer->upstreamsVersion_ = update.upstreamsVersion_;
+    peer->upstreamsDigest_ = update.upstreamsDigest_;
     peer->lastReceivedAt_ = now;
     for (const std::string &address : update.peers_) {
         if (address != state.peerAddress_) {
@@ -321,11 +323,16 @@
     }
 }
 
-/// @return whether a peer holds a newer version of a part of the snapshot.
+/// @return whether a peer holds something newer of a part of the snapshot.
 bool isAhead(const GatewayState &state, const Peer &peer, SnapshotPart part)
 {
-    return part == SnapshotPart::Configuration ? peer.configurationVersion_ > state.configuration_.version_
-                                               : peer.upstreamsVersion_ > state.upstreamsVersion_;
+    if (part == SnapshotPart::Configuration) {
+        return isNewerConfiguration(state, peer.configurationVersion_, peer.configurationEra_);
+    }
+    // Gateways read the store at different times, so that versions differ all the time; lists seldom do.
+    const bool hasList = state.upstreamsVersion_.version_ != 0;
+    const bool sameList = hasList && peer.upstreamsDigest_ == state.upstreamsDigest_;
+    return peer.upstreamsVersion_ > state.upstreamsVersion_ && !sameList;
 }
 
 /// @return a random reachable peer that is ahead, if possible of this region, or nullptr.
--- a/src/gateway_replacement.cpp
+++ b/src/gateway_replacement.cpp
@@ -30,7 +30,7 @@
 /// @return whether the first row of one upstream was written after that of another.
 bool isListedAfter(const Upstream &upstream, const Upstream &other)
 {
-    return other.rowVersion_ != 0 && upstream.rowVersion_ > other.rowVersion_;
+    return other.rowVersion_.version_ != 0 && upstream.rowVersion_ > other.rowVersion_;
 }
 
 void markReplaced(
@@ -52,7 +52,7 @@
 void recordAddress(GatewayState &state, TimePoint now, UpstreamId id, GatewayOutbox &outbox)
 {
     Upstream &upstream = *findRow(state.upstreams_, id);
-    if (upstream.rowVersion_ == 0 || findService(state.configuration_, upstream.service_) == nullptr) {
+    if (upstream.rowVersion_.version_ == 0 || findService(state.configuration_, upstream.service_) == nullptr) {
         return;
     }
     UpstreamId &latest = state.latestUpstreamByAddress_.try_emplace(upstream.address_, id).first->second;
--- a/src/gateway_rollouts.cpp
+++ b/src/gateway_rollouts.cpp
@@ -52,7 +52,7 @@
     }
     outbox.decisions_.push_back({ "rollout",
         { { "service", rollout.order_.service_ }, { "version", rollout.order_.version_ },
-            { "order", std::to_string(rollout.order_.rowVersion_) },
+            { "order", std::to_string(rollout.order_.rowVersion_.version_) },
             { "state", std::string(nameOfState(rollout.state_)) }, { "source", source },
             { "new_answers", std::to_string(newVersion.answers_) },
             { "new_failures", std::to_string(newVersion.failures_) },
@@ -71,7 +71,7 @@
         if (upstream.service_ != order.service_) {
             return;
         }
-        const bool before = upstream.rowVersion_ != 0 && upstream.rowVersion_ < order.rowVersion_;
+        const bool before = upstream.rowVersion_.version_ != 0 && upstream.rowVersion_ < order.rowVersion_;
         found = found || (upstream.version_ == order.version_ && before);
         other = other || upstream.version_ != order.version_;
     });
@@ -218,12 +218,12 @@
         }
         rollout.statusWriteAt_ = now + statusWriteInterval;
         const auto known = state.rolloutStatuses_.find(service);
-        const uint64_t expected = known == state.rolloutStatuses_.end() ? 0 : known->second.rowVersion_;
+        const uint64_t expected = known == state.rolloutStatuses_.end() ? 0 : known->second.rowVersion_.version_;
         outbox.rolloutStatuses_.push_back(
             { { service, rollout.order_.version_, RolloutState::RolledBack, 0 }, expected });
         outbox.decisions_.push_back({ "rollout-status-write",
             { { "service", service }, { "version", rollout.order_.version_ },
-                { "order", std::to_string(rollout.order_.rowVersion_) },
+                { "order", std::to_string(rollout.order_.rowVersion_.version_) },
                 { "state", std::string(nameOfState(RolloutState::RolledBack)) },
                 { "expected", std::to_string(expected) } } });
     }
--- a/src/gateway_status_wire.cpp
+++ b/src/gateway_status_wire.cpp
@@ -32,7 +32,7 @@
 Json::object describe(const Peer &peer, TimePoint now)
 {
     return { { "address", peer.address_ }, { "name", peer.name_ }, { "configuration", peer.configurationVersion_ },
-        { "upstreams", peer.upstreamsVersion_ },
+        { "upstreams", peer.upstreamsVersion_.version_ }, { "store_era", peer.upstreamsVersion_.era_ },
         { "heard_ms_ago", peer.name_.empty() ? Json::value(nullptr) : Json::value(ageMs(peer.lastReceivedAt_, now)) } };
 }
 
@@ -49,7 +49,7 @@
             { "other_failures", evidence.others_.failures_ } });
     }
     return { { "service", rollout.order_.service_ }, { "version", rollout.order_.version_ },
-        { "order", rollout.order_.rowVersion_ }, { "state", std::string(nameOfState(rollout.state_)) },
+        { "order", rollout.order_.rowVersion_.version_ }, { "state", std::string(nameOfState(rollout.state_)) },
         { "routes", std::move(routes) } };
 }
 
@@ -75,11 +75,11 @@
         { "age_ms", ageMs(state.configurationAppliedAt_, now) } };
     const Json::object status{ { "name", state.name_ }, { "ready", isReady(state) }, { "stopping", state.stopping_ },
         { "calls", state.calls_.size_ }, { "waiting", state.waiting_.size() }, { "configuration", configuration },
-        { "upstreams_version", state.upstreamsVersion_ },
+        { "upstreams_version", state.upstreamsVersion_.version_ }, { "store_era", state.upstreamsVersion_.era_ },
         { "store_reachable", state.storeUnreachableSince_ == noDeadline },
         { "heard_share", reachableGatewayShare(state, now) }, { "upstreams", std::move(upstreams) },
         { "peers", std::move(peers) }, { "workspaces", std::move(workspaces) }, { "rollouts", std::move(rollouts) },
-        { "orders_version", state.operatorVersion_ } };
+        { "orders_version", state.operatorVersion_.version_ } };
     return Json::serialize(status);
 }
 
--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -77,6 +77,10 @@
         return false;
     }
     const bool sameVersion = rollout.order_.version_ == order.version_;
+    if (sameVersion && order.rowVersion_.era_ > rollout.order_.rowVersion_.era_) {
+        rollout.order_.rowVersion_ = order.rowVersion_; // the same order, written again after the store lost it
+        return false;
+    }
     const bool completed = rollout.state_ == RolloutState::Completed;
     std::set<std::string> barred = std::move(rollout.barred_);
     if (!rollout.order_.version_.empty() && !completed) {
--- a/src/rollout_type.h
+++ b/src/rollout_type.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "store_type.h"
 #include "time_type.h"
 
 #include <array>
@@ -21,7 +22,7 @@
     std::string service_; ///< Name of the service.
     std::string version_; ///< Version that is to get the calls.
     Milliseconds duration_{ 0 }; ///< Time from the order to its deadline.
-    uint64_t rowVersion_ = 0; ///< Version of the order's row in the store; a later order has a higher one.
+    StoreVersion rowVersion_; ///< Version of the order's row in the store; a later order has a higher one.
 };
 
 /// Progress of a rollout. The value never falls for one order, whatever the order of the messages about it.
@@ -38,7 +39,7 @@
     std::string service_; ///< Name of the service.
     std::string version_; ///< Version that the rollout was to.
     RolloutState state_ = RolloutState::Watching; ///< Never Stopped, which is no state of the row.
-    uint64_t rowVersion_ = 0; ///< Version of the row in the store; lower than that of an order that it precedes.
+    StoreVersion rowVersion_; ///< Version of the row in the store; lower than that of an order that it precedes.
 };
 
 /// Requests that one gateway has assigned to upstreams of a service, for one order and route.
@@ -106,7 +107,7 @@
     std::vector<RolloutOrder> orders_; ///< New and changed orders.
     std::vector<RolloutStatus> statuses_; ///< New and changed status rows.
     std::vector<PeerRollout> peerRollouts_; ///< Rollouts in a peer's snapshot.
-    uint64_t operatorVersion_ = 0; ///< Version of the store up to which the operator's table was read; 0 if it wasn't.
+    StoreVersion operatorVersion_; ///< Version of the store up to which the operator's table was read, if it was.
     std::string source_; ///< Where they were received from, for log lines.
 };
 
--- a/src/store_type.h
+++ b/src/store_type.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <system_error>
@@ -11,6 +12,18 @@
 
 namespace Burdockfield {
 
+/**
+ * Version of the store's data. The store may come back from an older copy and give versions out again; each time, a new
+ * era begins. Versions of different eras are therefore ordered by their eras alone.
+ */
+struct StoreVersion
+{
+    uint64_t era_ = 0; ///< Times that the store has come back from a copy; 0 for a store that doesn't tell.
+    uint64_t version_ = 0; ///< Counts transactions; 0 while no version is known.
+
+    auto operator<=>(const StoreVersion &) const = default;
+};
+
 /// Identifies a row of the store.
 struct StoreKey
 {
@@ -55,6 +68,7 @@
 {
     std::error_code error_; ///< Success or a StoreErrc.
     std::vector<StoreRow> rows_; ///< Rows read or written, or the rows whose condition did not hold.
+    uint64_t era_ = 0; ///< Era of the store that answered, see StoreVersion.
 };
 
 } // namespace Burdockfield
--- a/tests/crash_fleet_fixture.cpp
+++ b/tests/crash_fleet_fixture.cpp
@@ -65,7 +65,7 @@
     inbox.configurations_.push_back({ configuration, "text-1", "test" });
     UpstreamsReceived list;
     list.fullList_ = true;
-    list.version_ = listVersion_;
+    list.version_ = { 0, listVersion_ };
     for (const SimulatedEngine &engine : engines_) {
         if (!engine.row_.removed_) {
             list.rows_.push_back(engine.row_);
@@ -343,7 +343,7 @@
     for (GatewayInbox &inbox : inboxes_) {
         UpstreamsReceived change;
         change.rows_ = { row };
-        change.version_ = listVersion_;
+        change.version_ = { 0, listVersion_ };
         inbox.upstreams_.push_back(std::move(change));
     }
 }
--- a/tests/endless_peer_test.cpp
+++ b/tests/endless_peer_test.cpp
@@ -141,7 +141,7 @@
             PeerRollout rollout;
             rollout.order_.service_ = longName(datagram * 500 + name);
             rollout.order_.version_ = "v2";
-            rollout.order_.rowVersion_ = 1;
+            rollout.order_.rowVersion_ = { 0, 1 };
             update.rollouts_.push_back(rollout);
         }
         receive(std::move(update));
@@ -154,7 +154,7 @@
     const size_t before = heapBytes();
     for (size_t reply = 0; reply < datagrams; ++reply) {
         UpstreamsReceived event;
-        event.version_ = 11 + reply;
+        event.version_ = { 0, 11 + reply };
         for (size_t row = 0; row < 1000; ++row) {
             event.rows_.push_back(makeRow(longName(reply * 1000 + row), "engines"));
         }
@@ -171,7 +171,7 @@
     const size_t before = heapBytes();
     for (size_t reply = 0; reply < 4 * datagrams; ++reply) {
         UpstreamsReceived event;
-        event.version_ = 11 + reply;
+        event.version_ = { 0, 11 + reply };
         event.fullList_ = true;
         event.rows_ = { makeRow("engine-1", "engines") };
         for (size_t row = 0; row < 1000; ++row) {
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -35,7 +35,7 @@
         UpstreamsReceived list;
         list.rows_ = { makeRow("engine-1", "engines"), makeRow("engine-2", "engines"), makeRow("desk-1", "desk") };
         list.fullList_ = true;
-        list.version_ = 10;
+        list.version_ = { 0, 10 };
         inbox.upstreams_.push_back(list);
         tick(std::move(inbox));
     }
@@ -87,7 +87,7 @@
 
     static UpstreamRow makeRow(const std::string &id, const std::string &service, const std::string &zone = "zone-1")
     {
-        return { id, service, "10.0.1.1:80", zone, 4, 1, false, false, false, {}, 0, true };
+        return { id, service, "10.0.1.1:80", zone, 4, 1, false, false, false, {}, {}, true };
     }
 
     CallArrived makeCall(const std::string &route, uint64_t exchange)
--- a/tests/gateway_hedging_test.cpp
+++ b/tests/gateway_hedging_test.cpp
@@ -490,7 +490,7 @@
             for (size_t engine = 1; engine <= engineCount; ++engine) {
                 list.rows_.push_back(GatewayFixture::makeRow("engine-" + std::to_string(engine), "engines"));
             }
-            list.version_ = 20;
+            list.version_ = { 0, 20 };
             inboxes_[index].upstreams_.push_back(std::move(list));
             for (size_t peer = 0; peer < gatewayCount; ++peer) {
                 inboxes_[index].peerAddresses_.push_back(addressOf(peer));
--- a/tests/gateway_membership_test.cpp
+++ b/tests/gateway_membership_test.cpp
@@ -16,6 +16,11 @@
 {
     GatewayOutbox receiveRows(
         std::vector<UpstreamRow> rows, bool fullList = false, uint64_t version = 0, bool fromPeer = false)
+    {
+        return receiveList(std::move(rows), fullList, { 0, version }, fromPeer);
+    }
+
+    GatewayOutbox receiveList(std::vector<UpstreamRow> rows, bool fullList, StoreVersion version, bool fromPeer)
     {
         UpstreamsReceived event;
         event.rows_ = std::move(rows);
@@ -209,11 +214,11 @@
     GatewayInbox inbox;
     UpstreamsReceived store;
     store.rows_ = { drainingRow };
-    store.version_ = 12;
+    store.version_ = { 0, 12 };
     UpstreamsReceived peer;
     peer.rows_ = { makeRow("engine-1", "engines") };
     peer.fullList_ = true;
-    peer.version_ = 11;
+    peer.version_ = { 0, 11 };
     peer.fromPeer_ = true;
     inbox.upstreams_ = { store, peer };
     tick(std::move(inbox));
@@ -221,11 +226,65 @@
     CHECK(state_.upstreamById_.contains("desk-1"));
 }
 
+// A reply of the store may be overtaken by the list of a peer that read the store later.
+TEST_CASE_FIXTURE(MembershipFixture, "StoreChange_WhenOlderThanAPeersList_DoesNotBringAnUpstreamBack")
+{
+    receiveRows({ makeRow("engine-1", "engines") }, true, 20, true);
+    receiveRows({ makeRow("engine-2", "engines") }, false, 15);
+    CHECK(findUpstream(state_, "engine-2") == nullptr);
+    receiveRows({ makeRow("engine-2", "engines") }, false, 21);
+    CHECK(findUpstream(state_, "engine-2") != nullptr);
+}
+
+// The store gives versions out again after it came back from a copy, so that they don't order lists of two eras.
+TEST_CASE_FIXTURE(MembershipFixture, "PeerList_WhenOfAnOlderEra_IsNotAppliedWhateverItsVersion")
+{
+    receiveList({ makeRow("engine-1", "engines") }, true, { 1, 3 }, false);
+    tickAfter(Milliseconds(2100));
+    receiveList({ makeRow("engine-1", "engines"), makeRow("engine-2", "engines") }, true, { 0, 400 }, true);
+    CHECK(findUpstream(state_, "engine-2") == nullptr);
+}
+
+TEST_CASE_FIXTURE(MembershipFixture, "PeerList_WhenOfANewerEra_IsAppliedWhateverItsVersion")
+{
+    receiveRows({}, false, 400);
+    receiveList({ makeRow("engine-7", "engines") }, true, { 1, 3 }, true);
+    CHECK(findUpstream(state_, "engine-7") != nullptr);
+    CHECK(state_.upstreamsVersion_ == StoreVersion{ 1, 3 });
+}
+
+// Upstreams write their rows again when the store has come back without them.
+TEST_CASE_FIXTURE(MembershipFixture, "Upstream_WhenMissingInANewEra_IsKeptUntilTheRowReturnTimeout")
+{
+    const GatewayOutbox outbox = receiveList({ makeRow("desk-1", "desk") }, true, { 1, 3 }, false);
+    CHECK(findField(outbox, "store-era", "era") == "1");
+    CHECK(findUpstream(state_, "engine-1") != nullptr);
+    tickAfter(Milliseconds(2100));
+    CHECK(findUpstream(state_, "engine-1") == nullptr);
+}
+
+TEST_CASE_FIXTURE(MembershipFixture, "Configuration_WhenOfAnOlderEra_IsNotApplied")
+{
+    const auto receive = [this](uint64_t version, const std::string &text, uint64_t era) {
+        GatewayInbox inbox;
+        inbox.configurations_.push_back({ makeConfiguration(version), text, "store", {}, era });
+        tick(std::move(inbox));
+    };
+    receive(5, "text-5", 1);
+    receive(7, "text-7", 0);
+    CHECK(state_.configuration_.version_ == 5);
+    receive(4, "text-4", 2); // of the copy; a gateway doesn't go back to it
+    CHECK(state_.configuration_.version_ == 5);
+    receive(5, "text-5-again", 2);
+    CHECK(state_.configurationText_ == "text-5-again");
+    CHECK(state_.configurationEra_ == 2);
+}
+
 TEST_CASE_FIXTURE(MembershipFixture, "PeerList_WhenNewer_ReplacesTheList")
 {
     receiveRows({ makeRow("engine-1", "engines") }, true, 20, true);
     CHECK(state_.upstreamById_.size() == 1);
-    CHECK(state_.upstreamsVersion_ == 20);
+    CHECK(state_.upstreamsVersion_ == StoreVersion{ 0, 20 });
 }
 
 TEST_CASE_FIXTURE(MembershipFixture, "PeerList_WhenItsRowIsMissingSinceAnOutageThere_DoesNotBringTheUpstreamBack")
--- a/tests/gateway_once_schedule_test.cpp
+++ b/tests/gateway_once_schedule_test.cpp
@@ -67,7 +67,7 @@
             list.rows_.push_back(row);
         }
         list.fullList_ = true;
-        list.version_ = listVersion_;
+        list.version_ = { 0, listVersion_ };
         Configuration configuration = GatewayFixture::makeConfiguration(2);
         configuration.routes_[1].attempts_ = 3;
         configuration.routes_[2].targets_ = { { "desk", 1 } };
@@ -168,7 +168,7 @@
             process.row_.startedAtMs_ = lastNumber_;
             process.row_.id_ = draw(20) ? process.row_.id_ : "desk-" + std::to_string(lastNumber_);
             change.rows_[1] = process.row_;
-            change.version_ = ++listVersion_;
+            change.version_ = { 0, ++listVersion_ };
             for (GatewayInbox &inbox : inboxes_) {
                 after(upTo(700), [&inbox, change] { inbox.upstreams_.push_back(change); });
             }
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -107,7 +107,7 @@
 {
     PeerUpdate update = makeUpdate();
     update.configurationVersion_ = 9;
-    update.upstreamsVersion_ = 11;
+    update.upstreamsVersion_ = { 0, 11 };
     receiveUpdate(update);
     const std::vector<FetchSnapshot> fetches = tickAfter(Milliseconds(250)).snapshotFetches_;
     REQUIRE(fetches.size() == 2);
@@ -128,6 +128,51 @@
     CHECK(fetches[0].address_ == "10.0.0.2:7000");
 }
 
+// Gateways read the store at different times; a fetch for each difference of their versions would never end.
+TEST_CASE_FIXTURE(PeerFixture, "Snapshot_WhenThePeerReadTheSameListLater_IsNotFetched")
+{
+    const auto fetchesFor = [this](uint32_t digest) {
+        PeerUpdate update = makeUpdate();
+        update.upstreamsVersion_ = { 0, 11 };
+        update.upstreamsDigest_ = digest;
+        receiveUpdate(update);
+        return tickAfter(Milliseconds(250)).snapshotFetches_.size();
+    };
+    CHECK(fetchesFor(state_.upstreamsDigest_) == 0);
+    CHECK(fetchesFor(state_.upstreamsDigest_ + 1) == 1);
+}
+
+TEST_CASE_FIXTURE(PeerFixture, "Snapshot_WhenThePeerIsOfAnOlderEra_IsNotFetched")
+{
+    GatewayInbox inbox;
+    UpstreamsReceived list;
+    list.rows_ = { makeRow("engine-1", "engines") };
+    list.version_ = { 2, 3 };
+    inbox.upstreams_.push_back(list);
+    tick(std::move(inbox));
+    PeerUpdate update = makeUpdate();
+    update.upstreamsVersion_ = { 1, 400 };
+    receiveUpdate(update);
+    CHECK(tickAfter(Milliseconds(250)).snapshotFetches_.empty());
+    update = makeUpdate();
+    update.upstreamsVersion_ = { 3, 1 };
+    receiveUpdate(update);
+    CHECK(tickAfter(Milliseconds(250)).snapshotFetches_.size() == 1);
+}
+
+TEST_CASE("PeerUpdate_WhenItNamesErasAndADigest_KeepsThem")
+{
+    PeerUpdate update;
+    update.configurationEra_ = 2;
+    update.upstreamsVersion_ = { 3, 40 };
+    update.upstreamsDigest_ = 77;
+    PeerUpdate decoded;
+    REQUIRE_FALSE(parsePeerUpdate(serializePeerUpdate(update), decoded));
+    CHECK(decoded.configurationEra_ == 2);
+    CHECK(decoded.upstreamsVersion_ == StoreVersion{ 3, 40 });
+    CHECK(decoded.upstreamsDigest_ == 77);
+}
+
 TEST_CASE_FIXTURE(PeerFixture, "Counts_WhenAnOlderUpdateArrivesLate_AreUnchanged")
 {
     PeerUpdate first = makeUpdate();
@@ -333,7 +378,7 @@
     CHECK(read.configurationText_ == "text-1");
     REQUIRE(read.upstreams_);
     CHECK(read.upstreams_->rows_.size() == 3);
-    CHECK(read.upstreams_->version_ == 10);
+    CHECK(read.upstreams_->version_ == StoreVersion{ 0, 10 });
 }
 
 TEST_CASE_FIXTURE(PeerFixture, "Snapshot_WhenTheConfigurationIsLarge_IsMuchSmaller")
@@ -357,7 +402,7 @@
     Snapshot read;
     REQUIRE_FALSE(parseSnapshot(R"({"configuration":"text","version":3,"upstreams":[],"quotas":{}})", read));
     CHECK(read.configurationText_ == "text");
-    CHECK(read.upstreams_->version_ == 3);
+    CHECK(read.upstreams_->version_ == StoreVersion{ 0, 3 });
 }
 
 TEST_CASE_FIXTURE(PeerFixture, "Snapshot_WhenOnlyAPartIsAskedFor_HasNothingElse")
--- a/tests/gateway_placement_test.cpp
+++ b/tests/gateway_placement_test.cpp
@@ -27,7 +27,7 @@
             list.rows_.push_back(makeRow(nameOfEngine(engine), "engines"));
         }
         list.fullList_ = true;
-        list.version_ = 20;
+        list.version_ = { 0, 20 };
         inbox.upstreams_.push_back(list);
         tick(std::move(inbox));
         state_.configuration_.workspaces_[0].ratePerSecond_ = 0;
--- a/tests/gateway_replacement_test.cpp
+++ b/tests/gateway_replacement_test.cpp
@@ -26,7 +26,7 @@
         UpstreamsReceived change;
         change.rows_ = { makeRow(id, service) };
         change.rows_[0].address_ = place;
-        change.rows_[0].rowVersion_ = rowVersion;
+        change.rows_[0].rowVersion_ = { 0, rowVersion };
         change.rows_[0].removed_ = removed;
         GatewayInbox inbox;
         inbox.upstreams_.push_back(change);
--- a/tests/gateway_slot_test.cpp
+++ b/tests/gateway_slot_test.cpp
@@ -25,7 +25,7 @@
         list.rows_
             = { makeRow("engine-1", "engines"), makeRow("engine-9", "engines", "zone-2"), makeRow("desk-1", "desk") };
         list.fullList_ = true;
-        list.version_ = 20;
+        list.version_ = { 0, 20 };
         inbox.upstreams_.push_back(list);
         tick(std::move(inbox));
     }
--- a/tests/gateway_store_process_test.cpp
+++ b/tests/gateway_store_process_test.cpp
@@ -58,6 +58,49 @@
     CHECK(waitUntil([&] { return call("/once/x", "r1", "gateway-1", "key-3").status_ == 200; }, Milliseconds(6000)));
 }
 
+// Review case 7: a gateway that started after the removal took the list of a peer that is cut off from the store for a
+// newer one, as that still had the row with the highest version.
+TEST_CASE_FIXTURE(GatewayProcessFixture, "UpstreamList_WhenACutOffPeerStillHasADepartedUpstream_IsNotTakenFromIt")
+{
+    writeUpstreamRow(fleet_, "engines-2", "ready", 5); // the newest row
+    const auto lists = [&](const std::string &gateway) {
+        return readStatusField(fleet_, gateway, "upstreams").find("engines-2") != std::string::npos;
+    };
+    REQUIRE(waitUntil([&] { return lists("gateway-1") && lists("gateway-2"); }, Milliseconds(3000)));
+    std::this_thread::sleep_for(Milliseconds(500)); // by then gateway-1 has received the new row
+    controlStoreLink(fleet_, "gateway-1", "/silence");
+    signalProcess(fleet_, "gateway-2", SIGKILL);
+    writeUpstreamRow(fleet_, "engines-2", "ready", 5, true);
+    startProcess(fleet_, "gateway-2");
+    REQUIRE(waitUntil([&] { return isGatewayReady(fleet_, "gateway-2") && !lists("gateway-2"); }, Milliseconds(5000)));
+    CHECK_FALSE(waitUntil([&] { return lists("gateway-2"); }, Milliseconds(2500)));
+}
+
+// The versions of a store that came back from a copy are lower than before, and are given out again.
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenTheStoreReturnsFromACopy_FollowsItAgain")
+{
+    controlStandin(fleet_, "platform", R"({"take_copy":true})");
+    for (int index = 0; index < 50; ++index) { // more versions than are given out after the return
+        writeUpstreamRow(fleet_, "engines-1", "ready", 4 + static_cast<uint32_t>(index % 2));
+    }
+    writeConfiguration(fleet_, 2, { "key-1", "key-2" });
+    REQUIRE(waitUntil([&] { return call("/once/x", "r1", "gateway-1", "key-2").status_ == 200; }));
+    controlStandin(fleet_, "platform", R"({"mode":"down"})");
+    std::this_thread::sleep_for(Milliseconds(800));
+    controlStandin(fleet_, "platform", R"({"restore_copy":true,"mode":"up"})");
+    writeConfiguration(fleet_, 2, { "key-1", "key-2" }); // written again by the operator
+    std::this_thread::sleep_for(Milliseconds(1000));
+    CHECK(call("/once/x", "r2", "gateway-1", "key-2").status_ == 200);
+    writeConfiguration(fleet_, 3, { "key-1", "key-3" });
+    writeUpstreamRow(fleet_, "desk-1", "ready", 4, true);
+    const auto follows = [&](const std::string &gateway) {
+        return call("/once/x", "r3-" + gateway, gateway, "key-3").status_ == 200
+            && readStatusField(fleet_, gateway, "upstreams").find("desk-1") == std::string::npos;
+    };
+    CHECK(
+        waitUntil([&] { return follows("gateway-1") && follows("gateway-2"); }, Gateway::Bounds().configurationDelay_));
+}
+
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Configuration_WhenTheStoreWasSilentBefore_IsInForceWithinItsDelay")
 {
     writeConfiguration(fleet_, 2, { "key-1", "key-2" });
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -260,7 +260,7 @@
     CHECK(read.rows_[0].value_ == "{}");
     CHECK_FALSE(read.rows_[1].readable_);
     CHECK(read.rows_[2].removed_);
-    CHECK(read.version_ == 9);
+    CHECK(read.version_ == StoreVersion{ 0, 9 });
 }
 
 TEST_CASE_FIXTURE(TableReadFixture, "TableRead_WhenARowChangedSeveralTimes_HasItsNewestChangeOnly")
@@ -270,7 +270,7 @@
     REQUIRE_FALSE(parseTableRead(text, read_));
     REQUIRE(read_.rows_.size() == 2);
     CHECK(read_.rows_[0].key_ == "other");
-    CHECK(read_.rows_[1].version_ == 5);
+    CHECK(read_.rows_[1].version_ == StoreVersion{ 0, 5 });
     CHECK(read_.rows_[1].value_ == "[]");
 }
 
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -22,14 +22,14 @@
 
 RolloutOrder makeOrder(const std::string &version, uint64_t rowVersion)
 {
-    return { "engines", version, std::chrono::seconds(12), rowVersion };
+    return { "engines", version, std::chrono::seconds(12), { 0, rowVersion } };
 }
 
 RolloutsReceived makeOrders(const std::vector<RolloutOrder> &orders, uint64_t operatorVersion)
 {
     RolloutsReceived event;
     event.orders_ = orders;
-    event.operatorVersion_ = operatorVersion;
+    event.operatorVersion_ = { 0, operatorVersion };
     event.source_ = "test";
     return event;
 }
@@ -39,7 +39,7 @@
     UpstreamRow row = GatewayFixture::makeRow(id, "engines");
     row.address_ = id == "old" ? "10.0.1.2:80" : "10.0.1.3:80"; // upstreams that live have an address each
     row.version_ = version;
-    row.rowVersion_ = rowVersion;
+    row.rowVersion_ = { 0, rowVersion };
     return row;
 }
 
@@ -66,7 +66,7 @@
         UpstreamsReceived list;
         list.rows_ = rows;
         list.fullList_ = true;
-        list.version_ = ++listVersion_;
+        list.version_ = { 0, ++listVersion_ };
         inbox.upstreams_.push_back(list);
         tick(std::move(inbox));
     }
@@ -100,7 +100,7 @@
     void receiveStatus(RolloutState status, const std::string &version, uint64_t rowVersion)
     {
         RolloutsReceived event;
-        event.statuses_ = { { "engines", version, status, rowVersion } };
+        event.statuses_ = { { "engines", version, status, { 0, rowVersion } } };
         receive(event);
     }
 
@@ -113,7 +113,7 @@
 {
     static TableRow makeRow(const std::string &value, const std::string &key = "rollout/s")
     {
-        return { "op", key, value, 7 };
+        return { "op", key, value, { 0, 7 } };
     }
 
     RolloutOrder order_; ///< The decoded order.
@@ -154,7 +154,7 @@
         for (size_t engine = 0; engine < engines_.size(); ++engine) {
             UpstreamRow &row = engines_[engine].row_;
             row.version_ = engine < oldEngines ? "v1" : "v2";
-            row.rowVersion_ = engine < oldEngines ? 0 : newRow;
+            row.rowVersion_ = { 0, engine < oldEngines ? 0 : newRow };
         }
         for (size_t gateway = 0; gateway < gateways_.size(); ++gateway) {
             restartGateway(gateway);
@@ -209,7 +209,7 @@
     CHECK(order_.service_ == "s");
     CHECK(order_.version_ == "v2");
     CHECK(order_.duration_ == std::chrono::seconds(12));
-    CHECK(order_.rowVersion_ == 7);
+    CHECK(order_.rowVersion_ == StoreVersion{ 0, 7 });
 }
 
 TEST_CASE_FIXTURE(RolloutWireFixture, "Order_WhenItIsMalformed_IsRefused")
@@ -240,14 +240,14 @@
     PeerUpdate update;
     update.rollouts_
         = { { makeOrder("v2", orderRow), RolloutState::Watching, { { "read", { { 40, 1 }, { 900, 9 } } } } } };
-    update.operatorVersion_ = newRow;
+    update.operatorVersion_ = { 0, newRow };
     PeerUpdate decoded;
     REQUIRE_FALSE(parsePeerUpdate(serializePeerUpdate(update), decoded));
     REQUIRE(decoded.rollouts_.size() == 1);
     CHECK(decoded.rollouts_[0].order_.version_ == "v2");
-    CHECK(decoded.rollouts_[0].order_.rowVersion_ == orderRow);
+    CHECK(decoded.rollouts_[0].order_.rowVersion_ == StoreVersion{ 0, orderRow });
     CHECK(decoded.rollouts_[0].evidence_ == update.rollouts_[0].evidence_);
-    CHECK(decoded.operatorVersion_ == newRow);
+    CHECK(decoded.operatorVersion_ == StoreVersion{ 0, newRow });
 }
 
 TEST_CASE_FIXTURE(RolloutFixture, "Snapshot_WhenDecoded_HasVersionsAndRollouts")
@@ -257,12 +257,12 @@
     Snapshot decoded;
     REQUIRE_FALSE(parseSnapshot(serializeSnapshot(makeSnapshot(state_)), decoded));
     REQUIRE(decoded.rollouts_);
-    CHECK(decoded.rollouts_->operatorVersion_ == newRow);
+    CHECK(decoded.rollouts_->operatorVersion_ == StoreVersion{ 0, newRow });
     REQUIRE(decoded.rollouts_->peerRollouts_.size() == 1);
     CHECK(decoded.rollouts_->peerRollouts_[0].order_.version_ == "v2");
     for (const UpstreamRow &row : decoded.upstreams_->rows_) {
         CHECK(row.version_ == (row.id_ == "new" ? "v2" : "v1"));
-        CHECK(row.rowVersion_ == (row.id_ == "new" ? newRow : 4));
+        CHECK(row.rowVersion_ == StoreVersion{ 0, (row.id_ == "new" ? newRow : 4) });
     }
 }
 
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -36,6 +36,7 @@
 
 void sendOutput(PlatformState &state, StandinOutput output, TimePoint now, StandinOutbox &outbox)
 {
+    output.reply_.headers_.emplace_back("Store-Era", std::to_string(state.era_));
     if (state.delay_.count() == 0) {
         outbox.outputs_.push_back(std::move(output));
         return;
@@ -221,7 +222,7 @@
     feed.table_ = percentDecode(target.query_["table"]);
     feed.afterVersion_ = parseNumberOr(target.query_["after"], 0);
     feed.expiresAt_ = now + Milliseconds(parseNumberOr(target.query_["waitMs"], 0));
-    if (feed.afterVersion_ < state.discardedUpTo_) {
+    if (feed.afterVersion_ < state.discardedUpTo_ || feed.afterVersion_ > state.version_) {
         sendOutput(state, makeWholeOutput(arrival.exchange_, 410, "{}"), now, outbox);
         return;
     }
@@ -351,6 +352,20 @@
     outbox.outputs_.push_back(makeWholeOutput(arrival.exchange_, reader.error_ ? 400 : 200, "{}"));
 }
 
+/// Comes back from the copy: later rows are gone, and their versions will be given out again.
+void restoreCopy(PlatformState &state, StandinOutbox &outbox)
+{
+    state.rows_ = state.copy_.rows_;
+    state.version_ = state.copy_.version_;
+    ++state.era_;
+    state.history_.clear();
+    state.discardedUpTo_ = state.version_;
+    forEachRow(state.feeds_, [&](PoolId<PendingFeed> id, const PendingFeed &feed) {
+        outbox.outputs_.push_back({ feed.exchange_, ServerOutput::Kind::Abort, {}, {} });
+        eraseRow(state.feeds_, id);
+    });
+}
+
 void handleControl(PlatformState &state, const Arrival &arrival, StandinOutbox &outbox)
 {
     Json::value document;
@@ -364,6 +379,16 @@
         state.history_.clear();
         state.discardedUpTo_ = ++state.version_;
     }
+    bool copy = false;
+    read(reader, "take_copy", copy, Presence::Optional);
+    if (copy) {
+        state.copy_ = { state.rows_, state.version_ };
+    }
+    bool restore = false;
+    read(reader, "restore_copy", restore, Presence::Optional);
+    if (restore) {
+        restoreCopy(state, outbox);
+    }
     const Json::object counts{ { "reads", state.reads_ }, { "writes", state.writes_ }, { "rows", state.rows_.size() } };
     outbox.outputs_.push_back(makeWholeOutput(arrival.exchange_, reader.error_ ? 400 : 200, Json::serialize(counts)));
 }
--- a/tests/standins/platform_base.h
+++ b/tests/standins/platform_base.h
@@ -56,6 +56,13 @@
     std::vector<Vm> vms_;
 };
 
+/// Copy of all rows, from which the store may come back.
+struct StoreCopy
+{
+    std::map<StoreKey, StoreRow> rows_; ///< Rows of all tables.
+    uint64_t version_ = 0; ///< Version of the newest transaction in it.
+};
+
 /// All state of the platform stand-in.
 struct PlatformState
 {
@@ -64,6 +71,8 @@
     Milliseconds vmListLag_{ 500 }; ///< Time after which a new VM list becomes visible.
     std::map<StoreKey, StoreRow> rows_; ///< Rows of all tables.
     uint64_t version_ = 0; ///< Version of the newest transaction.
+    uint64_t era_ = 1; ///< Rises each time the store comes back from a copy.
+    StoreCopy copy_; ///< The copy that was taken last.
     std::deque<RowChange> history_; ///< Changes that feeds can request, oldest first.
     uint64_t discardedUpTo_ = 0; ///< Version up to which changes have been discarded.
     Pool<PendingFeed> feeds_;
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -172,7 +172,7 @@
     const auto startRead = [this, &version] {
         const size_t reads = countRequests("rows-get") + 1;
         readTable(client_, address_, "servers", Milliseconds(2000),
-            [&version](std::error_code /*error*/, const TableRead &read) { version = read.version_; });
+            [&version](std::error_code /*error*/, const TableRead &read) { version = read.version_.version_; });
         runUntil([this, reads] {
             receive();
             return countRequests("rows-get") == reads;
@@ -196,7 +196,7 @@
     for (const char *table : { "servers", "op" }) {
         version = 0;
         pollTableChanges(client_, address_, table, 1, Milliseconds(0), Milliseconds(2000),
-            [&version](std::error_code /*error*/, const TableRead &read) { version = read.version_; });
+            [&version](std::error_code /*error*/, const TableRead &read) { version = read.version_.version_; });
         const size_t polls = countRequests("rows-feed") + 1;
         runUntil([this, polls] {
             receive();
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -53,8 +53,11 @@
                 calls_.push_back({ exchange, request.target_, Clock::now() });
             } else if (request.target_.find("table=servers") != std::string::npos && isFeed(request.target_)) {
                 upstreamPolls_.push_back({ exchange, request.target_, Clock::now() });
+            } else if (request.target_.find("rows-tx") != std::string::npos) {
+                ++writes_;
+                respond(store_, exchange, makeJsonReply(R"({"ver":1})"));
             } else if (!isFeed(request.target_)) {
-                respond(store_, exchange, makeJsonReply(R"({"rows":[],"ver":1})"));
+                respond(store_, exchange, makeJsonReply(upstreamList_));
             }
         };
         handlers.onDisconnect_ = [](ExchangeId /*exchange*/) {
@@ -74,7 +77,8 @@
         handlers.onRollouts_ = [this](Gateway::RolloutsReceived event) {
             rollouts_.push_back(std::move(event));
         };
-        handlers.onUpstreams_ = [](const Gateway::UpstreamsReceived & /*event*/) {
+        handlers.onUpstreams_ = [this](Gateway::UpstreamsReceived event) {
+            upstreams_.push_back(std::move(event));
         };
         handlers.onReachability_ = [](const Gateway::StoreCallOutcome & /*event*/) {
         };
@@ -122,6 +126,33 @@
         respond(store_, call.exchange_, makeJsonReply(rows));
     }
 
+    void answerInEra(const Call &call, uint64_t era, const std::string &rows)
+    {
+        HttpReply reply = makeJsonReply(rows);
+        reply.headers_.emplace_back("Store-Era", std::to_string(era));
+        respond(store_, call.exchange_, std::move(reply));
+    }
+
+    /// Waits for the next poll of the list of upstreams.
+    Call nextUpstreamPoll()
+    {
+        const size_t number = upstreamPollsTaken_++;
+        REQUIRE(waitUntil(
+            [this, number] {
+                io_.poll();
+                return upstreamPolls_.size() > number;
+            },
+            Milliseconds(5000)));
+        return upstreamPolls_[number];
+    }
+
+    /// Has the follower read the whole list of upstreams.
+    void readWholeUpstreamList()
+    {
+        respond(store_, nextUpstreamPoll().exchange_, HttpReply{ 410, {}, "{}" });
+        nextUpstreamPoll();
+    }
+
     static bool isPoll(const Call &call)
     {
         return isFeed(call.target_);
@@ -139,9 +170,13 @@
     std::vector<Call> calls_; ///< Calls received, in order.
     std::vector<Call> upstreamPolls_; ///< Polls of the list of upstreams, which only the test answers.
     size_t taken_ = 0; ///< Calls that nextCall() has returned.
+    size_t upstreamPollsTaken_ = 0; ///< Polls that nextUpstreamPoll() has returned.
     std::vector<uint64_t> versions_; ///< Versions of the configurations that the follower has passed on.
     uint64_t failingVersion_ = 0; ///< Version at which the handler throws.
     std::vector<Gateway::RolloutsReceived> rollouts_; ///< Orders and status rows that the follower has passed on.
+    std::vector<Gateway::UpstreamsReceived> upstreams_; ///< Lists and changes that the follower has passed on.
+    std::string upstreamList_ = R"({"rows":[],"ver":1})"; ///< Reply to a read of the list of upstreams.
+    int writes_ = 0; ///< Transactions received.
     std::string inForce_; ///< Text of the configuration that counts as in force.
 };
 
@@ -199,7 +234,7 @@
     const Call poll = nextCall();
     REQUIRE(rollouts_.size() == 1);
     CHECK(rollouts_[0].orders_.empty());
-    CHECK(rollouts_[0].operatorVersion_ == 1);
+    CHECK(rollouts_[0].operatorVersion_ == StoreVersion{ 0, 1 });
     CHECK(follower_.statuses_.name_.empty());
     answer(poll,
         R"({"rows":[{"table":"op","part":"","key":"rollout/s","value":")"
@@ -209,8 +244,8 @@
     REQUIRE(rollouts_.size() >= 2);
     REQUIRE(rollouts_[1].orders_.size() == 1);
     CHECK(rollouts_[1].orders_[0].version_ == "v2");
-    CHECK(rollouts_[1].orders_[0].rowVersion_ == 7);
-    CHECK(rollouts_[1].operatorVersion_ == 9);
+    CHECK(rollouts_[1].orders_[0].rowVersion_ == StoreVersion{ 0, 7 });
+    CHECK(rollouts_[1].operatorVersion_ == StoreVersion{ 0, 9 });
     CHECK(follower_.statuses_.name_ == statusTable);
 }
 
@@ -228,6 +263,61 @@
     CHECK(rollouts_.size() == passedOn + 1); // with the first reply of version 3
 }
 
+// Review case 7: a list without the upstream whose row was the newest had a lower version than a list with it.
+TEST_CASE_FIXTURE(StoreFollowerFixture, "UpstreamList_WhenItsNewestRowWasRemoved_HasTheVersionOfTheRead")
+{
+    upstreamList_ = R"({"rows":[{"table":"servers","part":"","key":"i-1","value":"e30=","ver":9}],"ver":12})";
+    readWholeUpstreamList();
+    CHECK(upstreams_.back().fullList_);
+    CHECK(upstreams_.back().version_ == StoreVersion{ 0, 12 });
+}
+
+TEST_CASE_FIXTURE(StoreFollowerFixture, "UpstreamList_WhenAPollBringsNoRows_HasTheVersionOfThePoll")
+{
+    const Call poll = nextUpstreamPoll();
+    const size_t before = upstreams_.size();
+    answer(poll, R"({"rows":[],"ver":30})");
+    nextUpstreamPoll();
+    REQUIRE(upstreams_.size() == before + 1);
+    CHECK(upstreams_.back().rows_.empty());
+    CHECK_FALSE(upstreams_.back().fullList_);
+    CHECK(upstreams_.back().version_ == StoreVersion{ 0, 30 });
+}
+
+// The changes of a store that came back from a copy don't follow those that were received before.
+TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenAPollIsAnsweredInANewEra_ReadsTheTableAndRegistersAgain")
+{
+    answerInEra(nextCall(), 1, makeRows(makeConfiguration(40), 400));
+    REQUIRE_FALSE(isPoll(nextCall())); // its first era
+    answerInEra(calls_.back(), 1, makeRows(makeConfiguration(40), 400));
+    const int writes = writes_;
+    answerInEra(nextCall(), 2, R"({"rows":[],"ver":500})");
+    const Call read = nextCall();
+    CHECK_FALSE(isPoll(read));
+    answerInEra(read, 2, makeRows(makeConfiguration(41), 26));
+    const Call poll = nextCall();
+    CHECK(isPoll(poll));
+    CHECK(poll.target_.find("after=26&") != std::string::npos);
+    CHECK(versions_.back() == 41);
+    CHECK(waitUntil(
+        [&] {
+            io_.poll();
+            return writes_ == writes + 1;
+        },
+        Milliseconds(2000)));
+}
+
+TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenAReplyIsOfAnEarlierEra_DropsIt")
+{
+    answerInEra(nextCall(), 2, makeRows(makeConfiguration(2), 2));
+    answerInEra(nextCall(), 2, makeRows(makeConfiguration(2), 2));
+    answerInEra(nextCall(), 1, makeRows(makeConfiguration(9), 900));
+    const Call next = nextCall();
+    CHECK(isPoll(next));
+    CHECK(next.target_.find("after=2&") != std::string::npos);
+    CHECK(versions_.back() == 2);
+}
+
 // Until the next regular poll ends, a new version would get no calls, which may take most of a short rollout.
 TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenANewVersionIsListed_ReadsTheOperatorsTableAtOnce")
 {
@@ -255,7 +345,7 @@
             return rollouts_.size() >= 2;
         },
         Milliseconds(5000)));
-    CHECK(rollouts_.back().operatorVersion_ == 60);
+    CHECK(rollouts_.back().operatorVersion_ == StoreVersion{ 0, 60 });
 }
 
 // A poll returns all changes since the last one, which may be far longer than the table.
