--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -479,6 +479,9 @@
         } else if (event.acknowledged_) {
             recordReached(now, *upstream);
         }
+        if (event.error_ == TransportErrc::NotSent) {
+            recordSilentCheck(*upstream);
+        }
         handleFailedConnect(state, now, *upstream, event.error_, outbox);
     } else if (upstream != nullptr) {
         recordReached(now, *upstream);
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -99,6 +99,8 @@
     TimePoint reachedAt_{}; ///< When such a connection was last made, or part of an answer last received.
     TimePoint unreachableSince_{ noDeadline }; ///< When it was found to be down or cut off; noDeadline if it was not.
     TimePoint checksUntil_{}; ///< Until when it is checked after a broken call; in the past if it is not.
+    /// Until when the end of this start counts as the cause of its broken calls; in the past if it has answered since.
+    TimePoint unresolvedUntil_{};
     TimePoint nextCheckAt_{ noDeadline }; ///< When the next of these checks begins; noDeadline if none is scheduled.
     Milliseconds checkInterval_{ 0 }; ///< Time from the end of a check to the next one.
     TimePoint missingSince_{ noDeadline }; ///< Since when its row is missing after a store outage; else noDeadline.
--- a/src/gateway_crashes.cpp
+++ b/src/gateway_crashes.cpp
@@ -3,10 +3,10 @@
  * @brief System that finds out which requests crash the upstreams that answer them, and has them refused.
  *
  * A broken connection alone is no evidence, because upstreams also reset single calls. An upstream has crashed if it
- * refuses connections shortly after calls broke there, or if another start takes its place. It is checked until one of
- * these is seen or it has answered a later call. Upstreams that are silent or cut off refuse nothing, and those that
- * leave are left out. Gateways tell each other which calls were at a crash, so that a crash counts once, and of
- * which suspects they have received answers.
+ * refuses connections shortly after calls broke there, or if its row ends or another start takes its place before it
+ * has answered a later call. If something else accepts connections at its address, only the latter are seen. Upstreams
+ * that are silent or cut off refuse nothing, and those that leave are left out. Gateways tell each other which calls
+ * were at a crash, so that a crash counts once, and of which suspects they have received answers.
  */
 #include "gateway_func.h"
 
@@ -20,6 +20,10 @@
 namespace {
 
 constexpr Milliseconds crashWindow{ 2000 }; ///< Longest time from a broken call to a crash that it may have caused.
+/// Longest time until the end of a start is known by its row: the row expires after three heartbeats of 1.2 s or more,
+/// and its successor is listed after some seconds.
+constexpr std::chrono::seconds rowEndWindow{ 10 };
+constexpr size_t maxBrokenCalls = 256; ///< Broken calls of an upstream that are kept; more than its slots and queue.
 /// Time from a check that found no crash to the next one; doubles with each. A process that exits may still accept
 /// connections: with a single check 5 of 8 crashes were not noticed in one run.
 constexpr Milliseconds firstCheckInterval{ 50 };
@@ -35,9 +39,17 @@
     return text;
 }
 
-void removeExpiredBrokenCalls(Upstream &upstream, TimePoint now)
+void removeOldBrokenCalls(Upstream &upstream, TimePoint now, Milliseconds retention)
 {
-    std::erase_if(upstream.brokenCalls_, [now](const BrokenCall &call) { return now - call.at_ > crashWindow; });
+    std::erase_if(
+        upstream.brokenCalls_, [now, retention](const BrokenCall &call) { return now - call.at_ > retention; });
+}
+
+void endUpstreamChecks(Upstream &upstream)
+{
+    upstream.checksUntil_ = {};
+    upstream.unresolvedUntil_ = {};
+    upstream.nextCheckAt_ = noDeadline;
 }
 
 /// Logs a call that was at an upstream when it crashed, and how far its answer had come.
@@ -99,6 +111,29 @@
     }
 }
 
+/// Reports the crash of an upstream, of which all its broken calls are suspects. @param sign how it was noticed
+void reportCrash(GatewayState &state, TimePoint now, Upstream &upstream, const char *sign, GatewayOutbox &outbox)
+{
+    endUpstreamChecks(upstream);
+    if (upstream.brokenCalls_.empty() || upstream.draining_ || upstream.announcement_.leaving_) {
+        return;
+    }
+    const CrashReport report = makeCrashReport(upstream, now);
+    outbox.decisions_.push_back({ "upstream-crashed",
+        { { "upstream", upstream.id_ }, { "started_ms", std::to_string(upstream.startedAtMs_) }, { "sign", sign },
+            { "suspects", std::to_string(upstream.brokenCalls_.size()) },
+            { "traits", std::to_string(report.traits_.size()) } },
+        true });
+    for (const BrokenCall &call : upstream.brokenCalls_) {
+        logBrokenCall(upstream, call, outbox);
+    }
+    upstream.brokenCalls_.clear();
+    count(state.metrics_, "upstream_crashes", upstream.service_);
+    recordReport(state, now, report);
+    state.crashNews_.crashes_.push_back(report);
+    state.lastFullUpdateAt_ = {}; // makes a full update due: peers need the suspects before further requests reach them
+}
+
 /// @return the condemned trait of a call, or nullptr.
 const Trait *findCondemnedTrait(const GatewayState &state, const Call &call)
 {
@@ -170,8 +205,10 @@
     if (upstream == nullptr) {
         return nullptr;
     }
-    removeExpiredBrokenCalls(*upstream, now);
-    upstream->brokenCalls_.push_back({ call.request_.id_, call.traits_, call.headReceived_, cancelled, now });
+    removeOldBrokenCalls(*upstream, now, rowEndWindow);
+    if (upstream->brokenCalls_.size() < maxBrokenCalls) { // the later ones are less likely to be the cause
+        upstream->brokenCalls_.push_back({ call.request_.id_, call.traits_, call.headReceived_, cancelled, now });
+    }
     return upstream;
 }
 
@@ -182,6 +219,7 @@
         return;
     }
     upstream->checksUntil_ = now + crashWindow;
+    upstream->unresolvedUntil_ = now + rowEndWindow;
     upstream->checkInterval_ = firstCheckInterval;
     upstream->nextCheckAt_ = noDeadline; // the check that begins now or is in progress schedules the next one
     checkUpstream(now, *upstream, outbox);
@@ -197,12 +235,6 @@
     state.upstreamChecksAt_ = std::min(state.upstreamChecksAt_, upstream.nextCheckAt_);
 }
 
-void endUpstreamChecks(Upstream &upstream)
-{
-    upstream.checksUntil_ = {};
-    upstream.nextCheckAt_ = noDeadline;
-}
-
 void recordAnsweringStart(
     GatewayState &state, TimePoint now, const Call &call, Upstream &upstream, GatewayOutbox &outbox)
 {
@@ -215,10 +247,16 @@
     }
 }
 
+void recordSilentCheck(Upstream &upstream)
+{
+    upstream.unresolvedUntil_ = std::min(upstream.unresolvedUntil_, upstream.checksUntil_);
+}
+
 void recordReplacedUpstream(GatewayState &state, TimePoint now, Upstream &upstream, GatewayOutbox &outbox)
 {
-    if (now < upstream.checksUntil_) {
-        recordUpstreamCrash(state, now, upstream, outbox);
+    if (now < upstream.unresolvedUntil_) {
+        removeOldBrokenCalls(upstream, now, rowEndWindow);
+        reportCrash(state, now, upstream, "row-ended", outbox);
     }
 }
 
@@ -239,25 +277,8 @@
 
 void recordUpstreamCrash(GatewayState &state, TimePoint now, Upstream &upstream, GatewayOutbox &outbox)
 {
-    endUpstreamChecks(upstream);
-    removeExpiredBrokenCalls(upstream, now);
-    if (upstream.brokenCalls_.empty() || upstream.draining_ || upstream.announcement_.leaving_) {
-        return;
-    }
-    const CrashReport report = makeCrashReport(upstream, now);
-    outbox.decisions_.push_back({ "upstream-crashed",
-        { { "upstream", upstream.id_ }, { "started_ms", std::to_string(upstream.startedAtMs_) },
-            { "suspects", std::to_string(upstream.brokenCalls_.size()) },
-            { "traits", std::to_string(report.traits_.size()) } },
-        true });
-    for (const BrokenCall &call : upstream.brokenCalls_) {
-        logBrokenCall(upstream, call, outbox);
-    }
-    upstream.brokenCalls_.clear();
-    count(state.metrics_, "upstream_crashes", upstream.service_);
-    recordReport(state, now, report);
-    state.crashNews_.crashes_.push_back(report);
-    state.lastFullUpdateAt_ = {}; // makes a full update due: peers need the suspects before further requests reach them
+    removeOldBrokenCalls(upstream, now, crashWindow);
+    reportCrash(state, now, upstream, "refused", outbox);
 }
 
 void recordAnswered(GatewayState &state, TimePoint now, const Call &call, GatewayOutbox &outbox)
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -327,7 +327,10 @@
 void recordAnsweringStart(
     GatewayState &state, TimePoint now, const Call &call, Upstream &upstream, GatewayOutbox &outbox);
 
-/// Records the crash of an upstream that is still checked and whose place another start takes.
+/// Records that nothing answered at an upstream's address: its machine may be cut off, so that its end is no crash.
+void recordSilentCheck(Upstream &upstream);
+
+/// Records the crash of an upstream whose place another start takes, if it has not answered since calls broke there.
 void recordReplacedUpstream(GatewayState &state, TimePoint now, Upstream &upstream, GatewayOutbox &outbox);
 
 /// Checks the upstreams again that are due.
--- a/src/gateway_replacement.cpp
+++ b/src/gateway_replacement.cpp
@@ -36,6 +36,7 @@
 void markReplaced(
     GatewayState &state, TimePoint now, Upstream &upstream, const Upstream &successor, GatewayOutbox &outbox)
 {
+    recordReplacedUpstream(state, now, upstream, outbox);
     upstream.replacedUntil_ = now + replacementValidity;
     upstream.replacedAtVersion_ = successor.rowVersion_;
     logReplacement(upstream, "replaced", successor.id_, outbox);
--- a/tests/crash_fleet_fixture.cpp
+++ b/tests/crash_fleet_fixture.cpp
@@ -196,8 +196,8 @@
         acceptSend(gateway, command);
     }
     for (const CheckUpstream &command : outbox.checks_) {
-        inboxes_[gateway].checks_.push_back({ command.upstream_,
-            isUp(command.address_) ? std::error_code() : make_error_code(TransportErrc::ConnectionRefused) });
+        inboxes_[gateway].checks_.push_back(
+            { command.upstream_, isUp(command.address_) ? std::error_code() : checkDownEngine(gateway) });
     }
     for (SendUpdate &command : outbox.updates_) {
         sendUpdate(gateway, command);
@@ -221,6 +221,20 @@
     decisions_.insert(decisions_.end(), outbox.decisions_.begin(), outbox.decisions_.end());
 }
 
+std::error_code CrashFleetFixture::checkDownEngine(size_t gateway) const
+{
+    const auto found = downEngines_.find(gateway);
+    switch (found == downEngines_.end() ? DownEngine::Refuses : found->second) {
+    case DownEngine::IsSilent:
+        return TransportErrc::NotSent;
+    case DownEngine::Accepts:
+        return {};
+    case DownEngine::Refuses:
+        break;
+    }
+    return TransportErrc::ConnectionRefused;
+}
+
 bool CrashFleetFixture::isUp(const std::string &address) const
 {
     return std::any_of(engines_.begin(), engines_.end(), [&](const SimulatedEngine &engine) {
@@ -234,8 +248,8 @@
         [&](const SimulatedEngine &candidate) { return candidate.row_.address_ == command.address_; });
     if (engine == engines_.end() || engine->row_.removed_) {
         const bool exiting = engine != engines_.end() && now_ < engine->exitedAt_;
-        inboxes_[gateway].ends_.push_back(
-            { command.send_, exiting ? TransportErrc::Lost : TransportErrc::ConnectionRefused });
+        const std::error_code down = checkDownEngine(gateway);
+        inboxes_[gateway].ends_.push_back({ command.send_, exiting || !down ? TransportErrc::Lost : down });
         return;
     }
     const bool deadly = deadlyExchanges_.contains(command.exchange_.value_);
--- a/tests/crash_fleet_fixture.h
+++ b/tests/crash_fleet_fixture.h
@@ -37,6 +37,13 @@
     Milliseconds longestExit_{ 0 }; ///< Longest time for which a crashed engine still accepts connections.
 };
 
+/// What a gateway's connection to an engine that is down meets.
+enum class DownEngine : uint8_t {
+    Refuses, ///< Its machine refuses the connection.
+    IsSilent, ///< Nothing answers, so that the connection times out.
+    Accepts, ///< Something in between accepts the connection, but answers no call.
+};
+
 /// What became of all copies of one request that has a deadly part.
 struct DeadlyRequestRecord
 {
@@ -112,6 +119,7 @@
     std::vector<SimulatedRun> runs_; ///< Requests at engines.
     bool crashesAfterFirstEvent_ = false; ///< Whether engines send the first event of an answer before they crash.
     CrashFleetDisturbance disturbance_; ///< What disturbs the gateways and their messages.
+    std::map<size_t, DownEngine> downEngines_; ///< What gateways meet at engines that are down; Refuses by default.
     std::set<size_t> isolated_; ///< Gateways whose messages to and from peers are lost.
     std::set<uint64_t> deadlyParts_{ deadlyPart }; ///< Parts that crash engines.
     std::set<uint64_t> deadlyExchanges_; ///< Requests that have one of them.
@@ -135,6 +143,7 @@
     Milliseconds drawUpTo(Milliseconds longest);
     void receive(size_t gateway, GatewayOutbox &outbox);
     bool isUp(const std::string &address) const;
+    std::error_code checkDownEngine(size_t gateway) const;
     void acceptSend(size_t gateway, const SendCall &command);
     void crash(size_t engine);
     void announce(const UpstreamRow &row);
