--- a/src/crash_evidence.cpp
+++ b/src/crash_evidence.cpp
@@ -19,9 +19,6 @@
 constexpr Milliseconds settleTime{ 300 }; ///< Time for the reports of all gateways that see a crash to arrive.
 /// Time after an answer for which its traits are no suspects; a trait may begin to cause crashes later.
 constexpr std::chrono::seconds answerValidity{ 10 };
-constexpr std::chrono::minutes crashRetention{
-    10
-}; ///< Time for which a crash counts; longer than between rare requests.
 constexpr size_t maxCrashes = 128; ///< Crashes kept; the oldest ones are dropped first.
 /// Times until the trials of a verdict, the first from its beginning. Two, as a third could be sent by mistake while
 /// gateways disagree on who is to send it, and callers are promised that no more than three crash anything.
@@ -34,7 +31,6 @@
 /// promised. Deployments have 3 or 4 s as contactMs.
 constexpr std::chrono::seconds contactTime{ 3 };
 constexpr size_t lateSendLimit = 3; ///< Such requests that callers are promised at most.
-constexpr std::chrono::minutes verdictRetention{ 10 }; ///< Time without a request after which a verdict is dropped.
 /// Time without a request after which a verdict is no longer sent; less than its retention, so that it can't come back.
 constexpr std::chrono::minutes verdictAnnouncement{ 5 };
 constexpr std::chrono::seconds expiryInterval{ 1 }; ///< Time between removals of outdated entries.
--- a/src/crash_evidence_func.h
+++ b/src/crash_evidence_func.h
@@ -8,6 +8,9 @@
 
 namespace Burdockfield {
 
+constexpr std::chrono::minutes crashRetention{ 10 }; ///< Time a crash counts; longer than between rare requests.
+constexpr std::chrono::minutes verdictRetention{ 10 }; ///< Time without a request after which a verdict is dropped.
+
 /**
  * Records that a request with the trait was answered.
  * @return whether the trait was a suspect or condemned; other gateways have to know that it is sound
--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "crash_evidence_type.h"
+#include "crash_record_type.h"
 #include "deadline_type.h"
 #include "gateway_call_type.h"
 #include "gateway_configuration_type.h"
@@ -396,6 +397,7 @@
     std::unordered_map<std::string, Milliseconds> longestWaitByRoute_; ///< Longest wait that callers asked for.
     CrashEvidence crashEvidence_; ///< Crashes of upstreams, and what requests are refused because of them.
     TimePoint upstreamChecksAt_{ noDeadline }; ///< When upstreams are checked again next, see Upstream::nextCheckAt_.
+    CrashStorage crashStorage_; ///< Part of the evidence that the store keeps.
     CrashNews crashNews_; ///< Part of the evidence that peers may not have yet.
     bool verdictsChanged_ = false; ///< Whether a verdict came into force whose calls in progress have to be ended.
 
--- a/src/gateway_command_type.h
+++ b/src/gateway_command_type.h
@@ -119,6 +119,8 @@
     std::vector<SendSlotMessage> slotMessages_; ///< Messages about slots, one for each receiver.
     std::vector<FetchSnapshot> snapshotFetches_; ///< Snapshots to fetch from peers.
     std::vector<WriteRolloutStatus> rolloutStatuses_; ///< Status rows of rollouts to write.
+    std::vector<CrashRecords> crashRecords_; ///< Evidence of crashes to write to the store; its outcome is an event.
+    bool readCrashRecords_ = false; ///< Whether to read that evidence.
     std::vector<Decision> decisions_; ///< Records to log.
     bool limitsChanged_ = false; ///< Whether the limits on callers' requests have changed.
     bool stopListening_ = false; ///< Whether to stop accepting connections.
--- a/src/gateway_crashes.cpp
+++ b/src/gateway_crashes.cpp
@@ -103,14 +103,6 @@
     return report;
 }
 
-/// Records a crash, and that peers have to know which of its traits are sound.
-void recordReport(GatewayState &state, TimePoint now, const CrashReport &report)
-{
-    for (const Trait trait : recordCrash(state.crashEvidence_, report)) {
-        state.crashNews_.answered_[trait] = now;
-    }
-}
-
 /// Reports the crash of an upstream, of which all its broken calls are suspects. @param sign how it was noticed
 void reportCrash(GatewayState &state, TimePoint now, Upstream &upstream, const char *sign, GatewayOutbox &outbox)
 {
@@ -129,7 +121,8 @@
     }
     upstream.brokenCalls_.clear();
     count(state.metrics_, "upstream_crashes", upstream.service_);
-    recordReport(state, now, report);
+    receiveCrash(state, now, report);
+    keepCrashReport(state, now, report);
     state.crashNews_.crashes_.push_back(report);
     state.lastFullUpdateAt_ = {}; // makes a full update due: peers need the suspects before further requests reach them
 }
@@ -287,6 +280,7 @@
         const bool condemned = isCondemned(state.crashEvidence_, trait);
         if (recordAnswer(state.crashEvidence_, trait, now, now)) {
             state.crashNews_.answered_[trait] = now;
+            dropKeptSuspect(state, now, trait);
         }
         if (condemned) {
             logVerdict(state, trait, "withdrawn", outbox);
@@ -339,6 +333,23 @@
     expireCrashEvidence(state.crashEvidence_, now);
 }
 
+void receiveCrash(GatewayState &state, TimePoint now, const CrashReport &report)
+{
+    for (const Trait trait : recordCrash(state.crashEvidence_, report)) {
+        state.crashNews_.answered_[trait] = now; // peers have to know that it is sound
+    }
+}
+
+void receiveVerdict(GatewayState &state, TimePoint now, Trait trait, const CrashVerdict &verdict,
+    const std::string &source, GatewayOutbox &outbox)
+{
+    if (mergeVerdict(state.crashEvidence_, trait, verdict, now)) {
+        state.crashEvidence_.verdicts_.at(trait).usedAt_ = verdict.usedAt_;
+        logVerdict(state, trait, ("received from " + source).c_str(), outbox);
+        state.verdictsChanged_ = true;
+    }
+}
+
 void addCrashNews(GatewayState &state, TimePoint now, PeerUpdate &update)
 {
     CrashNews &news = state.crashNews_;
@@ -365,17 +376,16 @@
 void applyCrashNews(GatewayState &state, TimePoint now, const PeerUpdate &update, GatewayOutbox &outbox)
 {
     for (const PeerCrash &crash : update.crashes_) {
-        recordReport(state, now, { crash.upstream_, now - crash.age_, crash.traits_ });
+        receiveCrash(state, now, { crash.upstream_, now - crash.age_, crash.traits_ });
     }
     for (const auto &[trait, age] : update.answered_) {
-        recordAnswer(state.crashEvidence_, trait, now - age, now);
+        if (recordAnswer(state.crashEvidence_, trait, now - age, now)) {
+            dropKeptSuspect(state, now, trait);
+        }
     }
     for (const auto &[trait, received] : update.verdicts_) {
         const CrashVerdict verdict{ received.number_, received.withdrawn_, received.trials_, {}, now };
-        if (mergeVerdict(state.crashEvidence_, trait, verdict, now)) {
-            logVerdict(state, trait, "received", outbox);
-            state.verdictsChanged_ = true;
-        }
+        receiveVerdict(state, now, trait, verdict, update.name_, outbox);
     }
 }
 
--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -122,6 +122,28 @@
     }
 }
 
+void executeCrashRecords(GatewayDaemon &daemon, const GatewayOutbox &outbox)
+{
+    for (const CrashRecords &records : outbox.crashRecords_) {
+        Platform::writeCrashRecords(daemon.follower_, records, [&daemon](bool written) {
+            count(daemon.state_.metrics_, "crash_record_writes", written ? "ok" : "failed");
+            daemon.inbox_.crashRecordsWritten_ = written;
+            scheduleTick(daemon);
+        });
+    }
+    if (outbox.readCrashRecords_) {
+        Platform::readCrashRecords(daemon.follower_, [&daemon](std::error_code error, CrashRecords records) {
+            count(daemon.state_.metrics_, "crash_record_reads", error ? error.message() : "ok");
+            if (error) {
+                daemon.inbox_.crashRecordsUnread_ = true;
+            } else {
+                daemon.inbox_.crashRecords_.push_back(std::move(records));
+            }
+            scheduleTick(daemon);
+        });
+    }
+}
+
 void executeOutbox(GatewayDaemon &daemon, GatewayOutbox outbox)
 {
     for (const Decision &decision : outbox.decisions_) {
@@ -157,6 +179,7 @@
     for (const WriteRolloutStatus &command : outbox.rolloutStatuses_) {
         Platform::writeStatus(daemon.follower_, command.status_, command.expectedVersion_);
     }
+    executeCrashRecords(daemon, outbox);
     if (outbox.limitsChanged_) {
         applyLimits(daemon);
     }
--- a/src/gateway_event_type.h
+++ b/src/gateway_event_type.h
@@ -145,6 +145,9 @@
     std::vector<UpstreamsReceived> upstreams_; ///< Upstream lists and changes received.
     std::vector<RolloutsReceived> rollouts_; ///< Orders and status rows of rollouts received.
     std::vector<StoreCallOutcome> storeOutcomes_; ///< Outcomes of calls to the store.
+    std::vector<CrashRecords> crashRecords_; ///< Evidence of crashes that was read from the store.
+    bool crashRecordsUnread_ = false; ///< Whether a read of that evidence has failed.
+    std::optional<bool> crashRecordsWritten_; ///< Whether a write of that evidence took effect, once it has ended.
     std::vector<std::string> peerAddresses_; ///< Addresses of gateways from the settings or the store.
     std::vector<QuotaLevels> quotaLevels_; ///< Quota levels received from peers.
     std::vector<PeerUpdate> peerUpdates_; ///< Updates received from peers.
--- a/src/gateway_func.h
+++ b/src/gateway_func.h
@@ -354,6 +354,25 @@
 /// Adds crashes, answered suspects and verdicts to a full update.
 void addCrashNews(GatewayState &state, TimePoint now, PeerUpdate &update);
 
+/// Records a crash that this gateway has learnt of.
+void receiveCrash(GatewayState &state, TimePoint now, const CrashReport &report);
+
+/// Applies a verdict of a peer or of the store. @param source where it comes from, for the log
+void receiveVerdict(GatewayState &state, TimePoint now, Trait trait, const CrashVerdict &verdict,
+    const std::string &source, GatewayOutbox &outbox);
+
+/// Keeps a crash that this gateway has seen in the store, as long as it has a suspect.
+void keepCrashReport(GatewayState &state, TimePoint now, const CrashReport &report);
+
+/// Removes a suspect that was answered from what is kept.
+void dropKeptSuspect(GatewayState &state, TimePoint now, Trait trait);
+
+/// Reads and writes the evidence of crashes that the store keeps.
+void runCrashRecords(GatewayState &state, TimePoint now, const GatewayInbox &inbox, GatewayOutbox &outbox);
+
+/// @return when runCrashRecords() has to run next.
+TimePoint nextCrashRecordDeadline(const GatewayState &state);
+
 /// Applies the crashes, answered suspects and verdicts of a peer.
 void applyCrashNews(GatewayState &state, TimePoint now, const PeerUpdate &update, GatewayOutbox &outbox);
 
--- a/src/gateway_tick.cpp
+++ b/src/gateway_tick.cpp
@@ -328,6 +328,7 @@
     runAnswers(state, now, inbox, outbox);
     runUpstreamChecks(state, now, outbox);
     runCrashReview(state, now, outbox);
+    runCrashRecords(state, now, inbox, outbox);
     runDeadlines(state, now, outbox);
     runSlots(state, now, inbox, outbox);
     runDispatch(state, now, outbox);
@@ -343,7 +344,7 @@
 {
     return std::min({ nextDeadline(state.deadlines_), nextPeerDeadline(state), nextStopDeadline(state),
         nextDeferredDeadline(state), state.crashEvidence_.reviewAt_, state.upstreamChecksAt_, state.slotCheckAt_,
-        nextHedgingDeadline(state), nextRolloutDeadline(state) });
+        nextHedgingDeadline(state), nextRolloutDeadline(state), nextCrashRecordDeadline(state) });
 }
 
 } // namespace Burdockfield::Gateway
--- a/tests/crash_fleet_fixture.cpp
+++ b/tests/crash_fleet_fixture.cpp
@@ -38,6 +38,8 @@
     stalledUntil_.assign(spec.gateways_, {});
     inTransit_.clear();
     slotsInTransit_.clear();
+    storedCrashes_.clear();
+    storedVerdicts_.clear();
     for (size_t gateway = 0; gateway < spec.gateways_; ++gateway) {
         startGateway(gateway);
     }
@@ -217,6 +219,7 @@
         ++counts_.refused_;
         counts_.refusedAfter_ += now_ - arrivedAt_.at(refusal.exchange_.value_);
     }
+    serveStore(gateway, outbox);
     refusals_.insert(refusals_.end(), outbox.refusals_.begin(), outbox.refusals_.end());
     decisions_.insert(decisions_.end(), outbox.decisions_.begin(), outbox.decisions_.end());
 }
@@ -235,6 +238,43 @@
     return TransportErrc::ConnectionRefused;
 }
 
+void CrashFleetFixture::serveStore(size_t gateway, const GatewayOutbox &outbox)
+{
+    GatewayInbox &inbox = inboxes_[gateway];
+    for (const CrashRecords &records : outbox.crashRecords_) {
+        ++storeWrites_;
+        largestWrite_ = std::max(largestWrite_, records.crashes_.size() + records.verdicts_.size());
+        inbox.crashRecordsWritten_ = !storeDown_;
+        for (const CrashRecord &record : storeDown_ ? std::vector<CrashRecord>() : records.crashes_) {
+            const std::pair key(record.gateway_, record.report_.upstream_);
+            storedCrashes_.erase(key);
+            if (!record.report_.traits_.empty()) {
+                storedCrashes_.emplace(key, record);
+            }
+        }
+        for (const VerdictRecord &record : storeDown_ ? std::vector<VerdictRecord>() : records.verdicts_) {
+            storedVerdicts_.erase(record.trait_);
+            if (!record.verdict_.withdrawn_) {
+                storedVerdicts_.emplace(record.trait_, record);
+            }
+        }
+    }
+    if (outbox.readCrashRecords_) {
+        inbox.crashRecordsUnread_ = storeDown_;
+        CrashRecords records;
+        for (const auto &[key, record] : storedCrashes_) {
+            records.crashes_.push_back(record);
+        }
+        for (const auto &[trait, record] : storedVerdicts_) {
+            records.verdicts_.push_back({ trait,
+                { record.verdict_.number_, false, record.verdict_.trials_, noDeadline, record.verdict_.usedAt_ } });
+        }
+        if (!storeDown_) {
+            inbox.crashRecords_.push_back(std::move(records));
+        }
+    }
+}
+
 bool CrashFleetFixture::isUp(const std::string &address) const
 {
     return std::any_of(engines_.begin(), engines_.end(), [&](const SimulatedEngine &engine) {
--- a/tests/crash_fleet_fixture.h
+++ b/tests/crash_fleet_fixture.h
@@ -120,6 +120,11 @@
     bool crashesAfterFirstEvent_ = false; ///< Whether engines send the first event of an answer before they crash.
     CrashFleetDisturbance disturbance_; ///< What disturbs the gateways and their messages.
     std::map<size_t, DownEngine> downEngines_; ///< What gateways meet at engines that are down; Refuses by default.
+    std::map<std::pair<std::string, UpstreamStart>, CrashRecord> storedCrashes_; ///< Rows of the simulated store.
+    std::map<Trait, VerdictRecord> storedVerdicts_; ///< The same.
+    size_t storeWrites_ = 0; ///< Transactions of the simulated store.
+    size_t largestWrite_ = 0; ///< Most rows of one of them.
+    bool storeDown_ = false; ///< Whether the simulated store refuses all calls.
     std::set<size_t> isolated_; ///< Gateways whose messages to and from peers are lost.
     std::set<uint64_t> deadlyParts_{ deadlyPart }; ///< Parts that crash engines.
     std::set<uint64_t> deadlyExchanges_; ///< Requests that have one of them.
@@ -135,6 +140,7 @@
     void startGateway(size_t gateway);
     void step();
     void stepEngines();
+    void serveStore(size_t gateway, const GatewayOutbox &outbox);
     void beginAnswer(SimulatedRun &run);
     void sendEvent(SimulatedRun &run);
     void deliverUpdates();
--- a/tests/gateway_crash_process_test.cpp
+++ b/tests/gateway_crash_process_test.cpp
@@ -67,3 +67,35 @@
     CHECK(crashes <= allowedCrashes);
     CHECK(refusals + allowedCrashes >= rounds);
 }
+
+// Review case 10: what is known of a request that crashes upstreams was lost when all gateways were killed.
+TEST_CASE_FIXTURE(GatewayCrashFixture, "DeadlyRequest_WhenAllGatewaysAreKilled_IsStillRefused")
+{
+    const auto callDeadly = [this](const std::string &gateway) {
+        const std::string id = "deadly-" + std::to_string(++calls_);
+        return callGateway(
+            fleet_, gateway, { id, "/stream/x", "deadly", "key-1", Milliseconds(4000), "a1:60,dead:800" });
+    };
+    size_t crashes = 0;
+    const auto isRefused = [&] {
+        const HttpReply reply = callDeadly("gateway-" + std::to_string(1 + calls_ % 3));
+        std::this_thread::sleep_for(Milliseconds(500));
+        crashes += restartEnded();
+        std::this_thread::sleep_for(Milliseconds(700)); // until all gateways list the new starts
+        return reply.status_ == 503 && !findHeader(reply.headers_, "Retry-After").empty();
+    };
+    REQUIRE(waitUntil(isRefused, Milliseconds(15000)));
+    crashes = 0;
+    for (const std::string &gateway : fleet_.entries_) {
+        signalProcess(fleet_, gateway, SIGKILL);
+    }
+    for (const std::string &gateway : fleet_.entries_) {
+        startProcess(fleet_, gateway);
+    }
+    for (const std::string &gateway : fleet_.entries_) {
+        REQUIRE(waitUntil([&] { return isGatewayReady(fleet_, gateway); }, Milliseconds(5000)));
+        CHECK(callDeadly(gateway).status_ == 503);
+    }
+    std::this_thread::sleep_for(Milliseconds(500));
+    CHECK(restartEnded() == 0);
+}
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -3,6 +3,7 @@
  * @brief Decoding and encoding of the messages exchanged with the platform.
  */
 #include "call_wire.h"
+#include "crash_record_wire.h"
 #include "error_type.h"
 #include "gateway_event_stream_func.h"
 #include "http_func.h"
@@ -405,3 +406,45 @@
     CHECK_FALSE(head.load_);
     CHECK_FALSE(head.loadMalformed_);
 }
+
+TEST_CASE("CrashRows_WhenReadAtAnotherTime_KeepTheirTraitsAndAges")
+{
+    const ClockPair written{ TimePoint(std::chrono::hours(5)),
+        std::chrono::system_clock::time_point(std::chrono::hours(500)) };
+    CrashRecords records;
+    records.crashes_.push_back(
+        { "gateway-1", { { "i-1", 7 }, written.steady_ - std::chrono::seconds(2), { { 0xabc, wholeRequestDepth } } } });
+    records.verdicts_.push_back({ 0xdef, { 3, false, 2, noDeadline, written.steady_ - std::chrono::seconds(4) } });
+    const StoreTransaction transaction = makeCrashTransaction(records, written);
+    REQUIRE(transaction.rowWrites_.size() == 2);
+    const ClockPair readAt{ TimePoint(std::chrono::hours(1)), written.utc_ + std::chrono::seconds(30) };
+    CrashRecords decoded;
+    for (const RowWrite &write : transaction.rowWrites_) {
+        CHECK_FALSE(write.erase_);
+        REQUIRE_FALSE(parseCrashRow({ write.key_.table_, write.key_.key_, write.value_, {} }, readAt, decoded));
+    }
+    REQUIRE(decoded.crashes_.size() == 1);
+    CHECK(decoded.crashes_[0].gateway_ == "gateway-1");
+    CHECK(decoded.crashes_[0].report_.upstream_ == UpstreamStart{ "i-1", 7 });
+    CHECK(decoded.crashes_[0].report_.traits_ == TraitDepths{ { 0xabc, wholeRequestDepth } });
+    CHECK(readAt.steady_ - decoded.crashes_[0].report_.at_ == std::chrono::seconds(32));
+    REQUIRE(decoded.verdicts_.size() == 1);
+    CHECK(decoded.verdicts_[0].trait_ == 0xdef);
+    CHECK(decoded.verdicts_[0].verdict_.number_ == 3);
+    CHECK(decoded.verdicts_[0].verdict_.trials_ == 2);
+    CHECK(readAt.steady_ - decoded.verdicts_[0].verdict_.usedAt_ == std::chrono::seconds(34));
+}
+
+TEST_CASE("CrashRow_WhenMalformed_IsRefused")
+{
+    CrashRecords records;
+    const ClockPair now;
+    const TableRow rows[] = { { "crash-evidence", "verdict/xyz", "{}", {} },
+        { "crash-evidence", "verdict/1", "[]", {} }, { "crash-evidence", "other", "{}", {} },
+        { "crash-evidence", "crash/1", R"({"gateway":"g","id":"i","born_ms":1,"at_ms":1,"traits":["x"]})", {} } };
+    for (const TableRow &row : rows) {
+        CHECK(parseCrashRow(row, now, records));
+    }
+    CHECK(records.crashes_.empty());
+    CHECK(records.verdicts_.empty());
+}
