--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -274,8 +274,8 @@
         return;
     }
     connection->reusable_ = false;
-    if (error == Asio::error::eof && connection->parser_->is_header_done() && connection->parser_->need_eof()
-        && !connection->discarding_) {
+    const bool untilClose = connection->parser_->is_header_done() && connection->parser_->need_eof();
+    if (error == Asio::error::eof && untilClose && !connection->writeFailed_ && !connection->discarding_) {
         boost::system::error_code end;
         connection->parser_->put_eof(end);
         deliverResponse(link, *connection);
@@ -345,6 +345,7 @@
         connection->requestWritten_ = !error;
         if (error) { // a response sent before the error is still read
             connection->reusable_ = false;
+            connection->writeFailed_ = true;
         }
     };
     Http::async_write(connection->socket_, message, done);
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -127,6 +127,8 @@
     bool extraReported_ = false; ///< Whether an extra answer has been reported.
     bool connected_ = false;
     bool requestWritten_ = false; ///< Whether the current request has been written completely.
+    /// Whether writing has failed. The kernel reports a reset once only: reads then see the end of the connection.
+    bool writeFailed_ = false;
     bool headHandled_ = false; ///< Whether the header of the current response has been handled.
     bool discarding_ = false; ///< Whether the current response is interim (1xx) or belongs to another call.
     size_t headBytes_ = 0; ///< Bytes parsed of the current response while its header was incomplete.
--- a/tests/endless_peer_fixture.h
+++ b/tests/endless_peer_fixture.h
@@ -86,6 +86,13 @@
         return !receiveSome(ignored);
     }
 
+    /// Closes the connection with a reset, as a process that ends with unread bytes does.
+    void reset()
+    {
+        peer_.set_option(boost::asio::socket_base::linger(true, 0));
+        peer_.close();
+    }
+
     void send(const std::string &text)
     {
         boost::system::error_code error;
--- a/tests/upstream_link_test.cpp
+++ b/tests/upstream_link_test.cpp
@@ -38,7 +38,7 @@
         call.address_ = address_;
         call.head_.method_ = "POST";
         call.head_.target_ = "/x";
-        call.body_ = std::make_shared<const std::string>("body");
+        call.body_ = std::make_shared<const std::string>(body_);
         call.isMismatched_ = [](const HttpReply &reply) {
             return findHeader(reply.headers_, "Request-Id") == "other";
         };
@@ -70,6 +70,21 @@
     }
 
     static constexpr size_t socketBytes = 64U << 10U; ///< Bytes that may be under way when the client closes.
+
+    /// Starts another call on a connection of its own, which the upstream accepts.
+    void startAgain()
+    {
+        peer_.close();
+        end_.reset();
+        heads_ = 0;
+        received_ = 0;
+        start(++lastSend_);
+        acceptConnection();
+        receiveRequest();
+    }
+
+    uint64_t lastSend_ = 1; ///< Number of the last call.
+    std::string body_ = "body"; ///< Of the requests.
     UpstreamLink link_{ io_, makeHandlers() };
     int heads_ = 0; ///< Headers received.
     size_t received_ = 0; ///< Bytes of the body received.
@@ -340,8 +355,37 @@
 {
     send(okHead + "\r\nanswer");
     runUntil([this] { return received_ == 6; });
-    peer_.set_option(boost::asio::socket_base::linger(true, 0)); // closes with a reset
-    peer_.close();
+    reset();
     runUntil([this] { return end_.has_value(); });
     CHECK(end_ == make_error_code(TransportErrc::Lost));
 }
+
+// The write that waited took the reset's error, and the read that followed saw a regular end of the connection.
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAnAnswerWithoutLengthIsResetDuringTheUpload_IsLost")
+{
+    constexpr size_t uploadBytes = 4U << 20U; // more than the buffers of both sides hold
+    body_.assign(uploadBytes, 'a');
+    for (const bool readBefore : { false, true }) {
+        CAPTURE(readBefore);
+        startAgain();
+        runFor(Milliseconds(50)); // the buffers are full by then
+        send(okHead + "\r\nanswer");
+        if (readBefore) {
+            runUntil([this] { return received_ == 6; });
+        }
+        reset();
+        runUntil([this] { return end_.has_value(); });
+        CHECK(end_ == make_error_code(TransportErrc::Lost));
+    }
+}
+
+// An upstream may answer before it has read a long body, keep the connection and read on.
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAnAnswerComesBeforeTheUploadIsRead_IsComplete")
+{
+    body_.assign(size_t{ 4 } << 20U, 'a');
+    startAgain();
+    send(okHead + "Content-Length: 6\r\n\r\nanswer");
+    runUntil([this] { return end_.has_value(); });
+    CHECK_FALSE(*end_);
+    CHECK(received_ == 6);
+}
