--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -26,7 +26,6 @@
 /// Most bytes buffered while the rest of a header, a chunk's header or trailers is missing.
 constexpr size_t maxUnparsedBytes = 32U << 10U;
 constexpr size_t timedBytes = 32U << 10U; ///< Bytes of a response for which its timeout starts again.
-constexpr int firstFinalStatus = 200; ///< Lower statuses (1xx) are interim responses.
 constexpr int maxInterimResponses = 8; ///< Interim responses after which a response is malformed.
 constexpr int maxExtraReplies = 8; ///< Replies to other calls after which a call ends as malformed.
 constexpr size_t streamBufferBytes = 16U << 10U; ///< Most bytes passed to onBytes_ at once.
@@ -79,6 +78,9 @@
         if (error || parser->get().result_int() >= firstFinalStatus) {
             return;
         }
+        if (parser->get().result_int() < firstInterimStatus) {
+            break;
+        }
     }
     error = Http::error::bad_status;
 }
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -12,6 +12,9 @@
 
 namespace Burdockfield {
 
+constexpr int firstInterimStatus = 100; ///< Lower numbers are no statuses of responses.
+constexpr int firstFinalStatus = 200; ///< Statuses below it (1xx) are those of interim responses.
+
 /// Header fields (name, value) in the order of the message; a name may occur more than once.
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -44,7 +44,6 @@
 constexpr Milliseconds maxIdleTimeUnlessRetryable{ 250 };
 constexpr double idleTimeoutShare = 0.6; ///< Usable share of an announced idle timeout.
 constexpr std::chrono::seconds maxIdleTime{ 12 }; ///< Longest idle time if the upstream announces no timeout.
-constexpr int firstFinalStatus = 200; ///< Lower statuses (1xx) are interim responses.
 
 void readSome(UpstreamLink &link, const LinkPointer &connection);
 
@@ -236,6 +235,13 @@
     return connection.headBytes_ > responseHeaderLimit || std::distance(fields.begin(), fields.end()) > maxHeaderFields;
 }
 
+/// @return whether the parsed header is that of neither an interim response nor an answer.
+bool hasInvalidStatus(LinkConnection &connection)
+{
+    return connection.parser_->is_header_done() && !connection.headHandled_
+        && connection.parser_->get().result_int() < firstInterimStatus;
+}
+
 /// Parses the received bytes; ends the call when its response is complete or exceeds a limit.
 void parse(UpstreamLink &link, const LinkPointer &connection)
 {
@@ -244,7 +250,8 @@
         const size_t parsed = connection->parser_->put(connection->buffer_.data(), error);
         connection->buffer_.consume(parsed);
         connection->overheadBytes_ += parsed;
-        if ((error && error != Http::error::need_more) || exceedsFieldLimits(*connection, parsed)) {
+        if ((error && error != Http::error::need_more) || hasInvalidStatus(*connection)
+            || exceedsFieldLimits(*connection, parsed)) {
             endCall(link, connection, TransportErrc::Malformed);
             return;
         }
--- a/tests/endless_peer_fixture.h
+++ b/tests/endless_peer_fixture.h
@@ -15,9 +15,17 @@
 #include <doctest/doctest.h>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace Burdockfield::Testing {
 
+/// Lines whose names are no tokens (RFC 9110, 5.6.2); a parser that is lax passes them on or loses the end of the head.
+constexpr std::array<std::string_view, 9> badFieldLines{ "Bad Name: x", "Bad\tName: x", "Bad\x01Name: x",
+    "Bad\x7fName: x", "Bad\x80Name: x", "Bad\0Name: x", "Name : x", ": x", "Name" };
+
+/// Statuses that are none: neither interim responses nor answers.
+constexpr std::array<std::string_view, 4> badStatuses{ "000", "001", "050", "099" };
+
 /// Peer that accepts connections one after another and answers on the latest.
 struct EndlessPeerFixture
 {
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -251,6 +251,42 @@
     }
 }
 
+// Entries, agents, checks, peers and the store's clients read with it.
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenAStatusIsBelow100_EndsTheCall")
+{
+    for (const std::string_view status : badStatuses) {
+        CAPTURE(status);
+        const std::string reply
+            = "HTTP/1.1 " + std::string(status) + " Odd\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nok";
+        startAndAccept();
+        send(reply);
+        runUntil([this] { return end_.has_value(); });
+        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+        end_.reset();
+        startStream();
+        send(reply);
+        runUntil([this] { return end_.has_value(); });
+        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+    }
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenTheNameOfAFieldIsNoToken_EndsTheCall")
+{
+    for (const std::string_view line : badFieldLines) {
+        CAPTURE(line);
+        const std::string reply = okHead + std::string(line) + "\r\nContent-Length: 2\r\n\r\nok";
+        startAndAccept();
+        send(reply);
+        runUntil([this] { return end_.has_value(); });
+        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+        end_.reset();
+        startStream();
+        send(reply);
+        runUntil([this] { return end_.has_value(); });
+        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+    }
+}
+
 TEST_CASE_FIXTURE(HttpClientFixture, "Client_WhenManyRepliesTrickle_HoldsThemWithinTheMemory")
 {
     constexpr int calls = 60;
--- a/tests/upstream_link_test.cpp
+++ b/tests/upstream_link_test.cpp
@@ -389,3 +389,34 @@
     CHECK_FALSE(*end_);
     CHECK(received_ == 6);
 }
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenAStatusIsBelow100_IsMalformed")
+{
+    for (const std::string_view status : badStatuses) {
+        for (const std::string_view rest : { "\r\n", "Content-Length: 2\r\n\r\nok" }) {
+            CAPTURE(status);
+            startAgain();
+            send("HTTP/1.1 " + std::string(status) + " Odd\r\nRequest-Id: 1\r\n" + std::string(rest) + okHead
+                + "Content-Length: 2\r\n\r\nok");
+            runUntil([this] { return end_.has_value(); });
+            CHECK(end_ == make_error_code(TransportErrc::Malformed));
+            CHECK(heads_ == 0);
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(UpstreamLinkFixture, "Link_WhenTheNameOfAFieldIsNoToken_IsMalformed")
+{
+    for (const std::string_view line : badFieldLines) {
+        CAPTURE(line);
+        startAgain();
+        send(okHead + std::string(line) + "\r\nContent-Length: 2\r\n\r\nok");
+        runUntil([this] { return end_.has_value(); });
+        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+        CHECK(heads_ == 0);
+        startAgain();
+        send(chunkedHead + "2\r\nok\r\n0\r\n" + std::string(line) + "\r\n\r\n"); // as a trailer
+        runUntil([this] { return end_.has_value(); });
+        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+    }
+}
