--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -68,6 +68,20 @@
         CHECK(end_ == make_error_code(TransportErrc::Malformed));
     }
 
+    /// Checks that a reply ends a call and a stream as malformed.
+    void checkIsMalformed(const std::string &reply)
+    {
+        startAndAccept();
+        send(reply);
+        runUntil([this] { return end_.has_value(); });
+        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+        end_.reset();
+        startStream();
+        send(reply);
+        runUntil([this] { return end_.has_value(); });
+        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+    }
+
     HttpClient client_{ io_ };
     std::optional<std::error_code> end_; ///< How the last call ended.
     HttpReply reply_; ///< Its response.
@@ -256,17 +270,7 @@
 {
     for (const std::string_view status : badStatuses) {
         CAPTURE(status);
-        const std::string reply
-            = "HTTP/1.1 " + std::string(status) + " Odd\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nok";
-        startAndAccept();
-        send(reply);
-        runUntil([this] { return end_.has_value(); });
-        CHECK(end_ == make_error_code(TransportErrc::Malformed));
-        end_.reset();
-        startStream();
-        send(reply);
-        runUntil([this] { return end_.has_value(); });
-        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+        checkIsMalformed("HTTP/1.1 " + std::string(status) + " Odd\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nok");
     }
 }
 
@@ -274,16 +278,7 @@
 {
     for (const std::string_view line : badFieldLines) {
         CAPTURE(line);
-        const std::string reply = okHead + std::string(line) + "\r\nContent-Length: 2\r\n\r\nok";
-        startAndAccept();
-        send(reply);
-        runUntil([this] { return end_.has_value(); });
-        CHECK(end_ == make_error_code(TransportErrc::Malformed));
-        end_.reset();
-        startStream();
-        send(reply);
-        runUntil([this] { return end_.has_value(); });
-        CHECK(end_ == make_error_code(TransportErrc::Malformed));
+        checkIsMalformed(okHead + std::string(line) + "\r\nContent-Length: 2\r\n\r\nok");
     }
 }
 
