--- a/src/digest.cpp
+++ b/src/digest.cpp
@@ -5,6 +5,7 @@
 #include "digest_func.h"
 
 #include <array>
+#include <charconv>
 #include <openssl/evp.h>
 #include <xxhash.h>
 
@@ -46,4 +47,12 @@
     return hex;
 }
 
+std::optional<uint64_t> parseHex(std::string_view text)
+{
+    constexpr int base = 16;
+    uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+    return error == std::errc() && end == text.data() + text.size() ? std::optional<uint64_t>(value) : std::nullopt;
+}
+
 } // namespace Burdockfield
--- a/src/digest_func.h
+++ b/src/digest_func.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,4 +20,7 @@
 /// @return @p value as 16 lowercase hexadecimal digits.
 std::string toHex(uint64_t value);
 
+/// @return the number if the whole text is hexadecimal digits and fits 64 bits, else nothing.
+std::optional<uint64_t> parseHex(std::string_view text);
+
 } // namespace Burdockfield
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -14,7 +14,6 @@
 #include "rollout_func.h"
 
 #include <array>
-#include <charconv>
 #include <utility>
 
 namespace Burdockfield::Gateway {
@@ -36,7 +35,6 @@
 constexpr std::string_view reportsField = "o";
 constexpr std::string_view chargedUnitsField = "w";
 
-constexpr int traitBase = 16; ///< Traits are written in hexadecimal.
 constexpr size_t minCompressedBytes = 4U << 10U; ///< Size from which a configuration is compressed.
 /// Longest configuration that is taken from a peer, three times that of 2,500 routes and 1,400 workspaces.
 constexpr size_t maxConfigurationBytes = 3U << 20U;
@@ -141,13 +139,6 @@
     fail(reader, reports.error_);
 }
 
-std::optional<Trait> parseTrait(std::string_view text)
-{
-    Trait trait = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), trait, traitBase);
-    return error == std::errc() && end == text.data() + text.size() ? std::optional<Trait>(trait) : std::nullopt;
-}
-
 /// Calls @p add with each trait and value of an optional object whose keys are traits.
 template<typename Add>
 void parseByTrait(JsonReader &reader, std::string_view field, Add add)
@@ -158,7 +149,7 @@
     }
     JsonReader nested = readObject(*value);
     for (const auto &item : nested.error_ ? Json::object() : *nested.object_) {
-        if (const auto trait = parseTrait({ item.key().data(), item.key().size() }); trait) {
+        if (const auto trait = parseHex({ item.key().data(), item.key().size() }); trait) {
             add(nested, *trait, std::string(item.key().data(), item.key().size()));
         } else {
             fail(nested, WireErrc::WrongType);
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -448,3 +448,13 @@
     CHECK(records.crashes_.empty());
     CHECK(records.verdicts_.empty());
 }
+
+TEST_CASE("CrashRow_WhenItsTimeIsBeyondAnyClock_CountsAsNow")
+{
+    const ClockPair now{ TimePoint(std::chrono::hours(5)),
+        std::chrono::system_clock::time_point(std::chrono::hours(500)) };
+    CrashRecords records;
+    const std::string value = R"({"number":1,"trials":0,"used_ms":18446744073709551615})";
+    REQUIRE_FALSE(parseCrashRow({ "crash-evidence", "verdict/1", value, {} }, now, records));
+    CHECK(records.verdicts_.at(0).verdict_.usedAt_ == now.steady_);
+}
