--- a/src/gateway_crash_records.cpp
+++ b/src/gateway_crash_records.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr size_t maxRowsOfWrite = 100; ///< Rows that a transaction of the store may have.
-/// Least time between writes, so that a fleet of 60 gateways stays below a tenth of 1,200 writes a second.
+/// Least time between writes: 60 gateways together make 120 a second at most, a tenth of what their store allows.
 constexpr Milliseconds writeInterval{ 500 };
 constexpr Milliseconds writeRetryDelay{ 1000 }; ///< After a failed write.
 constexpr Milliseconds readDelay{ 250 }; ///< After a crash; the others that see it have written their rows by then.
