--- a/review/harness-3/runner.h
+++ b/review/harness-3/runner.h
@@ -15,13 +15,15 @@
 
 namespace Review {
 
+constexpr const char *deadlyBody = "plan=4711"; ///< Body of the request that crashes mortal runners.
+
 /// What a runner is called and how it answers.
 struct RunnerSpec
 {
     Address address_;
     std::string id_;
     Milliseconds work_{ 20 }; ///< Time from the request to the end of the answer.
-    bool withoutLength_ = false; ///< Whether answers have no length and end with their connection.
+    bool mortal_ = false; ///< Whether the process ends as it begins to run a request with deadlyBody.
 };
 
 /// Request that a runner has run.
--- a/review/harness-3/store.h
+++ b/review/harness-3/store.h
@@ -35,9 +35,18 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     uint64_t version_ = 0; ///< Version of the latest transaction.
+    uint64_t era_ = 1; ///< Rises by one each time the store comes back from a copy.
+    bool away_ = false; ///< Whether it answers nothing and closes its connections.
     std::map<RowKey, Row> rows_; ///< Newest change of each row, removals included.
 };
 
+/// State of a store at one moment.
+struct StoreCopy
+{
+    uint64_t version_ = 0;
+    std::map<RowKey, Row> rows_;
+};
+
 /// Starts a store; its threads keep it until the process ends. @return whether it listens
 bool startStore(const std::shared_ptr<Store> &store);
 
@@ -47,4 +56,12 @@
 /// Removes a row.
 void removeRow(Store &store, const RowKey &key);
 
+StoreCopy copyOf(Store &store);
+
+/// Has the store answer nothing until it comes back.
+void goAway(Store &store);
+
+/// Has the store come back from a copy.
+void comeBack(Store &store, const StoreCopy &copy);
+
 } // namespace Review
