--- a/src/address.cpp
+++ b/src/address.cpp
@@ -21,6 +21,9 @@
     if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
         host = host.substr(1, host.size() - 2);
     }
+    if (host.find('%') != std::string_view::npos) { // a scope id may hold any bytes
+        return std::nullopt;
+    }
     boost::system::error_code error;
     const auto ip = boost::asio::ip::make_address(std::string(host), error);
     const uint64_t port = parseNumberOr(address.substr(colon + 1), portLimit + 1);
--- a/src/address_func.h
+++ b/src/address_func.h
@@ -10,7 +10,7 @@
 
 namespace Burdockfield {
 
-/// Parses IP:PORT or [IP]:PORT. @return the endpoint, or nothing if the address is malformed
+/// Parses IP:PORT or [IP]:PORT without a scope id. @return the endpoint, or nothing if the address is malformed
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view address);
 
 } // namespace Burdockfield
--- a/src/gateway_peer_wire.cpp
+++ b/src/gateway_peer_wire.cpp
@@ -10,6 +10,7 @@
 #include "gateway_func.h"
 #include "gateway_rollout_func.h"
 #include "http_func.h"
+#include "instance_id_func.h"
 #include "json_func.h"
 #include "rollout_func.h"
 
@@ -534,7 +535,9 @@
     for (const Json::value &value : *rows) {
         UpstreamRow row;
         fail(reader, parseRow(value, row));
-        list.rows_.push_back(std::move(row));
+        if (isInstanceId(row.id_)) { // a gateway of an earlier release lists any row
+            list.rows_.push_back(std::move(row));
+        }
     }
     return reader.error_;
 }
--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -149,11 +149,9 @@
     const auto link = fleet.processes_.find(upstream.substr(0, upstream.find("-replaced")) + "-link");
     const std::string &address
         = link == fleet.processes_.end() ? fleet.processes_.at(upstream).address_ : link->second.address_;
-    Json::object value{ { "service", service }, { "address", address }, { "zone", "zone-1" }, { "slots", slots },
-        { "state", state }, { "born", startedAtMs } };
-    if (!version.empty()) {
-        value["version"] = version;
-    }
+    const Json::object value{ { "service", service }, { "address", address }, { "zone", "zone-1" },
+        { "version", version }, { "slots", slots }, { "state", state }, { "coldRemainingMs", 0 }, { "sequence", 1 },
+        { "born", startedAtMs } };
     writeRow(fleet,
         { { "table", Platform::upstreamTable }, { "key", upstream }, { "value", Json::serialize(value) },
             { "remove", remove } });
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -56,7 +56,7 @@
 
 /// Writes an upstream's row into the store, or removes the row. @param startedAtMs the start that the row is about
 void writeUpstreamRow(const Fleet &fleet, const std::string &upstream, const std::string &state, uint32_t slots,
-    bool remove = false, uint64_t startedAtMs = 1, const std::string &version = {});
+    bool remove = false, uint64_t startedAtMs = 1, const std::string &version = "v1");
 
 /// Writes the row of a service's rollout into the operator's or the status table.
 void writeRolloutRow(const Fleet &fleet, std::string_view table, const std::string &service, const std::string &value);
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -371,6 +371,21 @@
     CHECK(read.sequence_ == update.sequence_);
 }
 
+// Guards against an id with a line break from a gateway of a release that lists such rows.
+TEST_CASE("Snapshot_WhenItListsAnIdThatNoUpstreamCanHave_LeavesItOut")
+{
+    Snapshot sent;
+    sent.rollouts_.emplace();
+    UpstreamsReceived &list = sent.upstreams_.emplace();
+    for (const char *id : { "i-1\r\nX: y", "i-2" }) {
+        list.rows_.emplace_back().id_ = id;
+    }
+    Snapshot received;
+    REQUIRE_FALSE(parseSnapshot(serializeSnapshot(sent), received));
+    REQUIRE(received.upstreams_->rows_.size() == 1);
+    CHECK(received.upstreams_->rows_[0].id_ == "i-2");
+}
+
 TEST_CASE_FIXTURE(PeerFixture, "Snapshot_WhenSerializedAndParsed_IsTheSame")
 {
     Snapshot read;
--- a/tests/gateway_store_process_test.cpp
+++ b/tests/gateway_store_process_test.cpp
@@ -129,7 +129,8 @@
 {
     constexpr int rows = 600; // a page holds 500
     const std::string value
-        = R"({\"service\":\"other\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"slots\":1,\"state\":\"ready\"})";
+        = R"({\"service\":\"other\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":1,)"
+          R"(\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":1})";
     for (int index = 0; index < rows; ++index) {
         callNode(fleet_.processes_.at("platform").address_, "POST", "/control/row",
             R"({"table":"servers","key":"other-)" + std::to_string(1000 + index) + R"(","value":")" + value + "\"}");
@@ -156,7 +157,8 @@
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenAnotherWriterLeavesOddRows_FollowsTheOthers")
 {
     const std::string deep(100000, '[');
-    const std::string row = R"({\"service\":\"engines\",\"zone\":\"z\",\"state\":\"ready\",)";
+    const std::string row = R"({\"service\":\"engines\",\"zone\":\"z\",\"version\":\"v1\",\"state\":\"ready\",)"
+                            R"(\"coldRemainingMs\":0,\"sequence\":1,\"born\":1,)";
     for (const std::string &value : { deep, row + R"(\"slots\":1e400,\"address\":\"10.0.0.1:80\"})",
              row + R"(\"slots\":4294967295,\"address\":\"127.0.0.1:1\"})",
              row + R"(\"slots\":8,\"address\":\"127.0.0.1:70000\"})" }) {
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -11,6 +11,8 @@
 #include "store_wire.h"
 
 #include <doctest/doctest.h>
+#include <map>
+#include <utility>
 
 using namespace Burdockfield;
 using namespace Burdockfield::Platform;
@@ -40,16 +42,37 @@
     HttpReply reply_{ 200, { { "Request-Id", "r1" }, { "Response-Signature", "s" } }, {} };
 };
 
-/// Row of an upstream with chosen values.
+/// Row of an upstream with every field of the platform's page, some of which a test changes.
 struct UpstreamRowFixture
 {
-    static std::error_code parse(const std::string &address, const std::string &slots)
+    std::string makeText() const
     {
-        Gateway::UpstreamRow upstream;
-        const TableRow row{ "servers", "i-1",
-            R"({"service":"s","zone":"z","state":"ready","address":")" + address + R"(","slots":)" + slots + "}" };
-        return parseUpstream(row, upstream);
+        std::string text;
+        for (const auto &[name, value] : fields_) {
+            text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+        }
+        return text + "}";
+    }
+
+    std::error_code parse()
+    {
+        upstream_ = {};
+        return parseUpstream({ "servers", key_, makeText(), {} }, upstream_);
+    }
+
+    std::error_code parseWith(const std::string &field, const std::string &value)
+    {
+        const std::string usual = std::exchange(fields_[field], value);
+        const std::error_code error = parse();
+        fields_[field] = usual;
+        return error;
     }
+
+    std::string key_ = "i-7f3a91c2";
+    std::map<std::string, std::string> fields_{ { "service", R"("s")" }, { "address", R"("10.0.0.1:80")" },
+        { "zone", R"("z")" }, { "version", R"("v1")" }, { "slots", "8" }, { "state", R"("ready")" },
+        { "coldRemainingMs", "0" }, { "sequence", "4" }, { "born", "5" } }; ///< JSON of each field by name.
+    Gateway::UpstreamRow upstream_; ///< The decoded row.
 };
 
 /// Reply of the store.
@@ -275,19 +298,15 @@
     CHECK(read_.rows_[1].value_ == "[]");
 }
 
-TEST_CASE("UpstreamRow_WhenIncompleteOrMalformed_IsRefused")
+TEST_CASE_FIXTURE(UpstreamRowFixture, "UpstreamRow_WhenIncompleteOrMalformed_IsRefused")
 {
-    Gateway::UpstreamRow upstream;
-    TableRow row{ "servers", "i-1",
-        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":5})" };
-    REQUIRE_FALSE(parseUpstream(row, upstream));
-    CHECK(upstream.startedAtMs_ == 5);
-    row.value_ = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"elsewhere"})";
-    CHECK(parseUpstream(row, upstream) == WireErrc::UnknownValue);
-    row.value_ = R"({"service":"s"})";
-    CHECK(parseUpstream(row, upstream) == WireErrc::MissingField);
+    REQUIRE_FALSE(parse());
+    CHECK(upstream_.startedAtMs_ == 5);
+    CHECK(parseWith("state", R"("elsewhere")") == WireErrc::UnknownValue);
+    TableRow row{ "servers", key_, R"({"service":"s"})", {} };
+    CHECK(parseUpstream(row, upstream_) == WireErrc::MissingField);
     row.readable_ = false;
-    CHECK(parseUpstream(row, upstream) == WireErrc::MalformedJson);
+    CHECK(parseUpstream(row, upstream_) == WireErrc::MalformedJson);
 }
 
 TEST_CASE("UpstreamRow_WhenAnotherWriterLeftOutAFieldOfEveryUpstream_IsRefused")
@@ -303,19 +322,85 @@
     }
 }
 
+// Review case 11: an entry of another writer took the place of the upstream at its address.
+TEST_CASE_FIXTURE(UpstreamRowFixture, "UpstreamRow_WhenOneFieldIsMissing_IsRefused")
+{
+    const std::map<std::string, std::string> complete = fields_;
+    for (const auto &[name, value] : complete) {
+        CAPTURE(name);
+        fields_.erase(name);
+        CHECK(parse() == WireErrc::MissingField);
+        fields_[name] = value;
+    }
+}
+
+TEST_CASE_FIXTURE(UpstreamRowFixture, "UpstreamRow_WhenOneFieldHasAnotherType_IsRefused")
+{
+    for (const char *field : { "service", "address", "zone", "version", "state" }) {
+        CAPTURE(field);
+        CHECK(parseWith(field, "1") == WireErrc::WrongType);
+        CHECK(parseWith(field, "null") == WireErrc::WrongType);
+    }
+    for (const char *field : { "slots", "coldRemainingMs", "sequence", "born" }) {
+        CAPTURE(field);
+        CHECK(parseWith(field, R"("4")") == WireErrc::WrongType);
+        CHECK(parseWith(field, "true") == WireErrc::WrongType);
+        CHECK(parseWith(field, "-1") == WireErrc::OutOfRange);
+    }
+    CHECK(parseWith("born", "5.5") == WireErrc::WrongType);
+    CHECK(parseWith("sequence", "4.5") == WireErrc::WrongType);
+}
+
+TEST_CASE_FIXTURE(UpstreamRowFixture, "UpstreamRow_WhenItHasFieldsMore_DescribesTheUpstream")
+{
+    fields_["stage"] = R"("unified")";
+    fields_["models"] = R"([{"name":"m","version":1,"adapters":[]}])";
+    fields_["note"] = '"' + std::string(60000, 'x') + '"';
+    CHECK_FALSE(parse());
+    CHECK_FALSE(parseWith("coldRemainingMs", "1250.5"));
+    CHECK(upstream_.id_ == key_);
+}
+
+// Review case 11: the key of a row is sent in a header, where a line break ended it.
+TEST_CASE_FIXTURE(UpstreamRowFixture, "UpstreamRow_WhenItsKeyIsNoId_IsRefused")
+{
+    for (const std::string_view suffix : { "\r\n", "\r", "\n", " ", "\t", "\x7f", "\x1b[2J", "\xc3\xa9", "\xff",
+             "\r\nContent-Length: 0\r\n\r\nPOST /once/evil HTTP/1.1\r\nX: " }) {
+        key_ = "i-7f3a91c2" + std::string(suffix);
+        CAPTURE(key_);
+        CHECK(parse() == WireErrc::UnknownValue);
+        key_ = std::string(suffix) + "i-7f3a91c2";
+        CHECK(parse() == WireErrc::UnknownValue);
+    }
+    for (const std::string &key :
+        { std::string(), std::string("i-1\0", 4), std::string("i 1"), std::string(201, 'i') }) {
+        key_ = key;
+        CAPTURE(key_);
+        CHECK(parse() == WireErrc::UnknownValue);
+    }
+    key_ = std::string(200, 'i');
+    CHECK_FALSE(parse());
+}
+
 TEST_CASE_FIXTURE(UpstreamRowFixture, "UpstreamRow_WhenItsValuesAreOutOfRange_IsRefused")
 {
-    CHECK_FALSE(parse("10.0.0.1:65535", "8"));
-    CHECK(parse("10.0.0.1:65536", "8") == WireErrc::OutOfRange);
-    CHECK(parse("10.0.0.1:99999999999999999999", "8") == WireErrc::OutOfRange);
-    CHECK(parse("10.0.0.1:-1", "8") == WireErrc::OutOfRange);
-    CHECK(parse("10.0.0.1", "8") == WireErrc::OutOfRange);
-    CHECK(parse("server", "8") == WireErrc::OutOfRange);
-    CHECK(parse("10.0.0.1:80", "4294967295") == WireErrc::OutOfRange);
-    CHECK(parse("10.0.0.1:80", "99999999999999999999") == WireErrc::WrongType);
-    CHECK(parse("10.0.0.1:80", "1e300") == WireErrc::WrongType);
-    CHECK(parse("10.0.0.1:80", "1e999") == WireErrc::WrongType);
-    CHECK(parse("10.0.0.1:80", std::string(100000, '[')) == WireErrc::TooDeep);
+    CHECK_FALSE(parseWith("address", R"("10.0.0.1:65535")"));
+    for (const char *address : { "10.0.0.1:65536", "10.0.0.1:99999999999999999999", "10.0.0.1:-1", "10.0.0.1:0",
+             "10.0.0.1", "server", "", "0.0.0.0:80", "[fe80::1%1\\r\\nX: y]:80", "10.0.0.1:80\\r\\n" }) {
+        CAPTURE(address);
+        CHECK(parseWith("address", std::string("\"") + address + '"') == WireErrc::OutOfRange);
+    }
+    CHECK_FALSE(parseWith("slots", "65536"));
+    CHECK(parseWith("slots", "0") == WireErrc::OutOfRange);
+    CHECK(parseWith("slots", "4294967295") == WireErrc::OutOfRange);
+    CHECK(parseWith("slots", "99999999999999999999") == WireErrc::WrongType);
+    CHECK(parseWith("slots", "1e300") == WireErrc::WrongType);
+    CHECK(parseWith("slots", "1e999") == WireErrc::WrongType);
+    CHECK(parseWith("slots", std::string(100000, '[')) == WireErrc::TooDeep);
+    for (const char *field : { "service", "zone", "version" }) {
+        CAPTURE(field);
+        CHECK(parseWith(field, R"("")") == WireErrc::OutOfRange);
+    }
 }
 
 TEST_CASE_FIXTURE(TableReadFixture, "TableRead_WhenAKeyIsNoText_KeepsTheOtherRows")
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -108,6 +108,12 @@
             + R"(","ver":)" + number + R"(}],"ver":)" + number + "}";
     }
 
+    static std::string makeUpstreamText(const std::string &version)
+    {
+        return R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","version":")" + version
+            + R"(","coldRemainingMs":0,"sequence":1,"born":1})";
+    }
+
     /// Waits for the next call about the operator's table.
     Call nextCall()
     {
@@ -328,8 +334,7 @@
             return !upstreamPolls_.empty();
         },
         Milliseconds(5000)));
-    const std::string row = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready",)"
-                            R"("version":"v2"})";
+    const std::string row = makeUpstreamText("v2");
     answer(upstreamPolls_[0],
         R"({"rows":[{"table":"servers","part":"","key":"i-1","value":")" + encodeBase64(row)
             + R"(","ver":50}],"ver":50})");
@@ -377,9 +382,7 @@
             Milliseconds(5000)));
         std::string rows;
         for (int row = 0; row < 250; ++row, ++version) {
-            const std::string text = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready",)"
-                                     R"("version":"v)"
-                + std::to_string(version) + "\"}";
+            const std::string text = makeUpstreamText("v" + std::to_string(version));
             rows += (row == 0 ? "" : ",") + std::string(R"({"table":"servers","part":"","key":"i-)")
                 + std::to_string(row) + R"(","value":")" + encodeBase64(text) + R"(","ver":)" + std::to_string(version)
                 + "}";
