--- a/src/agent_engine_output.cpp
+++ b/src/agent_engine_output.cpp
@@ -98,6 +98,14 @@
     endRun(state, id, makeFailure(error, firstDispatch ? RunOutcome::NotRun : RunOutcome::Unknown), now, outbox);
 }
 
+/// Ends a run whose order can't be written as a request. The upstream is not at fault.
+void handleUnsendable(AgentState &state, RunId id, TimePoint now, AgentOutbox &outbox)
+{
+    const bool firstDispatch = findRow(state.runs_, id)->dispatchNumber_ == 1;
+    const RunOutcome runOutcome = firstDispatch ? RunOutcome::NotRun : RunOutcome::Unknown;
+    endRun(state, id, makeFailure(RefusalErrc::BadRequest, runOutcome), now, outbox);
+}
+
 /// Ends a run whose connection to the upstream was lost, and records the payload as a crash suspect.
 void handleLost(AgentState &state, RunId id, bool alone, TimePoint now, AgentOutbox &outbox)
 {
@@ -115,6 +123,8 @@
     }
     if (event.error_ == TransportErrc::NotSent) {
         handleNotSent(state, event.run_, now, outbox);
+    } else if (event.error_ == TransportErrc::Unsendable) {
+        handleUnsendable(state, event.run_, now, outbox);
     } else if (event.error_ != TransportErrc::Lost && event.error_) {
         endRun(state, event.run_, makeFailure(RefusalErrc::UpstreamLost, RunOutcome::Unknown), now, outbox);
     } else if (event.error_) {
--- a/src/error_type.h
+++ b/src/error_type.h
@@ -82,6 +82,7 @@
     Cancelled, ///< Closed by this side.
     ConnectionRefused, ///< As NotSent, since no process listens at the address.
     NoMemory, ///< Given up by this side, since all replies being received together exceed the memory for them.
+    Unsendable, ///< A value can't stand in a message; nothing was sent.
 };
 
 /// Why an operation of the table service failed.
--- a/src/gateway_answers.cpp
+++ b/src/gateway_answers.cpp
@@ -11,6 +11,7 @@
 
 #include "error_type.h"
 #include "gateway_event_stream_func.h"
+#include "http_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -182,6 +183,27 @@
     refuse(state, now, id, RefusalReason::NoUpstream, outbox);
 }
 
+/// Handles a send that could not be written, so that nothing was sent. Only an id that can't stand in a header is the
+/// upstream's fault.
+void handleUnsendable(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
+{
+    const bool upstreamAtFault = !isFieldValue(call.triedInstances_.back());
+    if (Upstream *upstream = findRow(state.upstreams_, call.upstream_); upstream != nullptr && upstreamAtFault) {
+        upstream->avoidUntil_ = now + maxBackoff;
+    }
+    --call.attempts_;
+    ++call.connectFailures_;
+    detachFromUpstream(state, call);
+    if (continueWithOtherSend(state, now, id, outbox)) {
+        return;
+    }
+    if (upstreamAtFault && call.connectFailures_ < maxConnectFailures) {
+        requeue(state, now, id, SendCause::NotConnected);
+        return;
+    }
+    refuse(state, now, id, RefusalReason::Unsendable, outbox);
+}
+
 /// Handles an answer that reports that the call has not run.
 void handleNotRun(GatewayState &state, TimePoint now, CallId id, Call &call, GatewayOutbox &outbox)
 {
@@ -510,6 +532,8 @@
         handleNotRun(state, now, id, *call, outbox);
     } else if (event.error_ == TransportErrc::NotSent || event.error_ == TransportErrc::ConnectionRefused) {
         handleUnreachable(state, now, id, *call, event.error_, outbox);
+    } else if (event.error_ == TransportErrc::Unsendable) {
+        handleUnsendable(state, now, id, *call, outbox);
     } else if (event.error_ == TransportErrc::NoMemory) {
         handleGivenUpSend(state, now, id, *call, outbox);
     } else if (event.error_) {
--- a/src/gateway_call_type.h
+++ b/src/gateway_call_type.h
@@ -80,6 +80,7 @@
     Stopping, ///< This gateway stops, probably before the request would be answered.
     NoUpstream, ///< Several sends of the request reached no upstream.
     UpstreamRefused, ///< Upstreams refused, and no further attempt is allowed.
+    Unsendable, ///< A value that goes to upstreams with it, as the workspace's name, can't stand in a header.
     CrashSuspect, ///< The request has crashed upstreams.
     ExceedsMemory, ///< The request takes more memory than any engine of its service has.
     Expired, ///< The deadline passed; the request may have run.
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -10,6 +10,65 @@
 
 namespace Burdockfield {
 
+namespace {
+
+constexpr unsigned char del = 0x7f; ///< The control character beyond the printable ones of ASCII.
+
+bool isBlank(char character)
+{
+    return character == ' ' || character == '\t';
+}
+
+bool isControl(char character)
+{
+    const auto byte = static_cast<unsigned char>(character);
+    return byte < ' ' || byte == del;
+}
+
+bool areSendable(const HttpHeaders &headers)
+{
+    return std::all_of(headers.begin(), headers.end(),
+        [](const auto &field) { return isToken(field.first) && isFieldValue(field.second); });
+}
+
+} // namespace
+
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [marks](char character) {
+        const bool digit = character >= '0' && character <= '9';
+        const bool letter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+        return digit || letter || marks.find(character) != std::string_view::npos;
+    });
+}
+
+bool isFieldValue(std::string_view value)
+{
+    const bool blankEnds = !value.empty() && (isBlank(value.front()) || isBlank(value.back()));
+    return !blankEnds && std::all_of(value.begin(), value.end(), [](char character) {
+        return !isControl(character) || character == '\t';
+    });
+}
+
+bool isRequestTarget(std::string_view target)
+{
+    return !target.empty() && std::none_of(target.begin(), target.end(), [](char character) {
+        return isControl(character) || character == ' ';
+    });
+}
+
+bool isSendable(const HttpRequest &request)
+{
+    return isToken(request.method_) && isRequestTarget(request.target_) && areSendable(request.headers_);
+}
+
+bool isSendable(const HttpReply &reply)
+{
+    constexpr int lastStatus = 999; // a status has three digits
+    return reply.status_ >= firstInterimStatus && reply.status_ <= lastStatus && areSendable(reply.headers_);
+}
+
 std::string_view findHeader(const HttpHeaders &headers, std::string_view name)
 {
     for (const auto &[field, value] : headers) {
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -9,6 +9,7 @@
 #include "error_type.h"
 #include "http_client_connection.h"
 #include "http_fields_func.h"
+#include "http_func.h"
 
 #include <algorithm>
 #include <array>
@@ -184,6 +185,10 @@
     ConnectionUse use, Asio::yield_context yield)
 {
     CallResult result;
+    if (!isSendable(request) || !isFieldValue(address)) { // the address is sent, too
+        result.error_ = TransportErrc::Unsendable;
+        return result;
+    }
     const ConnectionPool pool{ address, request.channel_ };
     const uint64_t number = findCallNumber(request.headers_).value_or(0);
     const bool keepsConnection = use != ConnectionUse::Fresh;
@@ -247,6 +252,9 @@
 std::error_code runStream(ClientStream &stream, const std::string &address, const HttpRequest &request,
     Milliseconds silenceTimeout, const StreamHandlers &handlers, Asio::yield_context yield)
 {
+    if (!isSendable(request) || !isFieldValue(address)) {
+        return TransportErrc::Unsendable;
+    }
     if (!connect(stream.stream_, address, silenceTimeout, yield)) {
         return stream.cancelled_ ? TransportErrc::Cancelled : TransportErrc::NotSent;
     }
--- a/src/http_func.h
+++ b/src/http_func.h
@@ -16,6 +16,20 @@
 /// @return the value of the first field with this name (case-insensitive), or an empty view.
 std::string_view findHeader(const HttpHeaders &headers, std::string_view name);
 
+/// @return whether a text can stand in a message as the name of a field or as a method (a token of RFC 9110, 5.6.2).
+bool isToken(std::string_view text);
+
+/// @return whether a receiver reads the value of a field as it is written: it has no control characters but tabs within
+/// it, and no blanks at its ends (RFC 9110, 5.5).
+bool isFieldValue(std::string_view value);
+
+/// @return whether a text can stand in a request line as its target.
+bool isRequestTarget(std::string_view target);
+
+/// @return whether a message can be written as it is. Bytes that end a line would start another field or message.
+bool isSendable(const HttpRequest &request);
+bool isSendable(const HttpReply &reply);
+
 /// Request target split into path and query.
 struct HttpTarget
 {
--- a/src/http_server_output.cpp
+++ b/src/http_server_output.cpp
@@ -5,6 +5,8 @@
 #include "http_server_output.h"
 
 #include "call_number_func.h"
+#include "http_func.h"
+#include "log_func.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
@@ -17,6 +19,16 @@
 
 constexpr size_t maxJoinedBytes = 64U << 10U; ///< Chunks are joined up to this size, so that writes show progress.
 
+/// @return whether a response can be written. One that can't is logged, and its connection is closed.
+bool checkSendable(const HttpReply &reply)
+{
+    const bool sendable = isSendable(reply);
+    if (!sendable) {
+        logLine(LogLevel::Error, "reply-unsendable", { { "status", std::to_string(reply.status_) } });
+    }
+    return sendable;
+}
+
 template<typename Body>
 void fillHeader(Http::response<Body> &message, const ServerConnection &connection, const HttpReply &reply)
 {
@@ -32,6 +44,9 @@
 
 boost::system::error_code writeHead(ServerConnection &connection, const HttpReply &reply, Asio::yield_context yield)
 {
+    if (!checkSendable(reply)) {
+        return Asio::error::make_error_code(Asio::error::invalid_argument);
+    }
     Http::response<Http::empty_body> message;
     fillHeader(message, connection, reply);
     message.keep_alive(!connection.closeAfterExchange_);
@@ -116,6 +131,9 @@
 
 boost::system::error_code writeReply(ServerConnection &connection, HttpReply &reply, Asio::yield_context yield)
 {
+    if (!checkSendable(reply)) {
+        return Asio::error::make_error_code(Asio::error::invalid_argument);
+    }
     Http::response<Http::string_body> message;
     fillHeader(message, connection, reply);
     message.keep_alive(!connection.closeAfterExchange_);
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -22,7 +22,7 @@
 struct HttpRequest
 {
     std::string method_ = "GET";
-    std::string target_; ///< Path and query.
+    std::string target_ = "/"; ///< Path and query.
     HttpHeaders headers_;
     std::string body_;
     std::string channel_{}; ///< Of a sent request: it shares kept connections with those of the same channel only.
--- a/src/sends_read.cpp
+++ b/src/sends_read.cpp
@@ -125,8 +125,10 @@
 SendEnd endOfFailure(const LogLine &line)
 {
     const std::string error = findField(line, "error");
-    if (error == make_error_code(TransportErrc::NotSent).message()
-        || error == make_error_code(TransportErrc::ConnectionRefused).message()) {
+    const auto is = [&error](TransportErrc errc) {
+        return error == make_error_code(errc).message();
+    };
+    if (is(TransportErrc::NotSent) || is(TransportErrc::ConnectionRefused) || is(TransportErrc::Unsendable)) {
         return SendEnd::NotConnected;
     }
     if (findField(line, "not_run") != "yes" || error != "answer-refused") {
--- a/src/table/error_names.h
+++ b/src/table/error_names.h
@@ -26,8 +26,8 @@
     "unknown-route", "stale-incarnation", "upstream-down", "store-unavailable", "key-reused", "displaced", "withdrawn",
     "crash-suspect", "claimed-elsewhere" };
 
-constexpr std::array<std::string_view, 9> transportErrorNames{ "ok", "not-sent", "lost", "timed-out", "silent",
-    "malformed", "cancelled", "connection-refused", "no-memory" };
+constexpr std::array<std::string_view, 10> transportErrorNames{ "ok", "not-sent", "lost", "timed-out", "silent",
+    "malformed", "cancelled", "connection-refused", "no-memory", "unsendable" };
 
 constexpr std::array<std::string_view, 5> storeErrorNames{ "ok", "conflict", "unavailable", "ambiguous",
     "history-gone" };
--- a/src/table/explain_names.h
+++ b/src/table/explain_names.h
@@ -17,7 +17,7 @@
     std::string_view text_; ///< Text with fields to replace.
 };
 
-constexpr std::array<CausePattern, 18> causePatterns{ {
+constexpr std::array<CausePattern, 19> causePatterns{ {
     { "answered", "ok", "{upstream} answered completely after {took_ms} ms" },
     { "answered", "upstream-error", "{upstream} answered with status {status}, which was passed on" },
     { "answered", "stream-broken",
@@ -36,6 +36,8 @@
         "the node was being stopped and would probably not have answered it in time; it has not run" },
     { "refused", "no-upstream", "no upstream was reachable; the request has not run" },
     { "refused", "not-run-there", "upstreams refused it and no attempt remained; the request has not run" },
+    { "refused", "unsendable",
+        "a value that goes to upstreams with it can't stand in a header; the request has not run" },
     { "refused", "exceeds-memory", "the request takes more tokens than the memory of any engine of its service holds" },
     { "refused", "crash-suspect", "the request, or a part of its prompt, has crashed the upstreams that answered it" },
     { "refused", "expired",
--- a/src/table/gateway_refusal_names.h
+++ b/src/table/gateway_refusal_names.h
@@ -12,7 +12,7 @@
 
 namespace Burdockfield {
 
-constexpr std::array<std::pair<std::string_view, Gateway::RefusalReason>, 14> refusalReasonNames{ {
+constexpr std::array<std::pair<std::string_view, Gateway::RefusalReason>, 15> refusalReasonNames{ {
     { "no-configuration", Gateway::RefusalReason::NoConfiguration },
     { "no-route", Gateway::RefusalReason::NoRoute },
     { "unknown-key", Gateway::RefusalReason::UnknownKey },
@@ -23,6 +23,7 @@
     { "stopping", Gateway::RefusalReason::Stopping },
     { "no-upstream", Gateway::RefusalReason::NoUpstream },
     { "not-run-there", Gateway::RefusalReason::UpstreamRefused },
+    { "unsendable", Gateway::RefusalReason::Unsendable },
     { "crash-suspect", Gateway::RefusalReason::CrashSuspect },
     { "exceeds-memory", Gateway::RefusalReason::ExceedsMemory },
     { "expired", Gateway::RefusalReason::Expired },
--- a/src/upstream_link.cpp
+++ b/src/upstream_link.cpp
@@ -521,6 +521,10 @@
 
 void startPostedCall(UpstreamLink &link, LinkCall call)
 {
+    if (!isSendable(call.head_)) {
+        link.handlers_.onEnd_(call.send_, TransportErrc::Unsendable, {});
+        return;
+    }
     const LinkPointer connection = takeIdleConnection(link, call);
     if (connection == nullptr) {
         openConnection(link, std::move(call));
--- a/tests/gateway_answer_test.cpp
+++ b/tests/gateway_answer_test.cpp
@@ -51,6 +51,39 @@
     CHECK(second.sends_[0].parameters_.instance_ != first.sends_[0].parameters_.instance_);
 }
 
+// Nothing was sent, and no upstream is at fault that the workspace's name can't stand in a header.
+TEST_CASE_FIXTURE(GatewayFixture, "NonIdempotentCall_WhenItsRequestIsUnsendable_IsRefusedAsNotRun")
+{
+    const uint64_t send = receiveCall("once", 1).sends_.at(0).send_;
+    const GatewayOutbox outbox = endSend(send, TransportErrc::Unsendable);
+    CHECK(outbox.sends_.empty());
+    REQUIRE(outbox.refusals_.size() == 1);
+    CHECK(outbox.refusals_[0].reason_ == RefusalReason::Unsendable);
+    CHECK(outbox.refusals_[0].notRun_);
+    CHECK(upstream("desk-1").avoidUntil_ <= now_);
+    CHECK(upstream("desk-1").ownInFlight_ == 0);
+    CHECK(receiveCall("once", 2).sends_.size() == 1);
+}
+
+TEST_CASE_FIXTURE(GatewayFixture, "NonIdempotentCall_WhenAnUpstreamsIdIsUnsendable_IsSentToAnotherUpstream")
+{
+    UpstreamsReceived change;
+    change.rows_ = { makeRow("desk-1", "desk"), makeRow("desk-2\r\n", "desk") };
+    change.rows_[0].draining_ = true;
+    GatewayInbox inbox;
+    inbox.upstreams_.push_back(change);
+    tick(std::move(inbox));
+    const GatewayOutbox first = receiveCall("once", 1);
+    REQUIRE(first.sends_.at(0).parameters_.instance_ == "desk-2\r\n");
+    change.rows_ = { makeRow("desk-1", "desk") };
+    inbox = {};
+    inbox.upstreams_.push_back(change);
+    tick(std::move(inbox));
+    const GatewayOutbox second = endSend(first.sends_[0].send_, TransportErrc::Unsendable);
+    REQUIRE(second.sends_.size() == 1);
+    CHECK(second.sends_[0].parameters_.instance_ == "desk-1");
+}
+
 TEST_CASE_FIXTURE(GatewayFixture, "Log_WhenACallIsSentAgain_NamesTheAddressesAndTheCause")
 {
     UpstreamsReceived change;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -333,3 +333,18 @@
     caller_.close();
     runUntil([this] { return idle_; });
 }
+
+TEST_CASE_FIXTURE(HttpServerFixture, "Server_WhenAResponseCannotBeWritten_ClosesTheConnection")
+{
+    send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil([this] { return exchange_ != ExchangeId{}; });
+    respond(server_, exchange_, { 200, { { "Request-Id", "r\r\nResponse-Signature: forged" } }, "body" });
+    std::array<char, 64> bytes{};
+    boost::system::error_code error;
+    caller_.non_blocking(true);
+    runUntil([&] {
+        caller_.read_some(Asio::buffer(bytes), error);
+        return error != Asio::error::would_block;
+    });
+    CHECK(error == Asio::error::eof);
+}
