--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -327,6 +327,13 @@
     handlers.isInForce_ = [&daemon](const std::string &text) {
         return text == daemon.state_.configurationText_;
     };
+    handlers.isListed_ = [&daemon](const std::string &id) {
+        return daemon.state_.upstreamById_.contains(id)
+            || std::any_of(daemon.inbox_.upstreams_.begin(), daemon.inbox_.upstreams_.end(), [&id](const auto &event) {
+                   return std::any_of(
+                       event.rows_.begin(), event.rows_.end(), [&id](const UpstreamRow &row) { return row.id_ == id; });
+               });
+    };
     handlers.onRollouts_ = [&daemon](RolloutsReceived event) {
         daemon.inbox_.rollouts_.push_back(std::move(event));
         scheduleTick(daemon);
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -10,10 +10,12 @@
 #include "http_client_connection.h"
 #include "http_fields_func.h"
 #include "http_func.h"
+#include "received_body_type.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/beast/http.hpp>
+#include <limits>
 #include <optional>
 
 namespace Burdockfield {
@@ -144,8 +146,48 @@
     return result;
 }
 
+/// Reads the next reply on a connection and passes its body on.
+CallResult passReply(Beast::tcp_stream &stream, Beast::flat_buffer &buffer, Milliseconds timeout,
+    const BodyReader &reader, Asio::yield_context yield)
+{
+    constexpr size_t anyLength = std::numeric_limits<size_t>::max();
+    CallResult result;
+    boost::system::error_code error;
+    std::optional<Http::response_parser<ReceivedBody>> parser;
+    readHeader(stream, buffer, anyLength, parser, error, yield);
+    if (error) {
+        result.error_ = classifyError(error);
+        return result;
+    }
+    result.reply_.status_ = static_cast<int>(parser->get().result_int());
+    result.reply_.headers_ = copyFields(parser->get());
+    result.error_ = reader.onHead_(result.reply_);
+    parser->eager(true);
+    stream.expires_after(timeout);
+    size_t received = 0;
+    while (!result.error_ && !parser->is_done()) {
+        received += Http::async_read_some(stream, buffer, *parser, yield[error]);
+        result.error_ = error ? classifyError(error) : reader.onBytes_(parser->get().body());
+        parser->get().body().clear();
+        if (received >= timedBytes) {
+            received = 0;
+            stream.expires_after(timeout);
+        }
+    }
+    result.keepAlive_ = parser->get().keep_alive() && buffer.size() == 0;
+    return result;
+}
+
+/// Reads the next reply on a connection. @param reader takes its body, if not nullptr
+CallResult readReply(Beast::tcp_stream &stream, Beast::flat_buffer &buffer, Milliseconds timeout,
+    const HttpClient &client, const BodyReader *reader, Asio::yield_context yield)
+{
+    return reader == nullptr ? readReply(stream, buffer, timeout, client, yield)
+                             : passReply(stream, buffer, timeout, *reader, yield);
+}
+
 CallResult callOnConnection(Beast::tcp_stream &stream, const std::string &address, const HttpRequest &request,
-    Milliseconds timeout, const HttpClient &client, Asio::yield_context yield)
+    Milliseconds timeout, const HttpClient &client, const BodyReader *reader, Asio::yield_context yield)
 {
     CallResult result;
     boost::system::error_code error;
@@ -159,7 +201,7 @@
         return result;
     }
     Beast::flat_buffer buffer(maxUnparsedBytes);
-    result = readReply(stream, buffer, timeout, client, yield);
+    result = readReply(stream, buffer, timeout, client, reader, yield);
     int extra = 0;
     for (; !result.error_ && isExtraReply(number, result.reply_.headers_); ++extra) {
         if (extra == 0) {
@@ -172,7 +214,7 @@
             break;
         }
         stream.expires_at(deadline);
-        result = readReply(stream, buffer, timeout, client, yield);
+        result = readReply(stream, buffer, timeout, client, reader, yield);
     }
     if (extra == 0 && buffer.size() > 0 && !result.error_) {
         reportExtraReply(client, { address, ExtraAnswerPlace::BehindAnswer, number, 0 });
@@ -182,7 +224,7 @@
 }
 
 CallResult call(HttpClient &client, const std::string &address, const HttpRequest &request, Milliseconds timeout,
-    ConnectionUse use, Asio::yield_context yield)
+    ConnectionUse use, const BodyReader *reader, Asio::yield_context yield)
 {
     CallResult result;
     if (!isSendable(request) || !isFieldValue(address)) { // the address is sent, too
@@ -193,7 +235,7 @@
     const uint64_t number = findCallNumber(request.headers_).value_or(0);
     const bool keepsConnection = use != ConnectionUse::Fresh;
     if (StreamPointer reused = keepsConnection ? takeIdleConnection(client, pool) : nullptr; reused != nullptr) {
-        result = callOnConnection(*reused, address, request, timeout, client, yield);
+        result = callOnConnection(*reused, address, request, timeout, client, reader, yield);
         if (!result.error_ && result.keepAlive_) {
             keepIdleConnection(client, pool, std::move(reused), number);
         }
@@ -211,7 +253,7 @@
         result.error_ = maybeSent ? TransportErrc::Lost : TransportErrc::NotSent;
         return result;
     }
-    result = callOnConnection(*fresh, address, request, timeout, client, yield);
+    result = callOnConnection(*fresh, address, request, timeout, client, reader, yield);
     if (!result.error_ && result.keepAlive_ && keepsConnection) {
         keepIdleConnection(client, pool, std::move(fresh), number);
     }
@@ -321,12 +363,28 @@
 {
     const auto body = [&client, address = std::move(address), request = std::move(request), timeout, use,
                           done = std::move(done)](Asio::yield_context yield) {
-        CallResult result = call(client, address, request, timeout, use, yield);
+        CallResult result = call(client, address, request, timeout, use, nullptr, yield);
         done(result.error_, std::move(result.reply_));
     };
     startCoroutine(client.io_, "fetch", body, [] {});
 }
 
+void fetchParts(HttpClient &client, std::string address, HttpRequest request, Milliseconds timeout, ConnectionUse use,
+    BodyReader reader, FetchHandler done)
+{
+    const auto body = [&client, address = std::move(address), request = std::move(request), timeout, use,
+                          reader = std::move(reader), done = std::move(done)](Asio::yield_context yield) {
+        CallResult result = call(client, address, request, timeout, use, &reader, yield);
+        done(result.error_, std::move(result.reply_));
+    };
+    startCoroutine(client.io_, "fetch-parts", body, [] {});
+}
+
+void closeChannel(HttpClient &client, const std::string &address, const std::string &channel)
+{
+    client.idle_.erase({ address, channel });
+}
+
 void fetchFromNode(HttpClient &client, std::string address, HttpRequest request, Milliseconds timeout,
     ConnectionUse use, FetchHandler done)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -80,6 +80,7 @@
     std::map<ConnectionPool, std::vector<IdleConnection>> idle_; ///< Idle connections.
     std::function<void(const ExtraReply &)> onExtraReply_; ///< Counts a reply that was dropped, if set.
     uint64_t nextCall_ = 1; ///< Number of the next call to another node of this system.
+    uint64_t nextChannel_ = 1; ///< Number of the next channel that only one user has, see closeChannel().
     std::map<uint64_t, std::shared_ptr<ClientStream>> streams_; ///< Open streams by number.
     uint64_t nextStream_ = 1;
 };
@@ -109,6 +110,15 @@
 /// Called with the response; the error is a TransportErrc, or success.
 using FetchHandler = std::function<void(std::error_code, HttpReply)>;
 
+/// Takes the body of a response in parts, so that the client holds none of it.
+struct BodyReader
+{
+    /// The header was received. What came before it belongs to a call that broke and is repeated. An error ends the
+    /// call.
+    std::function<std::error_code(const HttpReply &)> onHead_;
+    std::function<std::error_code(std::string_view)> onBytes_; ///< Bytes of the body came. An error ends the call.
+};
+
 /// Callbacks of a stream.
 struct StreamHandlers
 {
@@ -126,6 +136,16 @@
 void fetch(HttpClient &client, std::string address, HttpRequest request, Milliseconds timeout, ConnectionUse use,
     FetchHandler done);
 
+/**
+ * Sends a request as fetch() does, and passes the body of the response on as it arrives, whatever its length.
+ * @param done called exactly once, with a reply without its body; the error may be one of the reader
+ */
+void fetchParts(HttpClient &client, std::string address, HttpRequest request, Milliseconds timeout, ConnectionUse use,
+    BodyReader reader, FetchHandler done);
+
+/// Closes the kept connections that share a channel.
+void closeChannel(HttpClient &client, const std::string &address, const std::string &channel);
+
 /**
  * Sends a request to another node of this system, as fetch() does. The request carries a number. A reply that names
  * another one, such as the copy of the reply to an earlier call, is dropped, and the call waits on for its own.
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -12,6 +12,7 @@
 #include "http_type.h"
 #include "link_use_type.h"
 #include "memory_budget_type.h"
+#include "received_body_type.h"
 #include "time_type.h"
 
 #include <boost/asio/io_context.hpp>
@@ -19,7 +20,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <boost/optional.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -75,24 +75,7 @@
     std::function<void(const ExtraAnswer &)> onExtraAnswer_;
 };
 
-/// Body of a response that takes no more memory than the bytes received, whatever length the header announces.
-struct LinkBody
-{
-    using value_type = std::string; // NOLINT(readability-identifier-naming): required by Beast
-
-    /// Appends received bytes.
-    struct reader : Beast::http::string_body::reader // NOLINT(readability-identifier-naming): required by Beast
-    {
-        using Beast::http::string_body::reader::reader;
-
-        void init(const boost::optional<uint64_t> & /*length*/, boost::system::error_code &error)
-        {
-            error = {};
-        }
-    };
-};
-
-using LinkParser = Beast::http::response_parser<LinkBody>; ///< Parser of one response.
+using LinkParser = Beast::http::response_parser<ReceivedBody>; ///< Parser of one response.
 using LinkMessage = Beast::http::request<Beast::http::span_body<const char>>; ///< Request with a shared body.
 
 /// Connection to an upstream.
--- a/tests/endless_peer_test.cpp
+++ b/tests/endless_peer_test.cpp
@@ -10,6 +10,7 @@
 #include "heap_func.h"
 #include "json_func.h"
 #include "large_configuration_func.h"
+#include "row_decoder.h"
 #include "store_wire.h"
 
 using namespace Burdockfield;
@@ -216,8 +217,34 @@
         while (text.size() < 2U << 20U) {
             text += std::string(",") + value;
         }
+        text += "]}";
+        std::error_code error;
+        parseJson(text, error);
+        CHECK(error == make_error_code(WireErrc::OutOfRange));
+    }
+}
+
+// Rows of the store are decoded without values that are not used, whatever their number.
+TEST_CASE("TableRead_WhenItsValuesTakeFarMoreMemoryThanItsText_IsDecodedInLittle")
+{
+    constexpr size_t partBytes = 16U << 10U;
+    for (const std::string_view value : { "0", "[]", "[0]", "{}", R"({"":0})", R"({"value":"QUJD","note":[[],{}]})" }) {
+        CAPTURE(value);
+        Platform::RowDecoder decoder(0, {}, [](const Platform::TableRow & /*row*/) { return std::error_code(); });
+        std::string part = R"({"ver":1,"rows":[0)";
+        const size_t before = heapBytes();
+        for (size_t decoded = 0; decoded < 2U << 20U; decoded += partBytes) {
+            while (part.size() < partBytes) {
+                part.append(",").append(value);
+            }
+            REQUIRE_FALSE(Platform::decodeBytes(decoder, part));
+            part.clear();
+        }
+        CHECK(heapGrowth(before) <= 2 * partBytes);
+        REQUIRE_FALSE(Platform::decodeBytes(decoder, "]}"));
         Platform::TableRead read;
-        CHECK(Platform::parseTableRead(text + "]}", read) == make_error_code(WireErrc::OutOfRange));
+        CHECK_FALSE(Platform::finishDecoding(decoder, read));
+        CHECK(read.malformedRows_ >= (1U << 20U) / (value.size() + 1));
     }
 }
 
--- a/tests/process_usage.cpp
+++ b/tests/process_usage.cpp
@@ -1,12 +1,14 @@
 /**
  * @file process_usage.cpp
- * @brief Memory and descriptors of a running process.
+ * @brief Memory, processor time and descriptors of a running process.
  */
 #include "process_usage_func.h"
 
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <string>
+#include <unistd.h>
 
 namespace Burdockfield::Testing {
 
@@ -35,6 +37,26 @@
     return readMemoryField(process, "VmHWM:");
 }
 
+std::chrono::duration<double> readProcessorTime(pid_t process)
+{
+    std::ifstream stat(processFolder(process) + "/stat");
+    std::string text;
+    std::getline(stat, text);
+    const size_t name = text.rfind(')'); // which may contain blanks
+    if (name == std::string::npos) {
+        return {};
+    }
+    std::istringstream fields(text.substr(name + 1));
+    std::string skipped;
+    for (int field = 3; field < 14; ++field) { // the 14th and the next one are the times, in ticks
+        fields >> skipped;
+    }
+    double user = 0;
+    double kernel = 0;
+    fields >> user >> kernel;
+    return std::chrono::duration<double>((user + kernel) / static_cast<double>(sysconf(_SC_CLK_TCK)));
+}
+
 size_t countDescriptors(pid_t process)
 {
     std::error_code error;
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -30,6 +30,7 @@
 constexpr std::string_view putObjectPath = "/burdockfield/blob-put/";
 constexpr std::string_view getObjectPath = "/burdockfield/blob-get/";
 constexpr size_t pageRows = 500; ///< Maximum rows of one response.
+constexpr size_t pageBytes = 1000000; ///< Most bytes of the values of one response.
 constexpr size_t endlessRowBytes = 1500; ///< Value of a row of a page without end.
 constexpr size_t endlessValuesBytes = 2500000; ///< Length of a list of empty values.
 constexpr size_t historyLength = 2000; ///< Changes kept for feeds.
@@ -198,13 +199,15 @@
     const std::string to = percentDecode(target.query_["to"]);
     const size_t limit = std::min<size_t>(parseNumberOr(target.query_["limit"], pageRows), pageRows);
     Json::array rows;
+    size_t bytes = 0;
     bool more = false;
     for (auto position = state.rows_.lower_bound({ table, from }); position != state.rows_.end(); ++position) {
         const auto &[key, row] = *position;
         if (key.table_ != table || (!to.empty() && key.key_ >= to)) {
             break;
         }
-        if (rows.size() == limit) {
+        bytes += encodeBase64(row.value_).size();
+        if (state.pagesBounded_ && (rows.size() == limit || (!rows.empty() && bytes > pageBytes))) {
             more = true;
             break;
         }
@@ -352,6 +355,27 @@
     outbox.outputs_.push_back(makeWholeOutput(arrival.exchange_, reader.error_ ? 400 : 200, "{}"));
 }
 
+/// Writes many rows in place of another program, one transaction each. Their values are no JSON.
+void fillTable(PlatformState &state, const Arrival &arrival, TimePoint now, StandinOutbox &outbox)
+{
+    Json::value document;
+    JsonReader reader = readJsonObject(arrival.request_.body_, document);
+    std::string table;
+    std::string prefix;
+    uint64_t count = 0;
+    uint64_t bytes = 0;
+    read(reader, "table", table);
+    read(reader, "prefix", prefix);
+    read(reader, "count", count);
+    read(reader, "bytes", bytes);
+    for (uint64_t row = 0; row < count && !reader.error_; ++row) {
+        ++state.version_;
+        writeRow(state, { table, prefix + std::to_string(row) }, std::string(bytes, '\x01'), false);
+    }
+    answerFeeds(state, table, now, outbox);
+    outbox.outputs_.push_back(makeWholeOutput(arrival.exchange_, reader.error_ ? 400 : 200, "{}"));
+}
+
 /// Comes back from the copy: later rows are gone, and their versions will be given out again.
 void restoreCopy(PlatformState &state, StandinOutbox &outbox)
 {
@@ -373,6 +397,7 @@
     readName(reader, "mode", state.mode_, storeModeNames, Presence::Optional);
     read(reader, "delay_ms", state.delay_, Presence::Optional);
     read(reader, "vm_list_lag_ms", state.vmListLag_, Presence::Optional);
+    read(reader, "pages_bounded", state.pagesBounded_, Presence::Optional);
     bool forget = false;
     read(reader, "forget_history", forget, Presence::Optional);
     if (forget) {
@@ -400,6 +425,8 @@
         handleControl(state, arrival, outbox);
     } else if (target.path_ == "/control/vms") {
         setVms(state, arrival, now, outbox);
+    } else if (target.path_ == "/control/fill") {
+        fillTable(state, arrival, now, outbox);
     } else if (target.path_ == "/control/row") {
         setRow(state, arrival, now, outbox);
     } else {
--- a/tests/standins/platform_base.h
+++ b/tests/standins/platform_base.h
@@ -80,6 +80,7 @@
     std::deque<VmListing> pendingListings_; ///< VM lists that are not visible yet, oldest first.
     Pool<DelayedOutput> delayed_;
     DeadlineQueue<DelayedOutput> deadlines_; ///< When the delayed responses are sent and VM lists become visible.
+    bool pagesBounded_ = true; ///< Whether a read returns no more than a page.
     uint64_t reads_ = 0; ///< Reads and feeds received.
     uint64_t writes_ = 0; ///< Transactions received, including those with a conflict.
 };
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -195,7 +195,10 @@
     uint64_t version = 0;
     for (const char *table : { "servers", "op" }) {
         version = 0;
-        pollTableChanges(client_, address_, table, 1, Milliseconds(0), Milliseconds(2000),
+        const auto dropRow = [](const TableRow & /*row*/) {
+            return size_t{ 0 };
+        };
+        pollTableChanges(client_, address_, { table, 1, Milliseconds(0), Milliseconds(2000) }, { dropRow, {} },
             [&version](std::error_code /*error*/, const TableRead &read) { version = read.version_.version_; });
         const size_t polls = countRequests("rows-feed") + 1;
         runUntil([this, polls] {
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -8,12 +8,14 @@
 #include "base64_func.h"
 #include "daemon_func.h"
 #include "fleet_parts_func.h"
+#include "heap_func.h"
 #include "http_func.h"
 #include "http_server.h"
 #include "rollout_wire.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <set>
 #include <stdexcept>
 
 using namespace Burdockfield;
@@ -86,6 +88,9 @@
         };
         handlers.onMalformedRow_ = [](const std::string &, const std::string &, std::error_code) {
         };
+        handlers.isListed_ = [this](const std::string &id) {
+            return listed_.contains(id);
+        };
         handlers.countReachablePeers_ = [] {
             return size_t{ 0 };
         };
@@ -114,6 +119,12 @@
             + R"(","coldRemainingMs":0,"sequence":1,"born":1})";
     }
 
+    static std::string makeUpstreamRow(const std::string &key, const std::string &value, uint64_t version)
+    {
+        return R"({"table":"servers","part":"","key":")" + key + R"(","value":")" + encodeBase64(value) + R"(","ver":)"
+            + std::to_string(version) + "}";
+    }
+
     /// Waits for the next call about the operator's table.
     Call nextCall()
     {
@@ -182,6 +193,7 @@
     std::vector<Gateway::RolloutsReceived> rollouts_; ///< Orders and status rows that the follower has passed on.
     std::vector<Gateway::UpstreamsReceived> upstreams_; ///< Lists and changes that the follower has passed on.
     std::string upstreamList_ = R"({"rows":[],"ver":1})"; ///< Reply to a read of the list of upstreams.
+    std::set<std::string> listed_; ///< Ids of the upstreams that count as listed.
     int writes_ = 0; ///< Transactions received.
     std::string inForce_; ///< Text of the configuration that counts as in force.
 };
@@ -367,6 +379,86 @@
     CHECK(versions_ == std::vector<uint64_t>{ 1, 3 });
 }
 
+// Review case 13: after a reply with large rows of another writer, the whole table was read again and again.
+TEST_CASE_FIXTURE(StoreFollowerFixture, "UpstreamList_WhenChangesHaveLargeForeignRows_IsStillPolled")
+{
+    setReplyMemory(client_, smallestMemory);
+    const Call poll = nextUpstreamPoll();
+    const size_t before = upstreams_.size();
+    std::string rows = makeUpstreamRow("i-1", makeUpstreamText("v1"), 10);
+    for (uint64_t row = 0; row < 120; ++row) {
+        rows += "," + makeUpstreamRow("backup-" + std::to_string(row), std::string(64000, '\x01'), 11 + row);
+    }
+    answer(poll, R"({"rows":[)" + rows + R"(],"ver":200})");
+    CHECK(nextUpstreamPoll().target_.find("after=200&") != std::string::npos);
+    REQUIRE(upstreams_.size() == before + 1);
+    CHECK_FALSE(upstreams_.back().fullList_);
+    REQUIRE(upstreams_.back().rows_.size() == 1);
+    CHECK(upstreams_.back().rows_[0].id_ == "i-1");
+}
+
+TEST_CASE_FIXTURE(StoreFollowerFixture, "UpstreamList_WhenForeignRowsExceedTheMemory_IsRead")
+{
+    setReplyMemory(client_, smallestMemory);
+    nextUpstreamPoll();
+    std::string rows = makeUpstreamRow("backup-1", std::string(64000, '\x01'), 1);
+    for (uint64_t row = 2; row < 300; ++row) {
+        rows += "," + makeUpstreamRow("backup-" + std::to_string(row), std::string(64000, '\x01'), row);
+    }
+    upstreamList_
+        = R"({"rows":[)" + rows + "," + makeUpstreamRow("i-1", makeUpstreamText("v1"), 400) + R"(],"ver":500})";
+    respond(store_, upstreamPolls_.back().exchange_, HttpReply{ 410, {}, "{}" });
+    CHECK(nextUpstreamPoll().target_.find("after=500&") != std::string::npos);
+    CHECK(upstreams_.back().fullList_);
+    REQUIRE(upstreams_.back().rows_.size() == 1);
+    CHECK(upstreams_.back().rows_[0].id_ == "i-1");
+}
+
+// What a list lacks is dropped, so that a part of it must not count as the list.
+TEST_CASE_FIXTURE(StoreFollowerFixture, "UpstreamList_WhenOnePageCannotBeRead_IsNotPassedOn")
+{
+    const Call poll = nextUpstreamPoll();
+    const size_t before = upstreams_.size();
+    upstreamList_
+        = R"({"rows":[)" + makeUpstreamRow("i-1", makeUpstreamText("v1"), 30) + R"(],"ver":40,"hasMore":true})";
+    respond(store_, poll.exchange_, HttpReply{ 410, {}, "{}" }); // its pages repeat
+    const Call next = nextUpstreamPoll();
+    CHECK(upstreams_.size() == before);
+    CHECK(next.target_.find("after=1&") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenTheTableCannotBeRead_AsksForItsChangesAgain")
+{
+    const Call poll = nextCall();
+    respond(store_, poll.exchange_, HttpReply{ 410, {}, "{}" });
+    const Call read = nextCall();
+    REQUIRE_FALSE(isPoll(read));
+    answer(read, "{");
+    const Call next = nextCall();
+    CHECK(isPoll(next));
+    CHECK(next.target_.find("after=1&") != std::string::npos);
+    answer(next, makeRows(makeConfiguration(2), 2));
+    nextCall();
+    CHECK(versions_ == std::vector<uint64_t>{ 1, 2 });
+}
+
+TEST_CASE_FIXTURE(StoreFollowerFixture, "UpstreamRow_WhenItTurnsUnreadable_NamesNoUpstreamFromThenOn")
+{
+    listed_ = { "i-1" };
+    answer(nextUpstreamPoll(), R"({"rows":[)" + makeUpstreamRow("i-1", "not json", 10) + R"(],"ver":10})");
+    const Call poll = nextUpstreamPoll();
+    REQUIRE(upstreams_.back().rows_.size() == 1);
+    CHECK(upstreams_.back().rows_[0].id_ == "i-1");
+    CHECK(upstreams_.back().rows_[0].removed_);
+    upstreamList_ = R"({"rows":[)" + makeUpstreamRow("i-1", "not json", 10) + R"(],"ver":20})";
+    respond(store_, poll.exchange_, HttpReply{ 410, {}, "{}" });
+    nextUpstreamPoll();
+    REQUIRE(upstreams_.back().fullList_);
+    for (const Gateway::UpstreamRow &row : upstreams_.back().rows_) {
+        CHECK(row.removed_);
+    }
+}
+
 TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenVersionsNeverEnd_ForgetsThemAndReadsTheOrdersOnceAtATime")
 {
     constexpr size_t maxVersions = 4096;
