Rows of another part than the empty one are not obeyed (ROUTE, DRAIN)

Callers saw (tried by the users, and by the process test before this change): requests to an upstream whose id another writer used as a key in part x of the list were not served any more, after a row there that said draining or was removed; a configuration in part x of the operator's table with a higher version was put in force, and no request was served.

Cause: rows were known by table and key alone. Reads ask for the empty part, but a feed takes no part and gives the changes of all. In one reply such a row also replaced the one that counts.

A row without a part is of the empty one, as stores of older stand-ins write it; one whose part is no text is malformed.

The stand-in store keeps rows of other parts for feeds.

--- a/tests/gateway_store_process_test.cpp
+++ b/tests/gateway_store_process_test.cpp
@@ -176,6 +176,31 @@
     }
 }
 
+// Feeds give the changes of all parts; the operator's rows and those of upstreams are in the empty one.
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenRowsOfAnotherPartAreWritten_DoesNotObeyThem")
+{
+    const auto write = [&](const std::string &row) {
+        callNode(fleet_.processes_.at("platform").address_, "POST", "/control/row", row);
+    };
+    const std::string draining
+        = R"({\"service\":\"desk\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":4,)"
+          R"(\"state\":\"draining\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":1})";
+    write(R"({"table":"servers","part":"x","key":"desk-1","value":")" + draining + "\"}");
+    write(R"({"table":"servers","part":"x","key":"desk-2","value":"","remove":true})");
+    write(R"({"table":"op","part":"x","key":"config","value":"{\"version\":90,\"routes\":[],\"services\":[]}"})");
+    std::this_thread::sleep_for(Gateway::Bounds().configurationDelay_);
+    for (const std::string &gateway : fleet_.entries_) {
+        const std::string upstreams = readStatusField(fleet_, gateway, "upstreams");
+        CHECK(upstreams.find("desk-1") != std::string::npos);
+        CHECK(upstreams.find("desk-2") != std::string::npos);
+        CHECK(upstreams.find(R"("draining":true)") == std::string::npos);
+        CHECK(call("/once/x", "r-" + gateway, gateway).status_ == 200);
+    }
+    writeConfiguration(fleet_, 2, { "key-2" });
+    CHECK(waitUntil([&] { return call("/once/x", "r-2", "gateway-1", "key-2").status_ == 200; },
+        Gateway::Bounds().configurationDelay_));
+}
+
 // Real processes have to read the order before they use the version that it names, and follow the status row.
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Rollout_WhenItsRowsAreWritten_IsFollowedByAllGateways")
 {
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -298,6 +298,32 @@
     CHECK(read_.rows_[1].value_ == "[]");
 }
 
+// Guards against obeying rows that only share a key with those of the operator and of upstreams.
+TEST_CASE_FIXTURE(TableReadFixture, "TableRead_WhenARowIsOfAnotherPart_LeavesItOut")
+{
+    const std::string text = R"({"rows":[{"table":"servers","part":"","key":"i-1","value":"e30=","ver":3},
+        {"table":"servers","part":"x","key":"i-1","value":"W10=","ver":4},
+        {"table":"servers","part":"x","key":"i-1","ver":5,"deleted":true},
+        {"deleted":true,"ver":6,"key":"i-1","part":"x","table":"servers"},
+        {"table":"servers","key":"i-2","value":"e30=","ver":7}],"ver":9})";
+    REQUIRE_FALSE(parseTableRead(text, read_));
+    REQUIRE(read_.rows_.size() == 2);
+    CHECK(read_.rows_[0].value_ == "{}");
+    CHECK_FALSE(read_.rows_[0].removed_);
+    CHECK(read_.rows_[1].key_ == "i-2");
+    CHECK(read_.malformedRows_ == 0);
+    CHECK(read_.version_ == StoreVersion{ 0, 9 });
+}
+
+TEST_CASE_FIXTURE(TableReadFixture, "TableRead_WhenAPartIsNoText_CountsTheRowAsMalformed")
+{
+    REQUIRE_FALSE(parseTableRead(R"({"rows":[{"table":"servers","part":0,"key":"i-1","value":"e30=","ver":3},
+        {"table":"servers","part":null,"key":"i-1","ver":4,"deleted":true}],"ver":9})",
+        read_));
+    CHECK(read_.rows_.empty());
+    CHECK(read_.malformedRows_ == 2);
+}
+
 TEST_CASE_FIXTURE(UpstreamRowFixture, "UpstreamRow_WhenIncompleteOrMalformed_IsRefused")
 {
     REQUIRE_FALSE(parse());
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -51,9 +51,9 @@
     return { exchange, ServerOutput::Kind::Full, makeJsonReply(status, std::move(body)), {} };
 }
 
-Json::object makeRowObject(const StoreRow &row, bool removed)
+Json::object makeRowObject(const StoreRow &row, bool removed, const std::string &part = {})
 {
-    Json::object object{ { "table", row.key_.table_ }, { "part", "" }, { "key", row.key_.key_ },
+    Json::object object{ { "table", row.key_.table_ }, { "part", part }, { "key", row.key_.key_ },
         { "ver", row.version_ } };
     if (removed) {
         object["deleted"] = true;
@@ -96,7 +96,7 @@
         Json::array rows;
         for (const RowChange &change : state.history_) {
             if (change.row_.key_.table_ == table && change.row_.version_ > feed.afterVersion_) {
-                rows.push_back(makeRowObject(change.row_, change.removed_));
+                rows.push_back(makeRowObject(change.row_, change.removed_, change.part_));
             }
         }
         sendOutput(state, makeWholeOutput(feed.exchange_, 200, serializeRows(state, std::move(rows))), now, outbox);
@@ -104,15 +104,17 @@
     });
 }
 
-void writeRow(PlatformState &state, const StoreKey &key, const std::string &value, bool remove)
+/// Writes or removes a row. Reads are of the empty part, so that rows of others are kept for feeds only.
+void writeRow(
+    PlatformState &state, const StoreKey &key, const std::string &value, bool remove, const std::string &part = {})
 {
     StoreRow row{ key, value, state.version_ };
-    if (remove) {
+    if (remove && part.empty()) {
         state.rows_.erase(key);
-    } else {
+    } else if (part.empty()) {
         state.rows_[key] = row;
     }
-    state.history_.push_back({ std::move(row), remove });
+    state.history_.push_back({ std::move(row), remove, part });
     if (state.history_.size() > historyLength) {
         state.discardedUpTo_ = state.history_.front().row_.version_;
         state.history_.pop_front();
@@ -344,12 +346,14 @@
     JsonReader reader = readJsonObject(arrival.request_.body_, document);
     const StoreKey key = readKey(reader);
     std::string value;
+    std::string part;
     bool remove = false;
     read(reader, "value", value, Presence::Optional);
+    read(reader, "part", part, Presence::Optional);
     read(reader, "remove", remove, Presence::Optional);
     if (!reader.error_) {
         ++state.version_;
-        writeRow(state, key, value, remove);
+        writeRow(state, key, value, remove, part);
         answerFeeds(state, key.table_, now, outbox);
     }
     outbox.outputs_.push_back(makeWholeOutput(arrival.exchange_, reader.error_ ? 400 : 200, "{}"));
--- a/tests/standins/platform_base.h
+++ b/tests/standins/platform_base.h
@@ -38,6 +38,7 @@
 {
     StoreRow row_; ///< The row after the change, with the version of its transaction.
     bool removed_ = false; ///< Whether the row was removed.
+    std::string part_; ///< Part of the table that the row is in.
 };
 
 /// Long poll that waits for changes.
