Rows of listed upstreams are read ahead of a long reply (DRAIN)

Change: while a reply about upstreams arrives for longer than a tenth of the update delay, the rows of the listed upstreams are read by ranges of their ids, again after each fifth of it. A reply beyond 128 KiB, as other rows lie between the ids, ends and its range is halved; one of a single id is one row. What was read ahead replaces older rows of the feed and of the list until these cover it, so that an upstream that leaves is not taken back meanwhile. These rows have no version of a list: what they don't name is not dropped.

Two tests of the follower show the order of rows and the halved ranges.

Not mended: a list of a peer that was read between the two may take such a row back until the next read, half a second later; a start on such a link has to read the table once, as no id is known.

--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -334,6 +334,13 @@
                        event.rows_.begin(), event.rows_.end(), [&id](const UpstreamRow &row) { return row.id_ == id; });
                });
     };
+    handlers.listUpstreams_ = [&daemon] {
+        std::vector<std::string> ids;
+        for (const auto &[id, row] : daemon.state_.upstreamById_) {
+            ids.push_back(id);
+        }
+        return ids;
+    };
     handlers.onRollouts_ = [&daemon](RolloutsReceived event) {
         daemon.inbox_.rollouts_.push_back(std::move(event));
         scheduleTick(daemon);
--- a/tests/foreign_rows_process_test.cpp
+++ b/tests/foreign_rows_process_test.cpp
@@ -124,6 +124,28 @@
     CHECK(peakMemory() < smallestMemory);
 }
 
+// The links of the smallest machines take 10 s for these rows. No peer can tell of the change.
+TEST_CASE_FIXTURE(ForeignRowsFixture, "UpstreamList_WhenForeignRowsFillASlowLink_FollowsAnUpstreamThatLeaves")
+{
+    signalProcess(fleet_, "gateway-2", SIGKILL);
+    for (const bool bounded : { false, true }) {
+        CAPTURE(bounded);
+        controlStoreLink(fleet_, "gateway-1", "/thin");
+        ForeignRows rows = allForeignRows[0];
+        rows.pagesBounded_ = bounded;
+        write(rows);
+        std::this_thread::sleep_for(Milliseconds(500)); // by then they arrive
+        writeUpstreamRow(fleet_, "engines-1", "draining", 4);
+        const auto drains = [this] {
+            return readStatusField(fleet_, "gateway-1", "upstreams").find(R"("draining":true)") != std::string::npos;
+        };
+        CHECK(waitUntil(drains, drainTime_));
+        controlStoreLink(fleet_, "gateway-1", "/mend");
+        writeUpstreamRow(fleet_, "engines-1", "ready", 4);
+        CHECK(waitUntil([&] { return !drains(); }, startTime));
+    }
+}
+
 // A restart of all gateways left none that served.
 TEST_CASE_FIXTURE(ForeignRowsFixture, "Gateways_WhenStartedBesideForeignRows_AreReady")
 {
--- a/tests/standins/link.cpp
+++ b/tests/standins/link.cpp
@@ -7,11 +7,13 @@
 #include "address_func.h"
 #include "standin_func.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <list>
 
 namespace Burdockfield::Standin {
@@ -22,6 +24,7 @@
 
 constexpr size_t relayBytes = 16384; ///< Bytes relayed at once.
 constexpr Milliseconds slowDelay{ 80 }; ///< Delay of each piece over a slow link.
+constexpr size_t thinBytesPerMs = 1250; ///< What a thin link carries towards the callers; 10 Mbit/s.
 
 /// Pair of connections that are relayed to each other.
 struct LinkPair
@@ -44,8 +47,18 @@
     bool cut_ = false; ///< Whether everything is closed.
     bool slow_ = false; ///< Whether everything takes slowDelay longer.
     bool swallows_ = false; ///< Whether new connections pass nothing on, for good.
+    bool thin_ = false; ///< Whether all connections together carry thinBytesPerMs.
+    std::chrono::steady_clock::time_point freeAt_{}; ///< When a thin link has carried what it has taken.
 };
 
+/// @return when a thin link will have carried some bytes.
+std::chrono::steady_clock::time_point carry(Link &link, size_t bytes)
+{
+    const std::chrono::microseconds time(1000 * bytes / thinBytesPerMs);
+    link.freeAt_ = std::max(link.freeAt_, std::chrono::steady_clock::now()) + time;
+    return link.freeAt_;
+}
+
 void closePair(LinkPair &pair)
 {
     boost::system::error_code ignored;
@@ -62,7 +75,7 @@
     closePair(pair);
 }
 
-void relay(const Link &link, const LinkPairPointer &pair, bool back, Asio::yield_context yield)
+void relay(Link &link, const LinkPairPointer &pair, bool back, Asio::yield_context yield)
 {
     Tcp::socket &from = back ? pair->far_ : pair->near_;
     Tcp::socket &to = back ? pair->near_ : pair->far_;
@@ -74,6 +87,9 @@
         if (!error && link.slow_) {
             timer.expires_after(slowDelay);
             timer.async_wait(yield[error]);
+        } else if (!error && link.thin_ && back) {
+            timer.expires_at(carry(link, count));
+            timer.async_wait(yield[error]);
         }
         if (!error && !pair->silent_ && !(back && pair->deaf_)) {
             Asio::async_write(to, Asio::buffer(bytes, count), yield[error]);
@@ -124,6 +140,7 @@
 {
     link.cut_ = target == "/cut";
     link.slow_ = target == "/slow";
+    link.thin_ = target == "/thin";
     link.swallows_ = target == "/swallow";
     for (const auto &weak : link.pairs_) {
         const LinkPairPointer pair = weak.lock();
--- a/tests/standins/link_func.h
+++ b/tests/standins/link_func.h
@@ -21,7 +21,8 @@
  *
  * After /swallow new connections carry nothing, also later on. After /silence the open connections carry nothing more
  * while new ones work, after /deafen nothing back to the caller; /reset resets the open ones. After /cut the open ones
- * are closed and new ones too, and after /slow all are delayed, until another order.
+ * are closed and new ones too, after /slow all are delayed, and after /thin all together carry 10 Mbit/s towards the
+ * callers, until another order.
  * @return exit status of the process
  */
 int runLink(const LinkPlace &place);
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -17,6 +17,7 @@
 #include <doctest/doctest.h>
 #include <set>
 #include <stdexcept>
+#include <thread>
 
 using namespace Burdockfield;
 using namespace Burdockfield::Platform;
@@ -58,6 +59,9 @@
             } else if (request.target_.find("rows-tx") != std::string::npos) {
                 ++writes_;
                 respond(store_, exchange, makeJsonReply(R"({"ver":1})"));
+            } else if (request.target_.find("from=") != std::string::npos) {
+                ranges_.push_back(request.target_);
+                respond(store_, exchange, makeJsonReply(answerRange_(request.target_)));
             } else if (!isFeed(request.target_)) {
                 respond(store_, exchange, makeJsonReply(upstreamList_));
             }
@@ -91,6 +95,9 @@
         handlers.isListed_ = [this](const std::string &id) {
             return listed_.contains(id);
         };
+        handlers.listUpstreams_ = [this] {
+            return std::vector<std::string>(listed_.begin(), listed_.end());
+        };
         handlers.countReachablePeers_ = [] {
             return size_t{ 0 };
         };
@@ -194,6 +201,8 @@
     std::vector<Gateway::UpstreamsReceived> upstreams_; ///< Lists and changes that the follower has passed on.
     std::string upstreamList_ = R"({"rows":[],"ver":1})"; ///< Reply to a read of the list of upstreams.
     std::set<std::string> listed_; ///< Ids of the upstreams that count as listed.
+    std::vector<std::string> ranges_; ///< Targets of the reads of ranges.
+    std::function<std::string(const std::string &)> answerRange_; ///< Reply to one of them.
     int writes_ = 0; ///< Transactions received.
     std::string inForce_; ///< Text of the configuration that counts as in force.
 };
@@ -459,6 +468,69 @@
     }
 }
 
+// Guards against an upstream that leaves and whose row comes seconds later, behind megabytes of other rows.
+TEST_CASE_FIXTURE(StoreFollowerFixture, "UpstreamList_WhenAReplyArrivesSlowly_HasTheRowsOfListedUpstreamsMeanwhile")
+{
+    listed_ = { "i-1", "i-2", "i-3" };
+    const std::string draining = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"draining",)"
+                                 R"("version":"v1","coldRemainingMs":0,"sequence":2,"born":1})";
+    answerRange_ = [&](const std::string & /*target*/) {
+        return R"({"rows":[)" + makeUpstreamRow("i-1", draining, 50) + "," + makeUpstreamRow("i-3", "not json", 40)
+            + R"(],"ver":60})";
+    };
+    const Call poll = nextUpstreamPoll();
+    const size_t before = upstreams_.size();
+    startStream(store_, poll.exchange_, HttpReply{ 200, {}, {} });
+    sendChunk(store_, poll.exchange_, R"({"rows":[)" + makeUpstreamRow("i-1", makeUpstreamText("v1"), 20));
+    REQUIRE(waitUntil(
+        [&] {
+            io_.poll();
+            return upstreams_.size() > before;
+        },
+        follower_.updateDelay_));
+    CHECK(ranges_.at(0).find("from=i-1&to=i-3%01") != std::string::npos);
+    const Gateway::UpstreamsReceived ahead = upstreams_.back();
+    CHECK_FALSE(ahead.fullList_);
+    CHECK(ahead.version_ == StoreVersion{});
+    REQUIRE(ahead.rows_.size() == 3);
+    CHECK(ahead.rows_[0].draining_);
+    CHECK(ahead.rows_[1].removed_);
+    CHECK(ahead.rows_[2].removed_);
+    sendChunk(store_, poll.exchange_, "," + makeUpstreamRow("i-2", makeUpstreamText("v1"), 21) + R"(],"ver":30})");
+    endStream(store_, poll.exchange_);
+    nextUpstreamPoll();
+    const Gateway::UpstreamsReceived &late = upstreams_.back(); // older than the rows read ahead
+    CHECK(late.version_ == StoreVersion{ 0, 30 });
+    for (const Gateway::UpstreamRow &row : late.rows_) {
+        CHECK((row.removed_ || row.draining_));
+    }
+    const size_t reads = ranges_.size();
+    std::this_thread::sleep_for(follower_.updateDelay_ / 2);
+    io_.poll();
+    CHECK(ranges_.size() == reads); // no reply arrives any more
+}
+
+TEST_CASE_FIXTURE(StoreFollowerFixture, "UpstreamList_WhenForeignRowsLieBetweenTheIds_ReadsSmallerRanges")
+{
+    listed_ = { "i-1", "i-2", "i-3" };
+    answerRange_ = [&](const std::string &target) {
+        const bool whole = target.find("from=i-1&to=i-3") != std::string::npos;
+        return whole ? R"({"rows":[)" + std::string(200000, ' ') + R"(],"ver":60})" : R"({"rows":[],"ver":60})";
+    };
+    const Call poll = nextUpstreamPoll();
+    const size_t before = upstreams_.size();
+    startStream(store_, poll.exchange_, HttpReply{ 200, {}, {} });
+    sendChunk(store_, poll.exchange_, R"({"rows":[)");
+    REQUIRE(waitUntil(
+        [&] {
+            io_.poll();
+            return upstreams_.size() == before + 2;
+        },
+        follower_.updateDelay_));
+    CHECK(upstreams_[before].rows_.size() == 2);
+    CHECK(upstreams_[before + 1].rows_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(StoreFollowerFixture, "Follower_WhenVersionsNeverEnd_ForgetsThemAndReadsTheOrdersOnceAtATime")
 {
     constexpr size_t maxVersions = 4096;
