Rows of services that are not configured leave room for upstreams

Another writer's rows may be complete and name a service that no configuration has. 10,000 of them took all 8,192 places of upstreams, so that an upstream that joined was not listed, and each of their zones became a region with brokers, which are computed every 20 ms.

Such rows get half of the places at most, and add no region. They stay listed, as a later configuration may name their service.

UpstreamRows_WhenTheirServicesAreNotConfigured_LeaveRoomAndAddNoRegions failed before (4 checks) and passes after it.

--- a/src/gateway_brokers.cpp
+++ b/src/gateway_brokers.cpp
@@ -96,8 +96,11 @@
     for (const auto &[zone, region] : state.regionByZone_) {
         regions.insert(region);
     }
-    forEachRow(
-        state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) { regions.insert(upstream.region_); });
+    forEachRow(state.upstreams_, [&](UpstreamId /*id*/, const Upstream &upstream) {
+        if (findService(state.configuration_, upstream.service_) != nullptr) { // others get no calls
+            regions.insert(upstream.region_);
+        }
+    });
     for (const std::string &region : regions) {
         std::vector<std::string> candidates = findCandidates(state, now, region);
         std::vector<std::string> &current = state.brokersByRegion_[region];
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -15,6 +15,8 @@
 
 /// Upstreams that are kept, and removed ones that are remembered; each takes some 650 bytes, and fleets have hundreds.
 constexpr size_t maxUpstreams = 8192;
+/// Of these, those of services that the configuration does not name, so that rows of others leave room for upstreams.
+constexpr size_t maxUnnamedUpstreams = maxUpstreams / 2;
 constexpr std::chrono::seconds rejectionLogInterval{ 10 }; ///< Time between log lines about rows left out.
 constexpr std::chrono::minutes removedRetention{ 10 }; ///< Longer than an upstream lives on without its row.
 
@@ -38,7 +40,8 @@
 bool addUpstream(
     GatewayState &state, TimePoint now, const UpstreamRow &row, const std::string &source, GatewayOutbox &outbox)
 {
-    if (state.upstreams_.size_ >= maxUpstreams) {
+    const bool named = findService(state.configuration_, row.service_) != nullptr;
+    if (state.upstreams_.size_ >= (named ? maxUpstreams : maxUnnamedUpstreams)) {
         count(state.metrics_, "upstream_rows_rejected", source);
         if (now - state.upstreamRejectionLoggedAt_ >= rejectionLogInterval) {
             state.upstreamRejectionLoggedAt_ = now;
--- a/tests/gateway_membership_test.cpp
+++ b/tests/gateway_membership_test.cpp
@@ -309,6 +309,23 @@
     CHECK(findUpstream(state_, "engine-1") == nullptr);
 }
 
+// Guards against rows of another writer that take the places of upstreams, and each zone of which counts as a region.
+TEST_CASE_FIXTURE(MembershipFixture, "UpstreamRows_WhenTheirServicesAreNotConfigured_LeaveRoomAndAddNoRegions")
+{
+    constexpr size_t maxUnnamedUpstreams = 4096;
+    std::vector<UpstreamRow> rows;
+    for (int row = 0; row < 10000; ++row) {
+        rows.push_back(makeRow("backup-" + std::to_string(row), "backup", "zone-of-backup-" + std::to_string(row)));
+    }
+    rows.push_back(makeRow("desk-2", "desk", "zone-of-desk-2"));
+    receiveRows(rows);
+    CHECK(state_.upstreams_.size_ <= maxUnnamedUpstreams + 1);
+    CHECK(upstream("desk-2").service_ == "desk");
+    tickAfter(Milliseconds(100));
+    CHECK(state_.brokersByRegion_.contains("zone-of-desk-2"));
+    CHECK(state_.brokersByRegion_.size() == 3); // with those of the settings
+}
+
 TEST_CASE_FIXTURE(MembershipFixture, "Snapshot_WhenARowIsMissingSinceAnOutage_SaysSo")
 {
     setStoreReachable(false);
