--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -352,11 +352,11 @@
 TEST_CASE_FIXTURE(UpstreamRowFixture, "UpstreamRow_WhenOneFieldIsMissing_IsRefused")
 {
     const std::map<std::string, std::string> complete = fields_;
-    for (const auto &[name, value] : complete) {
-        CAPTURE(name);
-        fields_.erase(name);
+    for (const auto &field : complete) {
+        CAPTURE(field.first);
+        fields_.erase(field.first);
         CHECK(parse() == WireErrc::MissingField);
-        fields_[name] = value;
+        fields_.insert(field);
     }
 }
 
