Refused polls keep their connection

Since replies are decoded while they arrive, one with 410, 429 or 503 ended at its header, and its connection was closed with the body unread: a store that is overloaded got a new connection with each call.

Found by reading the change.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -161,7 +161,7 @@
     }
     result.reply_.status_ = static_cast<int>(parser->get().result_int());
     result.reply_.headers_ = copyFields(parser->get());
-    result.error_ = reader.onHead_(result.reply_);
+    reader.onHead_(result.reply_);
     parser->eager(true);
     stream.expires_after(timeout);
     size_t received = 0;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -113,9 +113,8 @@
 /// Takes the body of a response in parts, so that the client holds none of it.
 struct BodyReader
 {
-    /// The header was received. What came before it belongs to a call that broke and is repeated. An error ends the
-    /// call.
-    std::function<std::error_code(const HttpReply &)> onHead_;
+    /// The header was received. What came before it belongs to a call that broke and is repeated.
+    std::function<void(const HttpReply &)> onHead_;
     std::function<std::error_code(std::string_view)> onBytes_; ///< Bytes of the body came. An error ends the call.
 };
 
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -216,3 +216,26 @@
     reply(connections_.back(), makeReply(R"({"rows":[],"ver":61})"));
     runUntil([&version] { return version == 61; });
 }
+
+// A store that is overloaded would otherwise get a new connection with each call.
+TEST_CASE_FIXTURE(StoreClientFixture, "Poll_WhenTheStoreRefusesIt_KeepsItsConnection")
+{
+    size_t connections = 0;
+    for (size_t poll = 1; poll <= 2; ++poll) {
+        std::error_code end;
+        pollTableChanges(client_, address_, { "servers", 1, Milliseconds(0), Milliseconds(2000) }, {},
+            [&end](std::error_code error, const TableRead & /*read*/) { end = error; });
+        runUntil([this, poll] {
+            receive();
+            return countRequests("rows-feed") == poll;
+        });
+        CHECK((poll == 1 || connections_.size() == connections));
+        connections = connections_.size();
+        for (StoreConnection &connection : connections_) {
+            if (connection.received_.find("table=servers") != std::string::npos) {
+                reply(connection, "HTTP/1.1 429 Busy\r\nContent-Length: 2\r\n\r\n{}");
+            }
+        }
+        runUntil([&end] { return end == make_error_code(StoreErrc::Unavailable); });
+    }
+}
