--- a/src/gateway_daemon.cpp
+++ b/src/gateway_daemon.cpp
@@ -16,6 +16,7 @@
 #include "table/extra_answer_names.h"
 
 #include "call_wire.h"
+#include "crash_record_store.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -327,19 +328,17 @@
     handlers.isInForce_ = [&daemon](const std::string &text) {
         return text == daemon.state_.configurationText_;
     };
-    handlers.isListed_ = [&daemon](const std::string &id) {
-        return daemon.state_.upstreamById_.contains(id)
-            || std::any_of(daemon.inbox_.upstreams_.begin(), daemon.inbox_.upstreams_.end(), [&id](const auto &event) {
-                   return std::any_of(
-                       event.rows_.begin(), event.rows_.end(), [&id](const UpstreamRow &row) { return row.id_ == id; });
-               });
-    };
     handlers.listUpstreams_ = [&daemon] {
-        std::vector<std::string> ids;
+        std::set<std::string> ids;
         for (const auto &[id, row] : daemon.state_.upstreamById_) {
-            ids.push_back(id);
+            ids.insert(id);
+        }
+        for (const UpstreamsReceived &event : daemon.inbox_.upstreams_) {
+            for (const UpstreamRow &row : event.rows_) {
+                ids.insert(row.id_);
+            }
         }
-        return ids;
+        return std::vector<std::string>(ids.begin(), ids.end());
     };
     handlers.onRollouts_ = [&daemon](RolloutsReceived event) {
         daemon.inbox_.rollouts_.push_back(std::move(event));
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -115,13 +115,14 @@
     bool keepAlive_ = false; ///< Whether the connection may carry another call.
 };
 
-HttpReply makeReply(Http::response<Http::string_body> &message)
+/// @return the status and headers of a response.
+template<typename Body>
+HttpReply makeHead(const Http::response<Body> &message)
 {
-    HttpReply reply;
-    reply.status_ = static_cast<int>(message.result_int());
-    reply.headers_ = copyFields(message);
-    reply.body_ = std::move(message.body());
-    return reply;
+    HttpReply head;
+    head.status_ = static_cast<int>(message.result_int());
+    head.headers_ = copyFields(message);
+    return head;
 }
 
 /// Reads the next reply on a connection.
@@ -142,7 +143,8 @@
         return result;
     }
     result.keepAlive_ = parser->get().keep_alive() && buffer.size() == 0;
-    result.reply_ = makeReply(parser->get());
+    result.reply_ = makeHead(parser->get());
+    result.reply_.body_ = std::move(parser->get().body());
     return result;
 }
 
@@ -159,8 +161,7 @@
         result.error_ = classifyError(error);
         return result;
     }
-    result.reply_.status_ = static_cast<int>(parser->get().result_int());
-    result.reply_.headers_ = copyFields(parser->get());
+    result.reply_ = makeHead(parser->get());
     reader.onHead_(result.reply_);
     parser->eager(true);
     stream.expires_after(timeout);
@@ -313,15 +314,24 @@
     if (error) {
         return classifyStreamError(stream, error);
     }
-    HttpReply head;
-    head.status_ = static_cast<int>(parser->get().result_int());
-    head.headers_ = copyFields(parser->get());
     if (!stream.cancelled_) {
-        handlers.onHead_(head);
+        handlers.onHead_(makeHead(parser->get()));
     }
     return readBody(stream, *parser, silenceTimeout, handlers, yield);
 }
 
+/// Starts a call. @param reader takes the body of its reply, if there is one
+void startFetch(HttpClient &client, std::string address, HttpRequest request, Milliseconds timeout, ConnectionUse use,
+    std::optional<BodyReader> reader, FetchHandler done)
+{
+    const auto body = [&client, address = std::move(address), request = std::move(request), timeout, use,
+                          reader = std::move(reader), done = std::move(done)](Asio::yield_context yield) {
+        CallResult result = call(client, address, request, timeout, use, reader ? &*reader : nullptr, yield);
+        done(result.error_, std::move(result.reply_));
+    };
+    startCoroutine(client.io_, "fetch", body, [] {});
+}
+
 } // namespace
 
 HeldReply::HeldReply(const HttpClient &client, Beast::tcp_stream *stream)
@@ -361,23 +371,13 @@
 void fetch(HttpClient &client, std::string address, HttpRequest request, Milliseconds timeout, ConnectionUse use,
     FetchHandler done)
 {
-    const auto body = [&client, address = std::move(address), request = std::move(request), timeout, use,
-                          done = std::move(done)](Asio::yield_context yield) {
-        CallResult result = call(client, address, request, timeout, use, nullptr, yield);
-        done(result.error_, std::move(result.reply_));
-    };
-    startCoroutine(client.io_, "fetch", body, [] {});
+    startFetch(client, std::move(address), std::move(request), timeout, use, std::nullopt, std::move(done));
 }
 
 void fetchParts(HttpClient &client, std::string address, HttpRequest request, Milliseconds timeout, ConnectionUse use,
     BodyReader reader, FetchHandler done)
 {
-    const auto body = [&client, address = std::move(address), request = std::move(request), timeout, use,
-                          reader = std::move(reader), done = std::move(done)](Asio::yield_context yield) {
-        CallResult result = call(client, address, request, timeout, use, &reader, yield);
-        done(result.error_, std::move(result.reply_));
-    };
-    startCoroutine(client.io_, "fetch-parts", body, [] {});
+    startFetch(client, std::move(address), std::move(request), timeout, use, std::move(reader), std::move(done));
 }
 
 void closeChannel(HttpClient &client, const std::string &address, const std::string &channel)
--- a/tests/store_follower_test.cpp
+++ b/tests/store_follower_test.cpp
@@ -92,9 +92,6 @@
         };
         handlers.onMalformedRow_ = [](const std::string &, const std::string &, std::error_code) {
         };
-        handlers.isListed_ = [this](const std::string &id) {
-            return listed_.contains(id);
-        };
         handlers.listUpstreams_ = [this] {
             return std::vector<std::string>(listed_.begin(), listed_.end());
         };
