A row that turns unreadable names no upstream, also after an outage

For 2 s after an outage of the store an upstream whose row was there but could not be read was kept and got calls, as one whose row is missing and may return. Such a row is not missing: the upstream is dropped at once, on the feed and when the whole table is read.

--- a/src/gateway_base.h
+++ b/src/gateway_base.h
@@ -300,6 +300,7 @@
     std::string version_; ///< Version of the server's software; empty if it has none.
     StoreVersion rowVersion_; ///< Store's version of the row; 0 if unknown.
     bool versionKnown_ = true; ///< False for a row from a peer of a release that does not send versions.
+    bool unusable_ = false; ///< Of a removed one: whether the row is there and describes no upstream.
 };
 
 /// How fast the slots of a service become free, as moving averages over half a second.
--- a/src/gateway_membership.cpp
+++ b/src/gateway_membership.cpp
@@ -159,6 +159,10 @@
 void applyUpstreamRow(
     GatewayState &state, TimePoint now, const UpstreamRow &row, const std::string &source, GatewayOutbox &outbox)
 {
+    if (row.unusable_) { // it is not missing, and won't return as it was
+        removeUpstream(state, now, row.id_, source, outbox);
+        return;
+    }
     if (row.removed_) {
         handleMissingUpstream(state, now, row.id_, source, outbox);
         return;
@@ -390,7 +394,7 @@
 {
     return { upstream.id_, upstream.service_, upstream.address_, upstream.zone_, upstream.slots_, upstream.startedAtMs_,
         upstream.draining_, false, upstream.missingSince_ != noDeadline, upstream.version_, upstream.rowVersion_,
-        upstream.versionKnown_ };
+        upstream.versionKnown_, false };
 }
 
 void runMembership(GatewayState &state, TimePoint now, GatewayInbox &inbox, GatewayOutbox &outbox)
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -87,7 +87,7 @@
 
     static UpstreamRow makeRow(const std::string &id, const std::string &service, const std::string &zone = "zone-1")
     {
-        return { id, service, "10.0.1.1:80", zone, 4, 1, false, false, false, {}, {}, true };
+        return { id, service, "10.0.1.1:80", zone, 4, 1, false, false, false, {}, {}, true, false };
     }
 
     CallArrived makeCall(const std::string &route, uint64_t exchange)
--- a/tests/gateway_membership_test.cpp
+++ b/tests/gateway_membership_test.cpp
@@ -309,6 +309,19 @@
     CHECK(findUpstream(state_, "engine-1") == nullptr);
 }
 
+// A row that is missing after an outage may return; one that is there and can't be read is none.
+TEST_CASE_FIXTURE(MembershipFixture, "UpstreamRow_WhenItTurnsUnreadableAfterAnOutage_NamesNoUpstreamAtOnce")
+{
+    setStoreReachable(false);
+    setStoreReachable(true);
+    UpstreamRow row = makeRemovedRow("desk-1");
+    receiveRows({ row });
+    REQUIRE(state_.upstreamById_.contains("desk-1"));
+    row.unusable_ = true;
+    receiveRows({ row });
+    CHECK_FALSE(state_.upstreamById_.contains("desk-1"));
+}
+
 // Guards against rows of another writer that take the places of upstreams, and each zone of which counts as a region.
 TEST_CASE_FIXTURE(MembershipFixture, "UpstreamRows_WhenTheirServicesAreNotConfigured_LeaveRoomAndAddNoRegions")
 {
