Labels of metrics are escaped

Tried in the test only.

Metrics_WhenALabelHasALineBreakOrQuotes_EscapeThem failed before (3 checks).

--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -12,18 +12,36 @@
 
 constexpr const char *namePrefix = "burdockfield_";
 
+/// @return a label with the characters escaped that end it in the text format; names of services and workspaces, which
+/// others choose, are labels.
+std::string escapeLabel(const std::string &label)
+{
+    std::string escaped;
+    for (const char character : label) {
+        if (character == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\') {
+            escaped += '\\';
+        }
+        escaped += character;
+    }
+    return escaped;
+}
+
 void writeCounters(std::ostringstream &text, const std::string &name, const LabelledCounter &counter)
 {
     text << "# TYPE " << namePrefix << name << " counter\n";
     for (const auto &[label, value] : counter) {
-        text << namePrefix << name << "{kind=\"" << label << "\"} " << value << '\n';
+        text << namePrefix << name << "{kind=\"" << escapeLabel(label) << "\"} " << value << '\n';
     }
 }
 
 void writeDuration(
     std::ostringstream &text, const std::string &name, const std::string &label, const DurationStatistics &statistics)
 {
-    const std::string labels = "{kind=\"" + label + "\"";
+    const std::string labels = "{kind=\"" + escapeLabel(label) + "\"";
     for (const double probability : trackedQuantiles) {
         const double value = Accumulators::quantile(statistics, Accumulators::quantile_probability = probability);
         text << namePrefix << name << labels << ",quantile=\"" << probability << "\"} " << value << '\n';
