--- a/tests/gateway_fleet.cpp
+++ b/tests/gateway_fleet.cpp
@@ -119,7 +119,7 @@
 } // namespace
 
 void writeConfiguration(const Fleet &fleet, uint64_t version, const std::vector<std::string> &keys,
-    const Gateway::CallerLimits &limits, uint32_t unusedRoutes, uint32_t attempts)
+    const Gateway::CallerLimits &limits, uint32_t unusedRoutes, uint32_t attempts, const std::string &workspace)
 {
     Json::array routes{ makeRoute("stream", "streaming", "engines", engineAttempts),
         makeRoute("read", "idempotent", "engines", engineAttempts),
@@ -130,7 +130,7 @@
     const Json::array services{ Json::object{ { "name", "engines" }, { "engine", Json::object() } },
         Json::object{ { "name", "desk" } } };
     const Json::array workspaces{ Json::object{
-        { "name", "workspace-1" }, { "apiKeys", Json::array(keys.begin(), keys.end()) } } };
+        { "name", workspace }, { "apiKeys", Json::array(keys.begin(), keys.end()) } } };
     const Json::object configuration{ { "version", version }, { "routes", routes }, { "services", services },
         { "tenants", workspaces },
         { "limits",
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -50,9 +50,11 @@
  * @param keys API keys of the only workspace
  * @param unusedRoutes further routes, which make the configuration large
  * @param attempts attempts that the route allows whose calls may run once only; others allow three
+ * @param workspace name of the workspace
  */
 void writeConfiguration(const Fleet &fleet, uint64_t version, const std::vector<std::string> &keys,
-    const Gateway::CallerLimits &limits = {}, uint32_t unusedRoutes = 0, uint32_t attempts = 3);
+    const Gateway::CallerLimits &limits = {}, uint32_t unusedRoutes = 0, uint32_t attempts = 3,
+    const std::string &workspace = "workspace-1");
 
 /// Writes an upstream's row into the store, or removes the row. @param startedAtMs the start that the row is about
 void writeUpstreamRow(const Fleet &fleet, const std::string &upstream, const std::string &state, uint32_t slots,
--- a/tests/gateway_store_process_test.cpp
+++ b/tests/gateway_store_process_test.cpp
@@ -176,6 +176,36 @@
     }
 }
 
+// Review case 11: the key went into a header, whose line break ended the head, and the body ran as another request.
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Requests_WhenTheKeyOfAForeignRowHasALineBreak_RunAsTheyWereSent")
+{
+    const std::string &address = fleet_.processes_.at("desk-1").address_;
+    for (const char *fields : { "", R"(,\"version\":\"v1\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":1)" }) {
+        callNode(fleet_.processes_.at("platform").address_, "POST", "/control/row",
+            R"({"table":"servers","key":"desk-1\r\n","value":"{\"service\":\"desk\",\"address\":\")" + address
+                + R"(\",\"zone\":\"zone-1\",\"slots\":4,\"state\":\"ready\")" + fields + "}\"}");
+        writeUpstreamRow(fleet_, "desk-2", "ready", 4, true);
+        std::this_thread::sleep_for(Gateway::Bounds().drainDelay_);
+        for (int index = 0; index < 6; ++index) {
+            const HttpReply reply = call("/once/x", "r" + std::to_string(index) + (*fields == 0 ? "" : "-complete"));
+            CHECK(reply.status_ == 200);
+            CHECK(reply.body_ == Standin::echoBody("/once/x", "body"));
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(GatewayProcessFixture, "Requests_WhenTheNameOfTheirWorkspaceHasALineBreak_AreRefusedAsNotRun")
+{
+    writeConfiguration(fleet_, 2, { "key-1" }, {}, 0, 3, "workspace-1\r\nContent-Length: 0");
+    std::this_thread::sleep_for(Gateway::Bounds().configurationDelay_);
+    const HttpReply reply = call("/once/x", "r1");
+    CHECK(reply.status_ == 503);
+    CHECK(reply.body_.find(R"("not_run":true)") != std::string::npos);
+    CHECK(runsOf("r1") == 0);
+    writeConfiguration(fleet_, 3, { "key-1" });
+    CHECK(waitUntil([&] { return call("/once/x", "r2").status_ == 200; }, Gateway::Bounds().configurationDelay_));
+}
+
 // Feeds give the changes of all parts; the operator's rows and those of upstreams are in the empty one.
 TEST_CASE_FIXTURE(GatewayProcessFixture, "Gateway_WhenRowsOfAnotherPartAreWritten_DoesNotObeyThem")
 {
